--- /dev/null
+++ b/commands/rules.go
@@ -0,0 +1,176 @@
+package commands
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"os/user"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"marigoldshed.example/marigoldshed/operator"
+	"marigoldshed.example/marigoldshed/rules"
+)
+
+// remoteOptions say which entry instance to speak to and who asks.
+type remoteOptions struct {
+	Via    string `long:"via" env:"MARIGOLDSHED_VIA" default:"127.0.0.1:8002" description:"operators' address of any entry instance"`
+	Secret string `long:"secret" env:"MARIGOLDSHED_SECRET" description:"operators' secret"`
+	By     string `long:"by" env:"MARIGOLDSHED_BY" description:"who asks (default: the user's name)"`
+}
+
+func (o remoteOptions) client() (*operator.Client, error) {
+	address, err := netip.ParseAddrPort(o.Via)
+	if err != nil {
+		return nil, errors.Annotatef(err, "--via %s is not an IP number with a port", o.Via)
+	}
+	return operator.NewClient(operator.ClientConfig{Address: address, Secret: o.Secret}), nil
+}
+
+func (o remoteOptions) asker() string {
+	if o.By != "" {
+		return o.By
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
+// edit sets or removes single rules and prints the version in force.
+func (o remoteOptions) edit(out output, set []string, remove []rules.Ref) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	version, err := client.Edit(context.Background(), operator.Edit{Set: set, Remove: remove, By: o.asker()})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	out.printf("version %d is in force\n", version)
+	return nil
+}
+
+type fileArgument struct {
+	Args struct {
+		File string `positional-arg-name:"RULES" required:"true" description:"rules file"`
+	} `positional-args:"true"`
+}
+
+func (a fileArgument) read() (string, error) {
+	text, err := os.ReadFile(a.Args.File)
+	return string(text), errors.Annotatef(err, "reading %s", a.Args.File)
+}
+
+type checkCommand struct {
+	fileArgument
+	output
+}
+
+// Execute checks a rules file and names every fault.
+func (c *checkCommand) Execute([]string) error {
+	text, err := c.read()
+	if err != nil {
+		return err
+	}
+	set, err := rules.Parse(text)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.printf("%d pools, %d queues, %d teams, %d keys: no fault\n", len(set.Pools), len(set.Queues), len(set.Teams), len(set.Keys))
+	return nil
+}
+
+type planCommand struct {
+	remoteOptions
+	fileArgument
+	output
+}
+
+// Execute shows which rules a file would add and take away.
+func (c *planCommand) Execute([]string) error {
+	text, err := c.read()
+	if err != nil {
+		return err
+	}
+	if _, err := rules.Parse(text); err != nil {
+		return errors.Trace(err)
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	current, err := client.Rules(context.Background())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	changes := rules.Compare(current.Text, text)
+	c.printf("against version %d:\n", current.Version)
+	for _, line := range changes {
+		c.printf("%s\n", line)
+	}
+	c.printf("%d changes\n", len(changes))
+	return nil
+}
+
+type applyCommand struct {
+	remoteOptions
+	fileArgument
+	Base int `long:"base" default:"-1" description:"version that the file is based on (default: the one that its first line names, or else the one in force)"`
+	output
+}
+
+// Execute puts a rules file into force as one version.
+func (c *applyCommand) Execute([]string) error {
+	text, err := c.read()
+	if err != nil {
+		return err
+	}
+	if _, err := rules.Parse(text); err != nil {
+		return errors.Trace(err)
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	base := c.Base
+	if base < 0 {
+		base = rules.Base(text)
+	}
+	if base < 0 {
+		current, err := client.Rules(context.Background())
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if current.Version > 0 {
+			return operator.RefusedError{Reason: "the file does not say which version it is based on: start from pull, or give --base"}
+		}
+		base = 0
+	}
+	version, err := client.Apply(context.Background(), operator.Apply{Base: base, Text: rules.Unmark(text), By: c.asker()})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.printf("version %d is in force\n", version)
+	return nil
+}
+
+type pullCommand struct {
+	remoteOptions
+	output
+}
+
+// Execute prints the rules file in force, marked with its version.
+func (c *pullCommand) Execute([]string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	current, err := client.Rules(context.Background())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.printf("%s", rules.Mark(current.Version, strings.TrimRight(current.Text, "\n")+"\n"))
+	return nil
+}
--- /dev/null
+++ b/entry/admit.go
@@ -0,0 +1,330 @@
+package entry
+
+import (
+	"net/netip"
+	"sort"
+	"time"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/queue"
+)
+
+// Bounds on waiting work.
+const (
+	maxWaiting     = 20_000                // requests that wait here for one pool
+	divideLeast    = 10 * time.Millisecond // between divisions
+	tookSmoothing  = 8                     // a new run time counts for one part in so many
+	waitSafety     = 2                     // a request is refused early only when its wait is expected to pass its deadline so many times
+	leastLateCheck = 16                    // requests waiting before early refusal is considered
+)
+
+// ticket is one request between its admission and its end.
+type ticket struct {
+	item    queue.Item
+	pool    id.Pool
+	key     string // hash of the key it came with, empty for an open queue without one
+	verdict chan verdict
+	worker  *worker // where it runs
+	started time.Time
+}
+
+// verdict tells a waiting request where to run, or why it does not.
+type verdict struct {
+	worker  id.Instance
+	address netip.AddrPort
+	err     error
+}
+
+// admit lets a request wait for a slot, or refuses it at once.
+func (c *Control) admit(now time.Time, t *ticket) {
+	if err := c.admissible(now, t); err != nil {
+		t.verdict <- verdict{err: err}
+		return
+	}
+	c.nextID++
+	t.item.ID = c.nextID
+	c.tickets[t.item.ID] = t
+	c.wait(now, t)
+}
+
+func (c *Control) admissible(now time.Time, t *ticket) error {
+	if c.stage == stopping {
+		return RefusedError{Status: statusUnavailable, Reason: "this instance is stopping", RetryAfter: time.Second}
+	}
+	if err := c.mayStart(now); err != nil {
+		return RefusedError{Status: statusUnavailable, Reason: err.Error(), RetryAfter: time.Second}
+	}
+	p := c.pool(t.pool)
+	if p.line.Len() >= maxWaiting {
+		return RefusedError{Status: statusTooMany, Reason: "too many requests wait for pool " + string(t.pool), RetryAfter: time.Second}
+	}
+	if wait, late := c.tooLate(now, p, t.item); late {
+		return RefusedError{Status: statusTooMany, Reason: "the wait would pass the deadline", RetryAfter: wait}
+	}
+	return nil
+}
+
+// tooLate estimates how long a request would wait from the run times and slots of its team here.
+func (c *Control) tooLate(now time.Time, p *pool, item queue.Item) (time.Duration, bool) {
+	waiting := p.line.Waiting(item.Team)
+	took := p.took[item.Team]
+	if waiting < leastLateCheck || took == 0 || item.Deadline.IsZero() {
+		return 0, false
+	}
+	slots := max(1, p.part[item.Team]+p.slack)
+	wait := took * time.Duration(waiting) / time.Duration(slots)
+	return wait, wait > waitSafety*item.Deadline.Sub(now)
+}
+
+// wait puts a request in line and serves the line.
+func (c *Control) wait(now time.Time, t *ticket) {
+	p := c.pool(t.pool)
+	p.line.Push(t.item)
+	c.dirty = true
+	if now.Sub(c.divided) > divideLeast {
+		c.divide(now)
+	}
+	c.dispatch(now, p)
+}
+
+// dispatchAll serves every line.
+func (c *Control) dispatchAll(now time.Time) {
+	for _, p := range c.pools {
+		c.dispatch(now, p)
+	}
+}
+
+// dispatch starts waiting requests of a pool while there is room for them.
+func (c *Control) dispatch(now time.Time, p *pool) {
+	if p.line.Len() == 0 || c.mayStart(now) != nil {
+		return
+	}
+	for p.line.Len() > 0 {
+		rooms := c.rooms(p)
+		if len(rooms) == 0 {
+			return
+		}
+		w, ok := c.choose(now, p)
+		if !ok {
+			return
+		}
+		item, ok := p.line.Next(now, rooms)
+		if !ok {
+			return
+		}
+		c.start(now, p, w, c.tickets[item.ID])
+	}
+}
+
+// rooms returns the teams that may start one more request in a pool; it notes the teams that have
+// room but no slot of their limit here.
+func (c *Control) rooms(p *pool) []queue.Room {
+	var rooms []queue.Room
+	free := p.slack
+	for team, n := range p.running {
+		free -= max(0, n-p.part[team])
+	}
+	for _, team := range p.line.Teams() {
+		running := p.running[team]
+		if running >= p.part[team] && free <= 0 {
+			continue
+		}
+		if c.holder.Idle(team) == 0 && !c.config.Planted.IgnoreLimits {
+			if c.wanting[team] == 0 {
+				c.links.urge()
+			}
+			c.wanting[team] = max(1, min(p.line.Waiting(team), p.part[team]-running+max(0, free)))
+			continue
+		}
+		delete(c.wanting, team)
+		rooms = append(rooms, queue.Room{Team: team, Running: running, Slots: p.part[team]})
+	}
+	return rooms
+}
+
+// start sends one request to a worker, unless its key has been withdrawn while it waited.
+func (c *Control) start(now time.Time, p *pool, w *worker, t *ticket) {
+	if t.key != "" && !c.view.Load().granted(t.key) {
+		delete(c.tickets, t.item.ID)
+		t.verdict <- verdict{err: RefusedError{Status: statusUnauthorized, Reason: "the key was withdrawn"}}
+		return
+	}
+	if err := c.holder.Take(t.item.Team); err != nil && !c.config.Planted.IgnoreLimits {
+		p.line.Push(t.item)
+		return
+	}
+	w.running++
+	p.running[t.item.Team]++
+	t.worker = w
+	t.started = now
+	t.verdict <- verdict{worker: w.name, address: w.address}
+}
+
+// release ends a request's use of its worker and slot.
+func (c *Control) release(t *ticket) {
+	if t.worker == nil {
+		return
+	}
+	t.worker.running--
+	p := c.pool(t.pool)
+	p.running[t.item.Team]--
+	if p.running[t.item.Team] == 0 {
+		delete(p.running, t.item.Team)
+	}
+	c.holder.Put(t.item.Team)
+	t.worker = nil
+	c.dirty = true
+}
+
+// finish ends a request.
+func (c *Control) finish(now time.Time, t *ticket, o outcome) {
+	if w := t.worker; w != nil {
+		w.learn(now, o)
+		if o.kind == answered {
+			c.learnTime(t, now.Sub(t.started))
+		}
+	} else {
+		c.pool(t.pool).line.Remove(t.item)
+	}
+	c.release(t)
+	delete(c.tickets, t.item.ID)
+	c.dispatch(now, c.pool(t.pool))
+}
+
+// again puts a request back in line after a worker did not take it.
+func (c *Control) again(now time.Time, t *ticket, o outcome) {
+	t.worker.learn(now, o)
+	c.release(t)
+	if err := c.mayStart(now); err != nil {
+		delete(c.tickets, t.item.ID)
+		t.verdict <- verdict{err: RefusedError{Status: statusUnavailable, Reason: err.Error(), RetryAfter: time.Second}}
+		return
+	}
+	c.wait(now, t)
+}
+
+func (c *Control) learnTime(t *ticket, took time.Duration) {
+	p := c.pool(t.pool)
+	old := p.took[t.item.Team]
+	if old == 0 {
+		p.took[t.item.Team] = took
+		return
+	}
+	p.took[t.item.Team] = old + (took-old)/tookSmoothing
+}
+
+// learn takes in how a request went on a worker.
+func (w *worker) learn(now time.Time, o outcome) {
+	switch o.kind {
+	case answered:
+		w.down = time.Time{}
+		if o.failed {
+			w.fail(now)
+			return
+		}
+		w.failures = 0
+	case refused:
+		w.down = time.Time{}
+		w.full = now.Add(fullPause)
+	case unreachable, unknown:
+		if w.down.IsZero() {
+			w.down = now
+		}
+		w.trouble(now)
+	}
+}
+
+// fail counts an answer that says the worker failed; after some in a row the worker is avoided.
+func (w *worker) fail(now time.Time) {
+	if w.failures+1 >= failureLimit {
+		w.trouble(now)
+		return
+	}
+	w.failures++
+}
+
+// expireWaiting refuses requests that have waited past their deadline.
+func (c *Control) expireWaiting(now time.Time) {
+	for _, p := range c.pools {
+		for _, item := range p.line.Expired(now) {
+			t := c.tickets[item.ID]
+			delete(c.tickets, item.ID)
+			t.verdict <- verdict{err: RefusedError{Status: statusTimeout, Reason: "no slot before the deadline"}}
+		}
+	}
+}
+
+// divide works out which slots of all pools this instance may use, from what all members report.
+func (c *Control) divide(now time.Time) {
+	if !c.dirty {
+		return
+	}
+	c.dirty = false
+	c.divided = now
+	set := c.tables.Rules()
+	rights := make([]queue.Right, 0, len(set.Teams))
+	for _, team := range set.Teams {
+		rights = append(rights, queue.Right{Team: team.Name, Share: team.Share, Limit: team.Limit})
+	}
+	capacities := make([]queue.Capacity, 0, len(set.Pools))
+	for _, rule := range set.Pools {
+		capacities = append(capacities, queue.Capacity{Pool: rule.Name, Slots: c.pool(rule.Name).reachable(now)})
+	}
+	members, claims := c.reports(now)
+	division := queue.Divide(c.self, members, capacities, rights, claims)
+	for _, p := range c.pools {
+		clear(p.part)
+		p.slack = division.Slack[p.name]
+	}
+	for place, slots := range division.Slots {
+		c.pool(place.Pool).part[place.Team] = slots
+	}
+}
+
+// reports returns the members in contact and what all of them claim, this one included.
+func (c *Control) reports(now time.Time) ([]id.Member, []queue.Claim) {
+	members := []id.Member{c.self}
+	claims := c.claims(now)
+	for name, r := range c.remotes {
+		if now.Sub(r.heard) < c.timing.Contact && !r.beat.Stopping {
+			members = append(members, name)
+			claims = append(claims, r.claims...)
+		}
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i] < members[j] })
+	return members, claims
+}
+
+// claims returns this instance's own demand.
+func (c *Control) claims(now time.Time) []queue.Claim {
+	var claims []queue.Claim
+	for _, rule := range c.tables.Rules().Pools {
+		p := c.pool(rule.Name)
+		for _, team := range c.tables.Rules().Teams {
+			claim := queue.Claim{
+				Member: c.self, Pool: p.name, Team: team.Name,
+				Running: p.running[team.Name], Waiting: p.line.Waiting(team.Name),
+			}
+			if claim.Running+claim.Waiting == 0 {
+				continue
+			}
+			if oldest, ok := p.line.Oldest(team.Name); ok {
+				claim.Oldest = now.Sub(oldest)
+			}
+			claims = append(claims, claim)
+		}
+	}
+	return claims
+}
+
+// waiting returns how many requests of a team wait here.
+func (c *Control) waiting(team id.Team) int {
+	n := 0
+	for _, p := range c.pools {
+		n += p.line.Waiting(team)
+	}
+	return n
+}
+
+// busy reports whether requests wait or run here.
+func (c *Control) busy() bool { return len(c.tickets) > 0 }
--- /dev/null
+++ b/entry/beat.go
@@ -0,0 +1,331 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"sort"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/peer"
+	"marigoldshed.example/marigoldshed/queue"
+)
+
+// remote is what this instance knows of another member.
+type remote struct {
+	member   id.Member
+	beat     peer.Beat
+	claims   []queue.Claim
+	heard    time.Time // newest beat from it
+	answered time.Time // newest beat of ours that it took
+	guest    bool      // not in the tables when it was last heard
+}
+
+// link sends beats to one address, the newest one first and never more than one at a time.
+type link struct {
+	to       netip.AddrPort
+	box      chan peer.Beat // holds the newest beat that waits
+	refusals int
+	control  *Control
+}
+
+// links holds a link for every address that members are known at.
+type links struct {
+	control *Control
+	mu      sync.Mutex
+	table   map[netip.AddrPort]*link
+	ctx     context.Context
+	group   *errgroup.Group
+	sent    time.Time
+	urged   bool // something should be told at once
+}
+
+func newLinks(c *Control) links { return links{control: c, table: map[netip.AddrPort]*link{}} }
+
+// start lets links run in a group until the context ends.
+func (l *links) start(ctx context.Context, group *errgroup.Group) {
+	l.mu.Lock()
+	l.ctx = ctx
+	l.group = group
+	l.mu.Unlock()
+	for _, seed := range l.control.config.Seeds {
+		l.get(seed)
+	}
+}
+
+// urge sends the next beat at once.
+func (l *links) urge() { l.urged = true }
+
+// get returns the link to an address, starting it if need be, or nil for the own address.
+func (l *links) get(to netip.AddrPort) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if to == l.control.config.Peer || !to.IsValid() || l.group == nil {
+		return nil
+	}
+	found, ok := l.table[to]
+	if !ok {
+		found = &link{to: to, box: make(chan peer.Beat, 1), control: l.control}
+		l.table[to] = found
+		l.group.Go(func() error { return found.loop(l.ctx) })
+	}
+	return found
+}
+
+// addresses returns every address that members are known at, in order.
+func (l *links) addresses() []netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]netip.AddrPort, 0, len(l.table))
+	for to := range l.table {
+		list = append(list, to)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Compare(list[j]) < 0 })
+	return list
+}
+
+// loop sends beats until the context ends.
+func (l *link) loop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case beat := <-l.box:
+			l.send(ctx, beat)
+		}
+	}
+}
+
+func (l *link) send(ctx context.Context, beat peer.Beat) {
+	c := l.control
+	call, cancel := context.WithTimeout(ctx, c.timing.Contact/2)
+	defer cancel()
+	asked := time.Now()
+	err := c.config.Peers.Beat(call, l.to, beat)
+	switch {
+	case err == nil:
+		l.refusals = 0
+	case isRefusal(err):
+		l.refusals++
+	default:
+		l.refusals = 0
+	}
+	count := l.refusals
+	c.post(func() { c.beaten(l.to, asked, err == nil, count) })
+}
+
+// beaten takes in how a beat to an address went.
+func (c *Control) beaten(to netip.AddrPort, asked time.Time, taken bool, refusals int) {
+	for _, name := range c.tables.Live() {
+		if c.tables.Members[name].Peer != to {
+			continue
+		}
+		if taken {
+			c.remote(name).answered = asked
+		} else {
+			c.refused(time.Now(), name, refusals)
+		}
+	}
+}
+
+func (c *Control) remote(member id.Member) *remote {
+	r, ok := c.remotes[member]
+	if !ok {
+		r = &remote{member: member}
+		c.remotes[member] = r
+	}
+	return r
+}
+
+// beat tells the other members how things stand, when there is something to tell or it is time.
+func (c *Control) beat(now time.Time) {
+	every := c.timing.BeatIdle
+	if c.links.urged {
+		every = c.timing.Tick / 2
+	} else if c.busy() {
+		every = c.timing.BeatBusy
+	}
+	if now.Sub(c.links.sent) < every {
+		return
+	}
+	c.links.sent = now
+	c.links.urged = false
+	common := peer.Beat{
+		Member: c.self, DataCentre: c.config.DataCentre, Address: c.config.Peer,
+		Offset: c.tables.Offset, Version: c.view.Load().version, Digest: c.tables.Digest,
+		Age: now.Sub(c.lease.fresh), Claims: c.claims(now), Wants: c.wants(),
+		Restrictions: c.restrictions(now), Hears: c.hears(now), Stopping: c.stage == stopping,
+	}
+	for _, target := range c.targets() {
+		beat := common
+		if target.member != "" {
+			beat.Given = c.holder.Given(target.member)
+		}
+		target.link.offer(beat)
+	}
+}
+
+// offer leaves a beat for sending in place of an older one.
+func (l *link) offer(beat peer.Beat) {
+	select {
+	case <-l.box:
+	default:
+	}
+	select {
+	case l.box <- beat:
+	default:
+	}
+}
+
+// target is an address to send a beat to, and the member there if one is known.
+type target struct {
+	member id.Member
+	link   *link
+}
+
+func (c *Control) targets() []target {
+	byAddress := map[netip.AddrPort]id.Member{}
+	for _, seed := range c.config.Seeds {
+		byAddress[seed] = ""
+	}
+	for _, r := range c.remotes {
+		byAddress[r.beat.Address] = r.member
+	}
+	for _, name := range c.tables.Live() {
+		byAddress[c.tables.Members[name].Peer] = name
+	}
+	var targets []target
+	for to, member := range byAddress {
+		if l := c.links.get(to); l != nil {
+			targets = append(targets, target{member: member, link: l})
+		}
+	}
+	return targets
+}
+
+// hears returns the data centres that beats have come from of late.
+func (c *Control) hears(now time.Time) []id.DataCentre {
+	set := id.NewSet(c.config.DataCentre)
+	for _, r := range c.remotes {
+		if now.Sub(r.heard) < c.timing.Contact {
+			set.Add(r.beat.DataCentre)
+		}
+	}
+	list := make([]id.DataCentre, 0, len(set))
+	for dc := range set {
+		list = append(list, dc)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list
+}
+
+// takeBeat takes in what another member tells.
+func (c *Control) takeBeat(now time.Time, beat peer.Beat) {
+	if beat.Member == c.self {
+		return
+	}
+	m, known := c.tables.Members[beat.Member]
+	if known && m.Lapsed {
+		return
+	}
+	r := c.remote(beat.Member)
+	r.beat = beat
+	r.claims = beat.Claims
+	r.heard = now
+	r.guest = !known
+	if known {
+		c.holder.Receive(beat.Given)
+	}
+	for _, restriction := range beat.Restrictions {
+		c.hearRestriction(now, restriction)
+	}
+	if beat.Offset <= c.tables.Offset {
+		c.lease.fresh = later(c.lease.fresh, now.Add(-beat.Age))
+	}
+	if beat.Offset == c.tables.Offset && beat.Digest != c.tables.Digest && beat.Version > 0 {
+		c.config.Metrics.Diverged.Inc()
+		c.log.Error("another member's tables differ", zap.String("with", string(beat.Member)), zap.Int64("offset", beat.Offset))
+	}
+	c.give(beat)
+	c.dirty = true
+}
+
+// give hands idle slots to a member that wants some. A member that has not joined yet gives nothing,
+// and one that is leaving gives everything back to the ledger instead.
+func (c *Control) give(beat peer.Beat) {
+	if !c.lease.joined || c.lease.lapsed || c.stage == stopping {
+		return
+	}
+	for _, want := range beat.Wants {
+		if c.holder.Give(beat.Member, want.Team, want.Count, c.waiting(want.Team)) > 0 {
+			c.links.urge()
+		}
+	}
+}
+
+// wants returns the slots of limits that waiting work of this instance has room for but lacks.
+func (c *Control) wants() []peer.Want {
+	var wants []peer.Want
+	for _, team := range c.tables.Rules().Teams {
+		if n := c.wanting[team.Name]; n > 0 {
+			wants = append(wants, peer.Want{Team: team.Name, Count: n})
+		}
+	}
+	return wants
+}
+
+// tendRemotes forgets members that have not been heard for long, and takes back what was handed to
+// one that never joined and whose right to start work has ended.
+func (c *Control) tendRemotes(now time.Time) {
+	for name, r := range c.remotes {
+		_, known := c.tables.Members[name]
+		silent := now.Sub(r.heard)
+		if known || silent < c.timing.Contact {
+			continue
+		}
+		if !r.guest || silent > c.timing.Contact+contactGrace+c.timing.TaskLease {
+			if r.guest {
+				c.holder.TakeBack(name)
+			}
+			delete(c.remotes, name)
+		}
+	}
+}
+
+// tendExchange reports what this instance received and gives back slots above a lowered limit.
+func (c *Control) tendExchange(now time.Time) {
+	if !c.lease.joined || c.lease.lapsed || c.lease.left {
+		return
+	}
+	returned := c.holder.Release()
+	fresh := false
+	for _, tokens := range returned {
+		account := c.tables.Ledger.Teams[tokens.Team]
+		fresh = fresh || account != nil && account.Returned[c.self] < tokens.Total
+	}
+	if fresh {
+		c.propose(now, "return", fleet.Exchange{Member: c.self, Returned: returned, Moved: c.holder.Received()})
+		return
+	}
+	if asked, ok := c.asked["exchange"]; ok && now.Sub(asked) < c.timing.Renew/4 {
+		return
+	}
+	if c.unreported() {
+		c.propose(now, "exchange", fleet.Exchange{Member: c.self, Moved: c.holder.Received()})
+	}
+}
+
+// unreported reports whether slots were received that the ledger does not know of.
+func (c *Control) unreported() bool {
+	for _, m := range c.holder.Received() {
+		if c.tables.Ledger.Reported(m) < m.Total {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"marigoldshed.example/marigoldshed/attempt"
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/queue"
+	"marigoldshed.example/marigoldshed/quota"
+)
+
+// inboxLength bounds the jobs that wait for the control thread.
+const inboxLength = 4096
+
+// Control is one entry instance. Its tables belong to the thread that runs loop; everything else
+// reaches them by do.
+type Control struct {
+	config Config
+	timing Timing
+	self   id.Member
+	log    *zap.Logger
+
+	inbox   chan func()
+	stopped chan struct{} // closed when loop has ended
+	view    atomic.Pointer[view]
+	ready   atomic.Bool
+
+	tables  *fleet.Tables
+	recent  recentRecords
+	stale   bool // records have changed the tables since the last refresh
+	stage   stage
+	began   time.Time // when the tables first held a configuration
+	leaving bool      // callers are being sent elsewhere
+	leaveBy time.Time // when to end without the log's word
+
+	lease      lease
+	holder     *quota.Holder
+	book       *attempt.Book
+	memory     memory
+	hadMembers bool // the data centre had members before this one
+
+	pools   map[id.Pool]*pool
+	workers map[id.Instance]*worker
+	tickets map[uint64]*ticket
+	nextID  uint64
+	wanting map[id.Team]int // slots of limits that waiting work lacks
+	divided time.Time       // newest division
+	dirty   bool            // demand has changed since
+
+	remotes map[id.Member]*remote
+	links   links
+	pending map[string]*restriction // restrictions on their way to the log, by record id
+	asked   map[string]time.Time    // when a proposal was last made, by subject
+	waiters map[string][]chan fleet.Outcome
+	upkeep  upkeep
+
+	observed time.Time // newest update of the gauges
+}
+
+// stage is where an entry instance stands between start and stop.
+type stage int
+
+const (
+	starting stage = iota
+	serving
+	stopping
+)
+
+// New returns an entry instance that Run starts.
+func New(config Config) *Control {
+	if config.Logger == nil {
+		config.Logger = zap.NewNop()
+	}
+	if config.Metrics == nil {
+		config.Metrics = NewMetrics()
+	}
+	if config.Order == nil {
+		config.Order = queue.DelayRatio{Urgent: time.Second, Overnight: 20 * time.Second}
+	}
+	self := id.Member(string(config.Entry) + "@" + uuid.NewString()[:8])
+	c := &Control{
+		config:  config,
+		timing:  config.Timing.withDefaults(),
+		self:    self,
+		log:     config.Logger.With(zap.String("member", string(self))),
+		inbox:   make(chan func(), inboxLength),
+		stopped: make(chan struct{}),
+		holder:  quota.NewHolder(self),
+		book:    attempt.NewBook(),
+		pools:   map[id.Pool]*pool{},
+		tickets: map[uint64]*ticket{},
+		workers: map[id.Instance]*worker{},
+		remotes: map[id.Member]*remote{},
+		pending: map[string]*restriction{},
+		asked:   map[string]time.Time{},
+		waiters: map[string][]chan fleet.Outcome{},
+		upkeep:  newUpkeep(),
+		wanting: map[id.Team]int{},
+		lease:   lease{sent: map[int]time.Time{}, seqs: map[id.Member]seen{}},
+	}
+	c.links = newLinks(c)
+	c.setTables(fleet.NewTables())
+	return c
+}
+
+// Member returns the name of this life of the entry instance.
+func (c *Control) Member() id.Member { return c.self }
+
+// Ready reports whether callers may be sent here.
+func (c *Control) Ready() bool { return c.ready.Load() }
+
+// Run serves until the context ends or Stop has finished.
+func (c *Control) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { defer cancel(); return c.loop(ctx) })
+	tail := &tail{control: c}
+	group.Go(func() error { return tail.loop(ctx) })
+	for range appenders {
+		group.Go(func() error { return c.appendLoop(ctx) })
+	}
+	group.Go(func() error { return c.finishLoop(ctx) })
+	group.Go(func() error { return c.upkeepLoop(ctx) })
+	c.links.start(ctx, group)
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) || errors.Is(err, errStopped) {
+		return nil
+	}
+	return errors.Annotate(err, "running the entry instance")
+}
+
+// errStopped ends Run after a graceful stop.
+var errStopped = errors.New("stopped")
+
+// loop runs the control thread.
+func (c *Control) loop(ctx context.Context) error {
+	defer close(c.stopped)
+	ticker := time.NewTicker(c.timing.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case job := <-c.inbox:
+			job()
+		case <-ticker.C:
+			c.tick(time.Now())
+		}
+		if c.stage == stopping && c.lease.left {
+			return errStopped
+		}
+	}
+}
+
+// tick runs every system once over the tables.
+func (c *Control) tick(now time.Time) {
+	c.expireWaiting(now)
+	c.divide(now)
+	c.dispatchAll(now)
+	c.tendLease(now)
+	c.tendRestrictions(now)
+	c.tendExchange(now)
+	c.tendDrains(now)
+	c.tendRemotes(now)
+	c.book.Expire(now)
+	c.beat(now)
+	c.config.Metrics.observe(c, now)
+	c.ready.Store(c.stage == serving && !c.leaving && c.mayStart(now) == nil && !c.out(c.config.DataCentre))
+}
+
+// do runs a job on the control thread and waits for it; it fails when the instance has ended.
+func (c *Control) do(ctx context.Context, job func()) error {
+	done := make(chan struct{})
+	wrapped := func() {
+		defer close(done)
+		job()
+	}
+	select {
+	case c.inbox <- wrapped:
+	case <-c.stopped:
+		return errStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-c.stopped:
+		return errStopped
+	}
+}
+
+// post runs a job on the control thread without waiting for it.
+func (c *Control) post(job func()) {
+	select {
+	case c.inbox <- job:
+	case <-c.stopped:
+	}
+}
--- /dev/null
+++ b/entry/lease.go
@@ -0,0 +1,255 @@
+package entry
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/quota"
+)
+
+// Margins around leases.
+const (
+	lapseMargin  = time.Minute      // others wait so much longer than the holder
+	contactGrace = 10 * time.Second // a lapsed member that is still heard learns of it within this time
+	refusals     = 3                // refused connections in a row that prove a process has ended
+)
+
+// lease is what an instance knows of its own right to start work.
+type lease struct {
+	fresh   time.Time // newest time of the log that the tables rest on
+	direct  time.Time // newest read of the whole log from the platform itself
+	joined  bool
+	lapsed  bool
+	left    bool
+	frozen  bool // the log holds records that this program does not understand
+	seq     int
+	sent    map[int]time.Time // when each renewal was proposed
+	renewed time.Time         // when the newest renewal that the log holds was proposed
+	seqs    map[id.Member]seen
+}
+
+// seen is when a member's newest renewal was first read here.
+type seen struct {
+	seq int
+	at  time.Time
+}
+
+// FencedError reports that this instance may start nothing for now.
+type FencedError struct{ Reason string }
+
+// Error returns the reason.
+func (e FencedError) Error() string { return "this instance may start nothing: " + e.Reason }
+
+// mayStart returns a FencedError while this instance must not start work: before it has learnt the
+// rules, when its lease may have lapsed, and when its data centre has heard nothing for too long.
+func (c *Control) mayStart(now time.Time) error {
+	hold := c.tables.Rules().Hold(c.config.DataCentre)
+	switch {
+	case c.stage == starting:
+		return FencedError{Reason: "it has not learnt the rules yet"}
+	case c.lease.frozen:
+		return FencedError{Reason: "the log holds records for a newer program"}
+	case c.lease.lapsed:
+		return FencedError{Reason: "its lease has lapsed"}
+	case c.lease.joined && now.Sub(c.lease.renewed) > hold && !c.inContact(now):
+		return FencedError{Reason: "its lease has run out"}
+	case !c.lease.joined && !c.guestInContact(now):
+		return FencedError{Reason: "it has not joined and does not hear who lent it slots"}
+	case now.Sub(c.informed(now)) > hold:
+		return FencedError{Reason: "its data centre has heard nothing for " + hold.String()}
+	}
+	return nil
+}
+
+// inContact reports whether a live member has answered this one of late; it would tell of a lapse
+// before it settles.
+func (c *Control) inContact(now time.Time) bool {
+	for _, r := range c.remotes {
+		if now.Sub(r.answered) < c.timing.Contact && c.tables.IsLive(r.member) {
+			return true
+		}
+	}
+	return false
+}
+
+// guestInContact reports whether a member that the log does not know yet hears a live member and
+// every one that lent it slots; a lender that does not hear from it takes them back.
+func (c *Control) guestInContact(now time.Time) bool {
+	for _, partner := range c.holder.Partners() {
+		r, ok := c.remotes[partner]
+		if !ok || now.Sub(r.answered) >= c.timing.Contact {
+			return false
+		}
+	}
+	return c.inContact(now)
+}
+
+// informed returns when an operator's word would last have reached this instance: through the log,
+// or through members in contact that between them hear every other data centre.
+func (c *Control) informed(now time.Time) time.Time {
+	if c.hearsAll(now) {
+		c.lease.fresh = later(c.lease.fresh, now)
+	}
+	return c.lease.fresh
+}
+
+// hearsAll reports whether this instance hears every data centre, itself or through another.
+func (c *Control) hearsAll(now time.Time) bool {
+	heard := id.NewSet(c.config.DataCentre)
+	for _, r := range c.remotes {
+		if now.Sub(r.heard) > c.timing.Contact {
+			continue
+		}
+		heard.Add(r.beat.DataCentre)
+		for _, dc := range r.beat.Hears {
+			heard.Add(dc)
+		}
+	}
+	others := 0
+	for _, m := range c.tables.Members {
+		if m.DataCentre != c.config.DataCentre {
+			others++
+		}
+		if !m.Lapsed && !heard.Has(m.DataCentre) {
+			return false
+		}
+	}
+	return others > 0
+}
+
+// tendLease joins, renews, and settles with members that have lapsed.
+func (c *Control) tendLease(now time.Time) {
+	if c.tables.Version == 0 && c.lease.direct.IsZero() {
+		return
+	}
+	switch {
+	case c.lease.lapsed || c.lease.left:
+		return
+	case !c.lease.joined && c.stage != stopping:
+		c.propose(now, "join", fleet.Join{
+			Member: c.self, Entry: c.config.Entry, DataCentre: c.config.DataCentre, Peer: c.config.Peer,
+		})
+		return
+	case c.lease.joined && now.Sub(c.lease.renewed) > c.timing.Renew:
+		c.renew(now)
+	}
+	c.tendLapsed(now)
+}
+
+func (c *Control) renew(now time.Time) {
+	if asked, ok := c.asked["renew"]; ok && now.Sub(asked) < c.timing.Propose {
+		return
+	}
+	c.lease.seq++
+	c.lease.sent[c.lease.seq] = now
+	c.propose(now, "renew", fleet.Renew{Member: c.self, Seq: c.lease.seq})
+}
+
+// tendLapsed settles with lapsed members when no task of theirs can still run, and proposes the
+// lapse of those that have not renewed for longer than they may go on.
+func (c *Control) tendLapsed(now time.Time) {
+	for _, lapsed := range c.tables.Unsettled(c.self) {
+		since := c.lease.seqs[lapsed]
+		if since.seq != lapsedSeq {
+			since = seen{seq: lapsedSeq, at: now}
+			c.lease.seqs[lapsed] = since
+		}
+		if now.Sub(since.at) > contactGrace+c.timing.TaskLease {
+			c.propose(now, "settle "+string(lapsed), fleet.Settle{
+				Member: c.self, Lapsed: lapsed, Moved: c.holder.Exchanged(lapsed),
+			})
+		}
+	}
+	for _, name := range c.tables.Live() {
+		m := c.tables.Members[name]
+		since, ok := c.lease.seqs[name]
+		if !ok || since.seq != m.Seq {
+			c.lease.seqs[name] = seen{seq: m.Seq, at: now}
+			continue
+		}
+		if name == c.self || !c.isFresh(now) {
+			continue
+		}
+		if now.Sub(since.at) > c.tables.Rules().Hold(m.DataCentre)+lapseMargin {
+			c.propose(now, "lapse "+string(name), fleet.Lapse{Member: name, Seq: m.Seq, Proof: fleet.Silence})
+		}
+	}
+}
+
+// lapsedSeq marks the time since which a member is known to have lapsed.
+const lapsedSeq = -1
+
+// isFresh reports whether the tables rest on a recent read of the log.
+func (c *Control) isFresh(now time.Time) bool {
+	return now.Sub(c.lease.direct) < c.timing.LogWait+c.timing.LogTimeout
+}
+
+// refused counts connections that the address of a live member refused: a host that refuses has no
+// process there any more, since a member listens until all its work has ended.
+func (c *Control) refused(now time.Time, member id.Member, count int) {
+	m, ok := c.tables.Members[member]
+	if count < refusals || !ok || m.Lapsed || !c.lease.joined {
+		return
+	}
+	c.propose(now, "lapse "+string(member), fleet.Lapse{Member: member, Seq: m.Seq, Proof: fleet.Refused})
+}
+
+// isRefusal reports whether a call failed because nothing listens at the address.
+func isRefusal(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && errors.Is(op.Err, syscall.ECONNREFUSED)
+}
+
+// followMembers brings the lease and the holder up to date with one record of membership.
+func (c *Control) followMembers(record fleet.Record) {
+	switch r := record.(type) {
+	case fleet.Join:
+		if r.Member == c.self && c.tables.IsLive(c.self) {
+			c.lease.joined = true
+			c.lease.renewed = time.Now()
+		}
+	case fleet.Renew:
+		if r.Member == c.self && c.tables.IsLive(c.self) {
+			c.lease.renewed = later(c.lease.renewed, c.lease.sent[r.Seq])
+			delete(c.lease.sent, r.Seq)
+		}
+	case fleet.Leave:
+		if c.tables.Members[r.Member] == nil {
+			c.leaveAccounts(r.Member, r.Moved)
+		}
+	}
+	if m := c.tables.Members[c.self]; c.lease.joined && !c.lease.left && (m == nil || m.Lapsed) {
+		c.lease.lapsed = true
+		c.log.Error("the lease of this instance has lapsed; it starts nothing more")
+	}
+	c.closeAccounts()
+}
+
+func (c *Control) leaveAccounts(member id.Member, last []quota.Moved) {
+	if member == c.self {
+		c.lease.left = true
+		return
+	}
+	c.holder.Left(member, last)
+	delete(c.remotes, member)
+}
+
+// closeAccounts ends the exchange with members whose accounts the tables have closed.
+func (c *Control) closeAccounts() {
+	for _, partner := range c.holder.Partners() {
+		r, heard := c.remotes[partner]
+		_, known := c.tables.Members[partner]
+		if known || heard && r.guest {
+			continue
+		}
+		c.holder.Reclaimed(partner)
+		c.book.Lose(partner)
+		c.log.Info("the account with a member is closed", zap.String("partner", string(partner)))
+	}
+}
--- /dev/null
+++ b/entry/pool.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/queue"
+)
+
+// pool is this instance's side of one pool: who waits for it, who runs in it, and where.
+type pool struct {
+	name    id.Pool
+	line    *queue.Line
+	workers []*worker // instances that new work may go to
+	slots   int       // of those
+	running map[id.Team]int
+	part    map[id.Team]int           // slots that the division gives each team here
+	slack   int                       // further slots for any team
+	took    map[id.Team]time.Duration // smoothed time that a request runs
+	short   time.Time                 // since when demand has been above the slots
+}
+
+// worker is this instance's side of one worker.
+type worker struct {
+	name     id.Instance
+	address  netip.AddrPort
+	dc       id.DataCentre
+	rack     id.Rack
+	slots    int
+	running  int
+	rank     uint64    // orders equals differently on every member
+	full     time.Time // refused for lack of slots until then
+	avoid    time.Time // not tried again until then
+	failures int       // in a row
+	down     time.Time // since when it has not answered at all
+}
+
+// Intervals for workers that refuse or fail.
+const (
+	fullPause    = 20 * time.Millisecond
+	avoidLeast   = 250 * time.Millisecond
+	avoidMost    = 4 * time.Second
+	failureLimit = 5 // failed answers in a row before a worker is avoided
+)
+
+// pool returns the pool of a name, making it if need be.
+func (c *Control) pool(name id.Pool) *pool {
+	p, ok := c.pools[name]
+	if !ok {
+		p = &pool{
+			name: name, line: queue.NewLine(c.config.Order), running: map[id.Team]int{},
+			part: map[id.Team]int{}, took: map[id.Team]time.Duration{},
+		}
+		c.pools[name] = p
+	}
+	return p
+}
+
+// refreshPools brings pools and workers up to date with the tables.
+func (c *Control) refreshPools() {
+	for _, p := range c.pools {
+		p.workers = nil
+		p.slots = 0
+	}
+	for _, rule := range c.tables.Rules().Pools {
+		c.pool(rule.Name)
+	}
+	for name, instance := range c.tables.Instances {
+		w := c.worker(name, instance)
+		usable := instance.State == fleet.Up || instance.State == fleet.Draining && c.config.Planted.IgnoreLeaving
+		if !usable || c.out(instance.DataCentre) {
+			continue
+		}
+		p := c.pool(instance.Pool)
+		p.workers = append(p.workers, w)
+		p.slots += w.slots
+	}
+	for name, w := range c.workers {
+		if _, ok := c.tables.Instances[name]; !ok && w.running == 0 {
+			delete(c.workers, name)
+		}
+	}
+}
+
+func (c *Control) worker(name id.Instance, instance *fleet.Instance) *worker {
+	w, ok := c.workers[name]
+	if !ok || w.address != instance.Address && w.running == 0 {
+		w = &worker{name: name, rank: xxhash.Sum64String(string(c.self) + string(name))}
+		c.workers[name] = w
+	}
+	w.address = instance.Address
+	w.dc = instance.DataCentre
+	w.rack = instance.Rack
+	w.slots = instance.Slots
+	return w
+}
+
+// choose returns the worker of a pool for the next request: the least loaded one, in the own data
+// centre if there is one with a free slot.
+func (c *Control) choose(now time.Time, p *pool) (*worker, bool) {
+	var best *worker
+	for _, w := range p.workers {
+		if w.running >= w.slots || now.Before(w.full) || now.Before(w.avoid) {
+			continue
+		}
+		if best == nil || c.prefer(w, best) {
+			best = w
+		}
+	}
+	return best, best != nil
+}
+
+// prefer reports whether a worker is the better choice of two.
+func (c *Control) prefer(a, b *worker) bool {
+	home := c.config.DataCentre
+	if (a.dc == home) != (b.dc == home) {
+		return a.dc == home
+	}
+	x := a.running * b.slots
+	y := b.running * a.slots
+	if x != y {
+		return x < y
+	}
+	return a.rank < b.rank
+}
+
+// trouble keeps work away from a worker for a time that doubles with every failure in a row.
+func (w *worker) trouble(now time.Time) {
+	w.failures++
+	wait := min(avoidMost, avoidLeast<<min(w.failures-1, 8))
+	w.avoid = now.Add(wait)
+}
+
+// reachable returns the slots of workers that are not being avoided.
+func (p *pool) reachable(now time.Time) int {
+	slots := 0
+	for _, w := range p.workers {
+		if !now.Before(w.avoid) {
+			slots += w.slots
+		}
+	}
+	return slots
+}
--- /dev/null
+++ b/entry/propose.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/peer"
+	"marigoldshed.example/marigoldshed/platform"
+)
+
+// appenders is how many records can be on their way to the log at once.
+const appenders = 4
+
+// propose sends a record to the log unless the same subject was proposed a moment ago. A proposal
+// that is lost is made again by the system that wants it, as long as it still does.
+func (c *Control) propose(now time.Time, subject string, record fleet.Record) {
+	if asked, ok := c.asked[subject]; ok && now.Sub(asked) < c.timing.Propose {
+		return
+	}
+	envelope, err := fleet.NewEnvelope(now, string(c.self), record)
+	if err != nil {
+		c.log.Error("a proposal cannot be encoded", zap.Error(err))
+		return
+	}
+	if c.send(envelope) {
+		c.asked[subject] = now
+	}
+}
+
+// send hands a record to the appenders and reports false when they have too much to do.
+func (c *Control) send(envelope fleet.Envelope) bool {
+	select {
+	case c.upkeep.records <- envelope:
+		return true
+	default:
+		return false
+	}
+}
+
+// appendLoop appends records until the context ends.
+func (c *Control) appendLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case envelope := <-c.upkeep.records:
+			if err := c.append(ctx, envelope); err != nil {
+				c.log.Debug("a record did not reach the log", zap.String("kind", envelope.Kind), zap.Error(err))
+			}
+		}
+	}
+}
+
+// append sends a record to the log, or through another member when the log does not answer here. A
+// record that arrives twice takes effect once, since both copies carry its id.
+func (c *Control) append(ctx context.Context, envelope fleet.Envelope) error {
+	data, err := envelope.Encode()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err = c.appendDirect(ctx, data); err == nil {
+		return nil
+	}
+	for _, to := range c.links.addresses() {
+		relay, cancel := context.WithTimeout(ctx, c.timing.LogTimeout)
+		relayed := c.config.Peers.Relay(relay, to, peer.Relay{Data: data})
+		cancel()
+		if relayed == nil {
+			return nil
+		}
+	}
+	return errors.Annotatef(err, "appending %s %s", envelope.Kind, envelope.ID)
+}
+
+func (c *Control) appendDirect(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timing.LogTimeout)
+	defer cancel()
+	return errors.Trace(c.config.Log.Append(ctx, platform.ControlStream, data))
+}
+
+// PendingError reports a proposal whose outcome is not known yet; a restriction among them is in
+// force on this instance and on the members that it has told.
+type PendingError struct{ ID string }
+
+// Error returns the proposal's id.
+func (e PendingError) Error() string {
+	return "the log has not confirmed proposal " + e.ID + " yet"
+}
+
+// Propose appends an operator's record and waits for its outcome; it fails with PendingError when
+// the log does not confirm it in time.
+func (c *Control) Propose(ctx context.Context, by string, record fleet.Record) (fleet.Outcome, error) {
+	envelope, err := fleet.NewEnvelope(time.Now(), by, record)
+	if err != nil {
+		return fleet.Outcome{}, errors.Trace(err)
+	}
+	waiter := make(chan fleet.Outcome, 1)
+	err = c.do(ctx, func() {
+		c.waiters[envelope.ID] = append(c.waiters[envelope.ID], waiter)
+		c.restrict(time.Now(), envelope)
+		c.send(envelope)
+	})
+	if err != nil {
+		return fleet.Outcome{}, errors.Trace(err)
+	}
+	timer := time.NewTimer(c.timing.LogTimeout + c.timing.LogWait)
+	defer timer.Stop()
+	select {
+	case outcome := <-waiter:
+		return outcome, nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	c.post(func() { delete(c.waiters, envelope.ID) })
+	return fleet.Outcome{}, PendingError{ID: envelope.ID}
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/fleet"
+)
+
+// Status is what one entry instance knows of the whole system.
+type Status struct {
+	Member    id.Member        `json:"member"`
+	Version   int              `json:"version"`
+	Offset    int64            `json:"offset"`
+	Age       float64          `json:"age"` // seconds since the log read that the tables rest on
+	Fenced    string           `json:"fenced,omitempty"`
+	Members   []MemberStatus   `json:"members"`
+	Instances []InstanceStatus `json:"instances"`
+	Pools     []PoolStatus     `json:"pools"`
+	Teams     []TeamStatus     `json:"teams"`
+	Pending   []PendingStatus  `json:"pending,omitempty"`
+}
+
+// MemberStatus is what is known of one member.
+type MemberStatus struct {
+	Member     id.Member     `json:"member"`
+	DataCentre id.DataCentre `json:"dc"`
+	Version    int           `json:"version"` // rules in force there
+	Offset     int64         `json:"offset"`
+	Silent     float64       `json:"silent"` // seconds since it was heard, -1 for never
+	Lapsed     bool          `json:"lapsed,omitempty"`
+}
+
+// InstanceStatus is one instance of the tables.
+type InstanceStatus struct {
+	Instance   id.Instance   `json:"instance"`
+	DataCentre id.DataCentre `json:"dc"`
+	Rack       id.Rack       `json:"rack"`
+	Pool       id.Pool       `json:"pool"`
+	State      fleet.State   `json:"state"`
+	Slots      int           `json:"slots"`
+	Waits      []id.Member   `json:"waits,omitempty"` // members that have not confirmed its drain
+}
+
+// PoolStatus is one pool's numbers.
+type PoolStatus struct {
+	Pool    id.Pool `json:"pool"`
+	Size    int     `json:"size"`
+	Budget  int     `json:"budget"`
+	Serving int     `json:"serving"`
+	Demand  int     `json:"demand"` // slots in use or waited for, of all members in contact
+}
+
+// TeamStatus is one team's numbers.
+type TeamStatus struct {
+	Team    id.Team `json:"team"`
+	Share   int     `json:"share"`
+	Limit   int     `json:"limit"`
+	Running int     `json:"running"` // slots in use, of all members in contact
+	Waiting int     `json:"waiting"`
+}
+
+// PendingStatus is a restriction that the log has not confirmed, and who may not know of it.
+type PendingStatus struct {
+	ID      string      `json:"id"`
+	By      string      `json:"by"`
+	Age     float64     `json:"age"` // seconds
+	Unaware []id.Member `json:"unaware,omitempty"`
+}
+
+// Status returns what this instance knows.
+func (c *Control) Status(ctx context.Context) (Status, error) {
+	var s Status
+	err := c.do(ctx, func() { s = c.status(time.Now()) })
+	return s, errors.Trace(err)
+}
+
+// Rules returns the version in force and its text.
+func (c *Control) Rules(ctx context.Context) (int, string, error) {
+	var version int
+	var text string
+	err := c.do(ctx, func() {
+		version = c.tables.Version
+		text = c.tables.Text
+	})
+	return version, text, errors.Trace(err)
+}
+
+func (c *Control) status(now time.Time) Status {
+	s := Status{Member: c.self, Version: c.view.Load().version, Offset: c.tables.Offset, Age: now.Sub(c.lease.fresh).Seconds()}
+	if err := c.mayStart(now); err != nil {
+		s.Fenced = err.Error()
+	}
+	s.Members = c.memberStatus(now)
+	s.Instances = c.instanceStatus()
+	demand := c.demand(now)
+	for _, p := range c.tables.Rules().Pools {
+		s.Pools = append(s.Pools, PoolStatus{
+			Pool: p.Name, Size: p.Size, Budget: p.Budget, Serving: c.tables.Serving(p.Name), Demand: demand[p.Name],
+		})
+	}
+	s.Teams = c.teamStatus(now)
+	for _, r := range c.pending {
+		s.Pending = append(s.Pending, PendingStatus{
+			ID: r.message.ID, By: r.message.By, Age: now.Sub(r.since).Seconds(), Unaware: c.unaware(r),
+		})
+	}
+	return s
+}
+
+func (c *Control) memberStatus(now time.Time) []MemberStatus {
+	var list []MemberStatus
+	for name, m := range c.tables.Members {
+		status := MemberStatus{Member: name, DataCentre: m.DataCentre, Silent: -1, Lapsed: m.Lapsed}
+		if r, ok := c.remotes[name]; ok && !r.heard.IsZero() {
+			status.Silent = now.Sub(r.heard).Seconds()
+			status.Version = r.beat.Version
+			status.Offset = r.beat.Offset
+		}
+		if name == c.self {
+			status.Silent = 0
+			status.Version = c.view.Load().version
+			status.Offset = c.tables.Offset
+		}
+		list = append(list, status)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Member < list[j].Member })
+	return list
+}
+
+func (c *Control) instanceStatus() []InstanceStatus {
+	var list []InstanceStatus
+	for name, instance := range c.tables.Instances {
+		status := InstanceStatus{
+			Instance: name, DataCentre: instance.DataCentre, Rack: instance.Rack,
+			Pool: instance.Pool, State: instance.State, Slots: instance.Slots,
+		}
+		if instance.State == fleet.Draining {
+			for member := range c.tables.Members {
+				if !instance.Cleared.Has(member) {
+					status.Waits = append(status.Waits, member)
+				}
+			}
+		}
+		list = append(list, status)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Instance < list[j].Instance })
+	return list
+}
+
+func (c *Control) teamStatus(now time.Time) []TeamStatus {
+	_, claims := c.reports(now)
+	var list []TeamStatus
+	for _, team := range c.tables.Rules().Teams {
+		status := TeamStatus{Team: team.Name, Share: team.Share, Limit: team.Limit}
+		for _, claim := range claims {
+			if claim.Team == team.Name {
+				status.Running += claim.Running
+				status.Waiting += claim.Waiting
+			}
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
+// unaware returns the members that have not shown that they know of a restriction.
+func (c *Control) unaware(r *restriction) []id.Member {
+	var list []id.Member
+	for _, name := range c.tables.Live() {
+		if name == c.self {
+			continue
+		}
+		knows := false
+		if remote, ok := c.remotes[name]; ok {
+			for _, heard := range remote.beat.Restrictions {
+				knows = knows || heard.ID == r.message.ID
+			}
+		}
+		if !knows {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// RenewalOf returns the number of a live member's newest lease renewal; it fails with
+// fleet.MemberError when there is no such member.
+func (c *Control) RenewalOf(ctx context.Context, member id.Member) (int, error) {
+	seq := 0
+	var missing error
+	err := c.do(ctx, func() {
+		if !c.tables.IsLive(member) {
+			missing = fleet.MemberError{Member: member, Reason: "is not live"}
+			return
+		}
+		seq = c.tables.Members[member].Seq
+	})
+	if err == nil {
+		err = missing
+	}
+	return seq, errors.Trace(err)
+}
--- /dev/null
+++ b/entry/tail.go
@@ -0,0 +1,246 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/peer"
+	"marigoldshed.example/marigoldshed/platform"
+)
+
+// maxRecent bounds the records that a member keeps for others that cannot reach the log.
+const maxRecent = 2048
+
+// tail follows the control stream, from the platform or, while that fails, from other members.
+type tail struct {
+	control *Control
+	offset  int64
+	loaded  bool // a snapshot or the start of the stream has been found
+}
+
+// loop reads until the context ends.
+func (t *tail) loop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := t.read(ctx)
+		if err == nil {
+			continue
+		}
+		t.control.log.Debug("reading the log failed", zap.Error(err))
+		if err := t.pull(ctx); err != nil {
+			pause(ctx, t.control.timing.Tick*4)
+		}
+	}
+	return ctx.Err()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// read takes the next records from the platform's log.
+func (t *tail) read(ctx context.Context) error {
+	if !t.loaded {
+		if err := t.load(ctx); err != nil {
+			return err
+		}
+	}
+	c := t.control
+	ctx, cancel := context.WithTimeout(ctx, c.timing.LogWait+c.timing.LogTimeout)
+	defer cancel()
+	asked := time.Now()
+	batch, err := c.config.Log.Read(ctx, platform.ControlStream, t.offset, c.timing.LogWait)
+	if err != nil {
+		return errors.Annotate(err, "reading the control stream")
+	}
+	if t.offset < batch.First {
+		t.loaded = false
+		return errors.Errorf("the log keeps nothing before offset %d", batch.First)
+	}
+	return c.do(ctx, func() { t.take(batch, asked) })
+}
+
+// take applies records on the control thread. What was read is as fresh as the answer when it holds
+// the newest record; the time of asking is the safe one.
+func (t *tail) take(batch platform.Batch, asked time.Time) {
+	c := t.control
+	for _, stored := range batch.Records {
+		if !c.apply(stored.Offset, stored.Data) {
+			break
+		}
+	}
+	t.offset = c.tables.Offset
+	if t.offset >= batch.Next {
+		c.lease.fresh = later(c.lease.fresh, asked)
+		c.lease.direct = time.Now()
+	}
+	c.caughtUp()
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// load finds the newest snapshot of the log.
+func (t *tail) load(ctx context.Context) error {
+	c := t.control
+	ctx, cancel := context.WithTimeout(ctx, c.timing.LogTimeout)
+	defer cancel()
+	batch, err := c.config.Log.Read(ctx, platform.SnapshotStream, -1, 0)
+	if err != nil {
+		return errors.Annotate(err, "reading the snapshots")
+	}
+	if len(batch.Records) == 0 {
+		t.loaded = true
+		return nil
+	}
+	return t.adopt(ctx, batch.Records[len(batch.Records)-1].Data)
+}
+
+// adopt takes over a snapshot unless the tables are already further.
+func (t *tail) adopt(ctx context.Context, snapshot []byte) error {
+	tables, err := fleet.Load(snapshot)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c := t.control
+	return c.do(ctx, func() {
+		if tables.Offset > c.tables.Offset {
+			c.recent = recentRecords{from: tables.Offset}
+			c.setTables(tables)
+		}
+		t.offset = c.tables.Offset
+		t.loaded = true
+	})
+}
+
+// pull takes records from another member while the platform's log cannot be read.
+func (t *tail) pull(ctx context.Context) error {
+	c := t.control
+	ctx, cancel := context.WithTimeout(ctx, c.timing.LogTimeout)
+	defer cancel()
+	for _, to := range c.links.addresses() {
+		asked := time.Now()
+		records, err := c.config.Peers.Pull(ctx, to, peer.Pull{From: t.offset})
+		if err != nil {
+			continue
+		}
+		if len(records.Snapshot) > 0 {
+			if err := t.adopt(ctx, records.Snapshot); err != nil {
+				return err
+			}
+		}
+		err = c.do(ctx, func() { t.takePulled(records, asked) })
+		if err != nil || len(records.Data) > 0 {
+			return err
+		}
+	}
+	pause(ctx, c.timing.Tick*4)
+	return nil
+}
+
+func (t *tail) takePulled(records peer.Records, asked time.Time) {
+	c := t.control
+	for i, data := range records.Data {
+		offset := records.From + int64(i)
+		if offset != c.tables.Offset {
+			continue
+		}
+		if !c.apply(offset, data) {
+			break
+		}
+	}
+	t.offset = c.tables.Offset
+	if c.tables.Version > 0 {
+		t.loaded = true
+		c.lease.fresh = later(c.lease.fresh, asked.Add(-records.Age))
+	}
+	c.caughtUp()
+}
+
+// apply takes one record into the tables and reports false when it needs a newer program.
+func (c *Control) apply(offset int64, data []byte) bool {
+	if offset < c.tables.Offset {
+		return true
+	}
+	before := c.tables
+	err := before.Apply(offset, data)
+	var format fleet.FormatError
+	if errors.As(err, &format) {
+		c.lease.frozen = true
+		c.log.Error("the log holds a record for a newer program", zap.Error(err))
+		return false
+	}
+	c.recent.add(offset, data)
+	c.afterRecord(data)
+	return true
+}
+
+// afterRecord tells everybody who waits for a proposal and follows changes of membership.
+func (c *Control) afterRecord(data []byte) {
+	envelope, err := fleet.Decode(data)
+	if err != nil {
+		return
+	}
+	if record, err := envelope.Record(); err == nil {
+		c.followMembers(record)
+	}
+	outcome, _ := c.tables.Outcome(envelope.ID)
+	for _, waiter := range c.waiters[envelope.ID] {
+		waiter <- outcome
+	}
+	delete(c.waiters, envelope.ID)
+	delete(c.pending, envelope.ID)
+	c.stale = c.stale || envelope.Kind != "renew"
+}
+
+// caughtUp follows what a run of records changed, and starts service once there is a configuration.
+func (c *Control) caughtUp() {
+	if c.stale {
+		c.stale = false
+		c.refresh()
+	}
+	if c.stage == starting && c.tables.Version > 0 {
+		c.stage = serving
+		c.began = time.Now()
+		c.hadMembers = c.tables.Past[c.config.DataCentre]
+		c.log.Info("serving", zap.Int64("offset", c.tables.Offset), zap.Int("version", c.tables.Version))
+	}
+}
+
+// recentRecords keeps the newest records for members that cannot reach the log.
+type recentRecords struct {
+	from int64
+	data [][]byte
+}
+
+func (r *recentRecords) add(offset int64, data []byte) {
+	if len(r.data) == 0 {
+		r.from = offset
+	}
+	r.data = append(r.data, data)
+	if len(r.data) > maxRecent {
+		cut := len(r.data) - maxRecent/2
+		r.data = append([][]byte(nil), r.data[cut:]...)
+		r.from += int64(cut)
+	}
+}
+
+// since returns the records from an offset on and whether all of them are kept.
+func (r *recentRecords) since(offset int64) ([][]byte, bool) {
+	if offset < r.from || offset > r.from+int64(len(r.data)) {
+		return nil, false
+	}
+	return r.data[offset-r.from:], true
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/rules"
+)
+
+// view is what traffic needs of the tables; it never changes once published.
+type view struct {
+	version int
+	rules   *rules.Set
+	keys    map[string]rules.Key // by hash
+	outs    id.Set[id.DataCentre]
+}
+
+// HashKey returns the hash under which a key's secret is stored.
+func HashKey(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// key returns the key rule of a secret and whether there is one in force.
+func (v *view) key(secret string) (rules.Key, bool) {
+	hash := HashKey(secret)
+	key, ok := v.keys[hash]
+	if !ok || subtle.ConstantTimeCompare([]byte(key.Hash), []byte(hash)) != 1 {
+		return rules.Key{}, false
+	}
+	return key, true
+}
+
+// granted reports whether the key of a hash is in force.
+func (v *view) granted(hash string) bool {
+	_, ok := v.keys[hash]
+	return ok
+}
+
+// setTables takes over whole tables, as from a snapshot.
+func (c *Control) setTables(t *fleet.Tables) {
+	c.tables = t
+	c.refresh()
+}
+
+// refresh brings everything that is derived from the tables and restrictions up to date.
+func (c *Control) refresh() {
+	set := c.tables.Rules()
+	v := &view{version: c.tables.Version, rules: set, keys: map[string]rules.Key{}, outs: id.NewSet(set.Outs...)}
+	withdrawn := id.Set[string]{}
+	for _, r := range c.pending {
+		for _, ref := range r.message.Edit.Remove {
+			if ref.Kind == "key" && !c.config.Planted.IgnoreWithdrawals {
+				withdrawn.Add(ref.Name)
+			}
+		}
+		for _, dc := range r.outs {
+			v.outs.Add(dc)
+		}
+	}
+	for _, key := range set.Keys {
+		if !withdrawn.Has(key.Name) {
+			v.keys[key.Hash] = key
+		}
+	}
+	if old := c.view.Load(); old != nil && c.config.Planted.KeepOldVersion && old.version > 0 {
+		v = old
+	}
+	c.view.Store(v)
+	c.holder.Sync(&c.tables.Ledger)
+	c.refreshPools()
+	c.dirty = true
+}
+
+// out reports whether a data centre has been taken out, by the rules or by a restriction.
+func (c *Control) out(dc id.DataCentre) bool {
+	if c.config.Planted.IgnoreOuts {
+		return false
+	}
+	return c.view.Load().outs.Has(dc)
+}
--- /dev/null
+++ b/fleet/member.go
@@ -0,0 +1,196 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/quota"
+)
+
+// Member is one life of an entry instance in the tables.
+type Member struct {
+	Entry      id.Entry          `json:"entry"`
+	DataCentre id.DataCentre     `json:"dc"`
+	Peer       netip.AddrPort    `json:"peer"`
+	Joined     int64             `json:"joined"` // offset of its join
+	Seq        int               `json:"seq"`    // number of its newest lease renewal
+	Lapsed     bool              `json:"lapsed"`
+	Settled    id.Set[id.Member] `json:"settled,omitempty"` // members that have settled with it
+}
+
+// Proofs that a member has ended.
+const (
+	Silence = "silence" // no renewal for longer than it may go on
+	Refused = "refused" // its host refuses connections
+	Told    = "told"    // an operator says so
+)
+
+// MemberError reports a record of or about a member that the tables do not hold as live.
+type MemberError struct {
+	Member id.Member
+	Reason string
+}
+
+// Error returns the member and the reason.
+func (e MemberError) Error() string { return fmt.Sprintf("member %s: %s", e.Member, e.Reason) }
+
+// Live returns the members whose lease has not lapsed, in order.
+func (t *Tables) Live() []id.Member {
+	var live []id.Member
+	for _, name := range sortedKeys(t.Members) {
+		if !t.Members[name].Lapsed {
+			live = append(live, name)
+		}
+	}
+	return live
+}
+
+// IsLive reports whether a member has joined and its lease has not lapsed.
+func (t *Tables) IsLive(name id.Member) bool {
+	m, ok := t.Members[name]
+	return ok && !m.Lapsed
+}
+
+func (t *Tables) live(name id.Member) (*Member, error) {
+	m, ok := t.Members[name]
+	if !ok {
+		return nil, MemberError{Member: name, Reason: "has not joined"}
+	}
+	if m.Lapsed {
+		return nil, MemberError{Member: name, Reason: "has lapsed"}
+	}
+	return m, nil
+}
+
+func (t *Tables) join(offset int64, r Join) error {
+	if _, ok := t.Members[r.Member]; ok {
+		return MemberError{Member: r.Member, Reason: "has joined before"}
+	}
+	// A process that serves at an address proves that the one before it there has ended.
+	for _, name := range sortedKeys(t.Members) {
+		if t.Members[name].Peer == r.Peer {
+			t.Members[name].Lapsed = true
+		}
+	}
+	t.Members[r.Member] = &Member{
+		Entry: r.Entry, DataCentre: r.DataCentre, Peer: r.Peer, Joined: offset, Settled: id.Set[id.Member]{},
+	}
+	t.Past[r.DataCentre] = true
+	return nil
+}
+
+func (t *Tables) renew(r Renew) error {
+	m, err := t.live(r.Member)
+	if err != nil {
+		return err
+	}
+	if r.Seq > m.Seq {
+		m.Seq = r.Seq
+	}
+	return nil
+}
+
+func (t *Tables) leave(r Leave) error {
+	if _, err := t.live(r.Member); err != nil {
+		return err
+	}
+	t.Ledger.Move(t.known(r.Moved))
+	t.Ledger.Reclaim(r.Member)
+	delete(t.Members, r.Member)
+	return nil
+}
+
+func (t *Tables) lapse(r Lapse) error {
+	m, err := t.live(r.Member)
+	if err != nil {
+		return err
+	}
+	if m.Seq != r.Seq {
+		return MemberError{Member: r.Member, Reason: "has renewed its lease"}
+	}
+	// A part of the fleet that reaches the log must not declare the larger part ended by its silence
+	// alone, since that part may go on among itself.
+	if r.Proof == Silence && len(t.Live())-1 < len(t.Members)-len(t.Live())+1 {
+		return MemberError{Member: r.Member, Reason: "too few live members would be left"}
+	}
+	m.Lapsed = true
+	return nil
+}
+
+func (t *Tables) settle(r Settle) error {
+	if _, err := t.live(r.Member); err != nil {
+		return err
+	}
+	lapsed, ok := t.Members[r.Lapsed]
+	if !ok || !lapsed.Lapsed {
+		return MemberError{Member: r.Lapsed, Reason: "has not lapsed"}
+	}
+	t.Ledger.Move(t.known(r.Moved))
+	if lapsed.Settled == nil {
+		lapsed.Settled = id.Set[id.Member]{}
+	}
+	lapsed.Settled.Add(r.Member)
+	return nil
+}
+
+func (t *Tables) exchange(r Exchange) error {
+	if _, err := t.live(r.Member); err != nil {
+		return err
+	}
+	t.Ledger.Move(t.known(r.Moved))
+	for _, tokens := range r.Returned {
+		t.Ledger.Return(tokens.Team, r.Member, tokens.Total)
+	}
+	return nil
+}
+
+// known returns the sums whose two members the tables still hold: a report that arrives after a
+// member's account is closed must not open it again.
+func (t *Tables) known(sums []quota.Moved) []quota.Moved {
+	var known []quota.Moved
+	for _, m := range sums {
+		if t.Members[m.From] != nil && t.Members[m.To] != nil {
+			known = append(known, m)
+		}
+	}
+	return known
+}
+
+// Unsettled returns the lapsed members that a member has not settled with yet, in order.
+func (t *Tables) Unsettled(by id.Member) []id.Member {
+	var lapsed []id.Member
+	for _, name := range sortedKeys(t.Members) {
+		if t.Members[name].Lapsed && !t.Members[name].Settled.Has(by) {
+			lapsed = append(lapsed, name)
+		}
+	}
+	return lapsed
+}
+
+// settleAccounts frees the slots of lapsed members once every live member has settled with all of
+// them, and issues free slots. Members that lapsed together may have traded with each other, so
+// none is freed before all are settled.
+func (t *Tables) settleAccounts() {
+	live := t.Live()
+	var lapsed []id.Member
+	settled := len(live) > 0
+	for _, name := range sortedKeys(t.Members) {
+		if !t.Members[name].Lapsed {
+			continue
+		}
+		lapsed = append(lapsed, name)
+		for _, by := range live {
+			settled = settled && t.Members[name].Settled.Has(by)
+		}
+	}
+	if settled {
+		for _, name := range lapsed {
+			t.Ledger.Reclaim(name)
+			delete(t.Members, name)
+		}
+	}
+	for _, team := range t.rules.Teams {
+		t.Ledger.Issue(team.Name, team.Limit, live)
+	}
+}
--- /dev/null
+++ b/fleet/tables.go
@@ -0,0 +1,198 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/quota"
+	"marigoldshed.example/marigoldshed/rules"
+)
+
+// maxOutcomes bounds how many past proposals the tables remember by id.
+const maxOutcomes = 1024
+
+// Tables is the control state after every record up to an offset.
+type Tables struct {
+	Offset    int64                     `json:"offset"` // offset of the next record to apply
+	Clock     time.Time                 `json:"clock"`  // newest time that a record carried
+	Version   int                       `json:"version"`
+	Text      string                    `json:"text"`
+	Digest    uint64                    `json:"digest"`
+	Instances map[id.Instance]*Instance `json:"instances"`
+	Members   map[id.Member]*Member     `json:"members"`
+	Ledger    quota.Ledger              `json:"ledger"`
+	Outcomes  []Outcome                 `json:"outcomes"`
+	Past      map[id.DataCentre]bool    `json:"past"` // data centres that ever had a member
+
+	rules *rules.Set
+	seen  id.Set[string]
+}
+
+// Outcome is what became of one proposal.
+type Outcome struct {
+	ID      string `json:"id"`
+	Version int    `json:"version"` // version in force after it
+	Refused string `json:"refused,omitempty"`
+}
+
+// NewTables returns the tables before the first record.
+func NewTables() *Tables {
+	return &Tables{
+		Instances: map[id.Instance]*Instance{},
+		Members:   map[id.Member]*Member{},
+		Ledger:    quota.NewLedger(),
+		Past:      map[id.DataCentre]bool{},
+		rules:     &rules.Set{},
+		seen:      id.Set[string]{},
+	}
+}
+
+// Rules returns the rules in force.
+func (t *Tables) Rules() *rules.Set { return t.rules }
+
+// Apply takes the record at an offset into the tables; it fails with FormatError, and then changes
+// nothing, when the record needs a newer program. A record that stands twice takes effect once.
+func (t *Tables) Apply(offset int64, data []byte) error {
+	if offset < t.Offset {
+		return nil
+	}
+	envelope, unreadable := Decode(data)
+	if unreadable != nil {
+		t.advance(offset, data, Outcome{Refused: "unreadable"})
+		return nil //nolint:nilerr // Every member passes over a record that none can read.
+	}
+	if envelope.Format > Format {
+		return FormatError{Format: envelope.Format}
+	}
+	if envelope.At.After(t.Clock) {
+		t.Clock = envelope.At
+	}
+	outcome := Outcome{ID: envelope.ID}
+	if t.seen.Has(envelope.ID) {
+		outcome.Refused = "repeated"
+		t.advance(offset, data, outcome)
+		return nil
+	}
+	record, err := envelope.Record()
+	if err != nil {
+		outcome.Refused = err.Error()
+	} else if err := t.apply(offset, record); err != nil {
+		outcome.Refused = err.Error()
+	}
+	t.settleAccounts()
+	t.finishDrains()
+	outcome.Version = t.Version
+	t.remember(record, outcome)
+	t.advance(offset, data, outcome)
+	return nil
+}
+
+func (t *Tables) apply(offset int64, record Record) error {
+	switch r := record.(type) {
+	case Apply:
+		return t.applyText(r)
+	case Edit:
+		return t.applyEdit(r)
+	case Join:
+		return t.join(offset, r)
+	case Renew:
+		return t.renew(r)
+	case Leave:
+		return t.leave(r)
+	case Lapse:
+		return t.lapse(r)
+	case Settle:
+		return t.settle(r)
+	case Exchange:
+		return t.exchange(r)
+	case Enroll:
+		return t.enroll(r)
+	case Gone:
+		return t.gone(r)
+	case Drain:
+		return t.drain(offset, r)
+	case Clear:
+		return t.clear(r)
+	case Fail:
+		return t.fail(r)
+	case Restore:
+		return t.restore(r)
+	}
+	return errors.Errorf("no rule for a record of kind %s", record.kind())
+}
+
+func (t *Tables) advance(offset int64, data []byte, outcome Outcome) {
+	t.Offset = offset + 1
+	digest := xxhash.New()
+	_, _ = fmt.Fprintf(digest, "%d %d %s %s", t.Digest, offset, outcome.ID, outcome.Refused)
+	_, _ = digest.Write(data)
+	t.Digest = digest.Sum64()
+}
+
+// remember keeps the outcome of proposals that somebody may ask about or send again.
+func (t *Tables) remember(record Record, outcome Outcome) {
+	if _, ok := record.(Renew); ok {
+		return
+	}
+	t.seen.Add(outcome.ID)
+	t.Outcomes = append(t.Outcomes, outcome)
+	if len(t.Outcomes) > maxOutcomes {
+		t.seen.Remove(t.Outcomes[0].ID)
+		t.Outcomes = t.Outcomes[1:]
+	}
+}
+
+// Outcome returns what became of a proposal and whether the tables remember it.
+func (t *Tables) Outcome(proposal string) (Outcome, bool) {
+	if !t.seen.Has(proposal) {
+		return Outcome{}, false
+	}
+	for _, outcome := range t.Outcomes {
+		if outcome.ID == proposal {
+			return outcome, true
+		}
+	}
+	return Outcome{}, false
+}
+
+// Snapshot returns the tables in a form that Load reads.
+func (t *Tables) Snapshot() ([]byte, error) {
+	data, err := json.Marshal(t)
+	return data, errors.Annotate(err, "encoding a snapshot")
+}
+
+// Load returns the tables of a snapshot.
+func Load(snapshot []byte) (*Tables, error) {
+	t := NewTables()
+	if err := json.Unmarshal(snapshot, t); err != nil {
+		return nil, errors.Annotate(err, "decoding a snapshot")
+	}
+	for _, outcome := range t.Outcomes {
+		t.seen.Add(outcome.ID)
+	}
+	if t.Text == "" {
+		return t, nil
+	}
+	set, err := rules.Parse(t.Text)
+	if err != nil {
+		return nil, errors.Annotate(err, "reading the rules of a snapshot")
+	}
+	t.rules = set
+	return t, nil
+}
+
+// sortedKeys returns a table's keys in order, so that every member walks it alike.
+func sortedKeys[K ~string, V any](table map[K]V) []K {
+	keys := make([]K, 0, len(table))
+	for key := range table {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	return keys
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"connectrpc.com/connect"
+	"github.com/juju/errors"
+)
+
+// maxMessageBytes bounds one message between members.
+const maxMessageBytes = 32 << 20
+
+// ClientConfig holds what a Client needs.
+type ClientConfig struct {
+	Secret    string // shared by all members
+	Transport http.RoundTripper
+}
+
+// Client sends messages to other members; it implements Network.
+type Client struct {
+	http    *http.Client
+	secret  string
+	mu      sync.Mutex
+	clients map[string]any // by URL, each of its own procedure's type
+}
+
+// NewClient returns a client.
+func NewClient(c ClientConfig) *Client {
+	return &Client{http: &http.Client{Transport: c.Transport}, secret: c.Secret, clients: map[string]any{}}
+}
+
+// Beat sends a beat.
+func (c *Client) Beat(ctx context.Context, to netip.AddrPort, beat Beat) error {
+	_, err := call[Beat, Ack](ctx, c, to, beatPath, &beat)
+	return err
+}
+
+// Pull asks a member for records.
+func (c *Client) Pull(ctx context.Context, to netip.AddrPort, pull Pull) (Records, error) {
+	return call[Pull, Records](ctx, c, to, pullPath, &pull)
+}
+
+// Relay asks a member to append a record.
+func (c *Client) Relay(ctx context.Context, to netip.AddrPort, relay Relay) error {
+	_, err := call[Relay, Ack](ctx, c, to, relayPath, &relay)
+	return err
+}
+
+// Reserve asks a member to remember an attempt.
+func (c *Client) Reserve(ctx context.Context, to netip.AddrPort, reserve Reserve) (Reserved, error) {
+	return call[Reserve, Reserved](ctx, c, to, reservePath, &reserve)
+}
+
+// Finish tells a member what an attempt has come to.
+func (c *Client) Finish(ctx context.Context, to netip.AddrPort, finish Finish) error {
+	_, err := call[Finish, Ack](ctx, c, to, finishPath, &finish)
+	return err
+}
+
+// Recall asks a member for the attempts it remembers.
+func (c *Client) Recall(ctx context.Context, to netip.AddrPort) (Recalled, error) {
+	return call[Recall, Recalled](ctx, c, to, recallPath, &Recall{})
+}
+
+func call[Q, A any](ctx context.Context, c *Client, to netip.AddrPort, path string, message *Q) (A, error) {
+	var none A
+	request := connect.NewRequest(message)
+	request.Header().Set("Authorization", "Bearer "+c.secret)
+	answer, err := client[Q, A](c, "http://"+to.String()+path).CallUnary(ctx, request)
+	if err != nil {
+		return none, errors.Annotatef(err, "calling %s of %s", path, to)
+	}
+	return *answer.Msg, nil
+}
+
+func client[Q, A any](c *Client, url string) *connect.Client[Q, A] {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if found, ok := c.clients[url].(*connect.Client[Q, A]); ok {
+		return found
+	}
+	made := connect.NewClient[Q, A](c.http, url, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes))
+	c.clients[url] = made
+	return made
+}
--- /dev/null
+++ b/peer/handler.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+
+	"connectrpc.com/connect"
+)
+
+// HandlerConfig holds what a handler needs.
+type HandlerConfig struct {
+	Secret  string // shared by all members
+	Service Service
+}
+
+// NewHandler returns the handler for messages of other members; a caller without the shared secret
+// is refused.
+func NewHandler(c HandlerConfig) http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, beatPath, func(ctx context.Context, m *Beat) (Ack, error) { return Ack{}, c.Service.TakeBeat(ctx, *m) })
+	handle(mux, pullPath, func(ctx context.Context, m *Pull) (Records, error) { return c.Service.TakePull(ctx, *m) })
+	handle(mux, relayPath, func(ctx context.Context, m *Relay) (Ack, error) { return Ack{}, c.Service.TakeRelay(ctx, *m) })
+	handle(mux, reservePath, func(ctx context.Context, m *Reserve) (Reserved, error) { return c.Service.TakeReserve(ctx, *m) })
+	handle(mux, finishPath, func(ctx context.Context, m *Finish) (Ack, error) { return Ack{}, c.Service.TakeFinish(ctx, *m) })
+	handle(mux, recallPath, func(ctx context.Context, _ *Recall) (Recalled, error) { return c.Service.TakeRecall(ctx) })
+	return guard(c.Secret, mux)
+}
+
+func handle[Q, A any](mux *http.ServeMux, path string, take func(context.Context, *Q) (A, error)) {
+	serve := func(ctx context.Context, request *connect.Request[Q]) (*connect.Response[A], error) {
+		answer, err := take(ctx, request.Msg)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		return connect.NewResponse(&answer), nil
+	}
+	mux.Handle(path, connect.NewUnaryHandler(path, serve, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes)))
+}
+
+func guard(secret string, next http.Handler) http.Handler {
+	want := []byte("Bearer " + secret)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if subtle.ConstantTimeCompare(got, want) != 1 {
+			http.Error(w, "the peers' secret is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"net/netip"
+	"time"
+
+	"marigoldshed.example/marigoldshed/attempt"
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/queue"
+	"marigoldshed.example/marigoldshed/quota"
+)
+
+// Beat is what a member tells each other member from time to time, and at once when it wants slots,
+// hands some over or has heard of a restriction.
+type Beat struct {
+	Member       id.Member       `cbor:"1,keyasint"`
+	DataCentre   id.DataCentre   `cbor:"2,keyasint"`
+	Address      netip.AddrPort  `cbor:"3,keyasint"`
+	Offset       int64           `cbor:"4,keyasint"` // next offset to apply
+	Version      int             `cbor:"5,keyasint"` // rules in force
+	Digest       uint64          `cbor:"6,keyasint"` // digest at Offset
+	Age          time.Duration   `cbor:"7,keyasint"` // age of the newest log read that Offset rests on
+	Claims       []queue.Claim   `cbor:"8,keyasint,omitempty"`
+	Wants        []Want          `cbor:"9,keyasint,omitempty"`
+	Given        []quota.Moved   `cbor:"10,keyasint,omitempty"`
+	Restrictions []Restriction   `cbor:"11,keyasint,omitempty"`
+	Hears        []id.DataCentre `cbor:"12,keyasint,omitempty"` // data centres heard of late
+	Stopping     bool            `cbor:"13,keyasint,omitempty"`
+}
+
+// Want is a number of slots of a team's limit that a member could use now.
+type Want struct {
+	Team  id.Team `cbor:"1,keyasint"`
+	Count int     `cbor:"2,keyasint"`
+}
+
+// Restriction is an operator's change that only takes away, on its way to the log.
+type Restriction struct {
+	ID   string        `cbor:"1,keyasint"` // id of the record that carries it
+	Edit fleet.Edit    `cbor:"2,keyasint"`
+	By   string        `cbor:"3,keyasint"`
+	Age  time.Duration `cbor:"4,keyasint"` // time since an operator gave it
+}
+
+// Ack answers a message that wants no content.
+type Ack struct{}
+
+// Pull asks for the records from an offset on.
+type Pull struct {
+	From int64 `cbor:"1,keyasint"`
+}
+
+// Records answers a Pull; when the first wanted record is not kept, Snapshot holds the tables.
+type Records struct {
+	From     int64         `cbor:"1,keyasint"`
+	Data     [][]byte      `cbor:"2,keyasint,omitempty"`
+	Snapshot []byte        `cbor:"3,keyasint,omitempty"`
+	Age      time.Duration `cbor:"4,keyasint"`
+}
+
+// Relay asks a member to append a record to the log for one that cannot reach it.
+type Relay struct {
+	Data []byte `cbor:"1,keyasint"`
+}
+
+// Reserve asks a member of a key's home data centre to remember an attempt, and with Spread to have
+// the other members of its data centre remember it too.
+type Reserve struct {
+	Attempt attempt.Attempt `cbor:"1,keyasint"`
+	Spread  bool            `cbor:"2,keyasint,omitempty"`
+}
+
+// Reserved answers a Reserve; First is the attempt that stands in the way, if any.
+type Reserved struct {
+	Granted bool             `cbor:"1,keyasint"`
+	Reason  string           `cbor:"2,keyasint,omitempty"`
+	First   *attempt.Attempt `cbor:"3,keyasint,omitempty"`
+}
+
+// Finish tells what a reserved attempt has come to.
+type Finish struct {
+	Attempt attempt.Attempt `cbor:"1,keyasint"`
+}
+
+// Recall asks for the attempts that a member remembers.
+type Recall struct{}
+
+// Recalled answers a Recall.
+type Recalled struct {
+	Attempts []attempt.Attempt `cbor:"1,keyasint,omitempty"`
+}
--- /dev/null
+++ b/queue/line.go
@@ -0,0 +1,235 @@
+package queue
+
+import (
+	"sort"
+	"time"
+
+	"marigoldshed.example/marigoldshed/common/id"
+)
+
+// Class is how soon an answer is wanted.
+type Class string
+
+// Classes of work.
+const (
+	Urgent    Class = "urgent"
+	Overnight Class = "overnight"
+)
+
+// Item is one request that waits for a slot.
+type Item struct {
+	ID       uint64
+	Team     id.Team
+	Class    Class
+	Arrived  time.Time
+	Deadline time.Time // when to give up waiting
+}
+
+// Order is the order in which a line serves its items.
+type Order interface{ order() }
+
+// FirstCome serves items of all teams in order of arrival.
+type FirstCome struct{}
+
+// Fair serves the team that uses least of its part, and in it urgent work first.
+type Fair struct{}
+
+// DelayRatio serves the team that uses least of its part, and in it the class whose oldest item has
+// waited longest for its weight, so that waiting times keep to the ratio of the weights.
+type DelayRatio struct {
+	Urgent    time.Duration
+	Overnight time.Duration
+}
+
+func (FirstCome) order()  {}
+func (Fair) order()       {}
+func (DelayRatio) order() {}
+
+// Line keeps one member's waiting items for one pool.
+type Line struct {
+	order Order
+	teams map[id.Team]*waiting
+	size  int
+}
+
+// waiting holds one team's items, each class in order of arrival.
+type waiting struct {
+	urgent    []Item
+	overnight []Item
+}
+
+func (w *waiting) class(c Class) *[]Item {
+	if c == Urgent {
+		return &w.urgent
+	}
+	return &w.overnight
+}
+
+// NewLine returns an empty line that serves in an order.
+func NewLine(order Order) *Line {
+	return &Line{order: order, teams: map[id.Team]*waiting{}}
+}
+
+// Len returns how many items wait.
+func (l *Line) Len() int { return l.size }
+
+// Waiting returns how many items of a team wait.
+func (l *Line) Waiting(team id.Team) int {
+	w, ok := l.teams[team]
+	if !ok {
+		return 0
+	}
+	return len(w.urgent) + len(w.overnight)
+}
+
+// Oldest returns when the oldest waiting item of a team arrived and whether there is one.
+func (l *Line) Oldest(team id.Team) (time.Time, bool) {
+	w, ok := l.teams[team]
+	if !ok || l.Waiting(team) == 0 {
+		return time.Time{}, false
+	}
+	var oldest time.Time
+	for _, items := range [][]Item{w.urgent, w.overnight} {
+		if len(items) > 0 && (oldest.IsZero() || items[0].Arrived.Before(oldest)) {
+			oldest = items[0].Arrived
+		}
+	}
+	return oldest, true
+}
+
+// Teams returns the teams that have items waiting, in order.
+func (l *Line) Teams() []id.Team {
+	var teams []id.Team
+	for team := range l.teams {
+		if l.Waiting(team) > 0 {
+			teams = append(teams, team)
+		}
+	}
+	sort.Slice(teams, func(i, j int) bool { return teams[i] < teams[j] })
+	return teams
+}
+
+// Push adds an item in order of its arrival, so that one that comes back keeps its turn.
+func (l *Line) Push(item Item) {
+	w, ok := l.teams[item.Team]
+	if !ok {
+		w = &waiting{}
+		l.teams[item.Team] = w
+	}
+	items := w.class(item.Class)
+	at := sort.Search(len(*items), func(i int) bool { return (*items)[i].Arrived.After(item.Arrived) })
+	*items = append(*items, Item{})
+	copy((*items)[at+1:], (*items)[at:])
+	(*items)[at] = item
+	l.size++
+}
+
+// Remove takes an item out of the line and reports whether it was there.
+func (l *Line) Remove(item Item) bool {
+	w, ok := l.teams[item.Team]
+	if !ok {
+		return false
+	}
+	items := w.class(item.Class)
+	for i := range *items {
+		if (*items)[i].ID == item.ID {
+			*items = append((*items)[:i], (*items)[i+1:]...)
+			l.size--
+			return true
+		}
+	}
+	return false
+}
+
+// Expired takes the items out whose deadline has passed.
+func (l *Line) Expired(now time.Time) []Item {
+	var expired []Item
+	for _, team := range l.Teams() {
+		w := l.teams[team]
+		for _, items := range [][]Item{w.urgent, w.overnight} {
+			for _, item := range items {
+				if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
+					expired = append(expired, item)
+				}
+			}
+		}
+	}
+	for _, item := range expired {
+		l.Remove(item)
+	}
+	return expired
+}
+
+// Room is how much of its part a team uses.
+type Room struct {
+	Team    id.Team
+	Running int // slots in use
+	Slots   int // slots of its part
+}
+
+// Next takes out the item to serve next among the teams that rooms name; it reports false when
+// none of them has an item waiting.
+func (l *Line) Next(now time.Time, rooms []Room) (Item, bool) {
+	team, ok := l.nextTeam(rooms)
+	if !ok {
+		return Item{}, false
+	}
+	w := l.teams[team]
+	items := w.class(l.nextClass(now, w))
+	item := (*items)[0]
+	*items = (*items)[1:]
+	l.size--
+	return item, true
+}
+
+func (l *Line) nextTeam(rooms []Room) (id.Team, bool) {
+	var best Room
+	found := false
+	for _, room := range rooms {
+		if l.Waiting(room.Team) == 0 {
+			continue
+		}
+		if !found || l.before(room, best) {
+			best = room
+			found = true
+		}
+	}
+	return best.Team, found
+}
+
+// before reports whether a team is served before another.
+func (l *Line) before(a, b Room) bool {
+	if _, ok := l.order.(FirstCome); ok {
+		x, _ := l.Oldest(a.Team)
+		y, _ := l.Oldest(b.Team)
+		return x.Before(y)
+	}
+	x := a.Running * max(1, b.Slots)
+	y := b.Running * max(1, a.Slots)
+	if x != y {
+		return x < y
+	}
+	return a.Team < b.Team
+}
+
+func (l *Line) nextClass(now time.Time, w *waiting) Class {
+	switch {
+	case len(w.urgent) == 0:
+		return Overnight
+	case len(w.overnight) == 0:
+		return Urgent
+	}
+	urgent := now.Sub(w.urgent[0].Arrived)
+	overnight := now.Sub(w.overnight[0].Arrived)
+	switch order := l.order.(type) {
+	case FirstCome:
+		if overnight > urgent {
+			return Overnight
+		}
+	case DelayRatio:
+		if overnight.Seconds()/order.Overnight.Seconds() > urgent.Seconds()/order.Urgent.Seconds() {
+			return Overnight
+		}
+	}
+	return Urgent
+}
--- /dev/null
+++ b/quota/ledger.go
@@ -0,0 +1,136 @@
+package quota
+
+import (
+	"strings"
+
+	"marigoldshed.example/marigoldshed/common/id"
+)
+
+// Moved is the sum of a team's slots that one member ever handed to another.
+type Moved struct {
+	From  id.Member `json:"from"`
+	To    id.Member `json:"to"`
+	Team  id.Team   `json:"team"`
+	Total int       `json:"total"`
+}
+
+// Tokens is the sum of slots of one team that a member ever gave back.
+type Tokens struct {
+	Team  id.Team `json:"team"`
+	Total int     `json:"total"`
+}
+
+// Ledger accounts for the slots of every team's upper limit that members hold. The sum over all
+// members never grows past the limit; members move slots among themselves without the log and
+// report it afterwards, so the split among them lags and only the sum is exact.
+type Ledger struct {
+	Teams map[id.Team]*Account `json:"teams"`
+	Moved map[string]int       `json:"moved"` // sums handed over, by moveKey
+}
+
+// Account is one team's part of the ledger.
+type Account struct {
+	Limit    int               `json:"limit"`
+	Held     map[id.Member]int `json:"held"`     // slots by the member that reported them
+	Issued   map[id.Member]int `json:"issued"`   // slots ever issued to a live member
+	Returned map[id.Member]int `json:"returned"` // slots ever given back by a live member
+}
+
+// Excess returns the slots that members hold above the limit since it was lowered; while there are
+// any, nothing may start for the team.
+func (a *Account) Excess() int { return max(0, a.Outstanding()-a.Limit) }
+
+// moveKey names the sum that one member handed to another for a team.
+func moveKey(m Moved) string {
+	return string(m.From) + ">" + string(m.To) + ">" + string(m.Team)
+}
+
+// NewLedger returns a ledger without accounts.
+func NewLedger() Ledger {
+	return Ledger{Teams: map[id.Team]*Account{}, Moved: map[string]int{}}
+}
+
+func (l *Ledger) account(team id.Team) *Account {
+	a, ok := l.Teams[team]
+	if !ok {
+		a = &Account{Held: map[id.Member]int{}, Issued: map[id.Member]int{}, Returned: map[id.Member]int{}}
+		l.Teams[team] = a
+	}
+	return a
+}
+
+// Reported returns how much of a sum the ledger knows of.
+func (l *Ledger) Reported(m Moved) int { return l.Moved[moveKey(m)] }
+
+// Outstanding returns the slots that members hold or have handed on.
+func (a *Account) Outstanding() int {
+	sum := 0
+	for _, n := range a.Held {
+		sum += n
+	}
+	return sum
+}
+
+// Move takes reported sums into the accounts; a sum that is not newer changes nothing.
+func (l *Ledger) Move(sums []Moved) {
+	for _, m := range sums {
+		more := m.Total - l.Moved[moveKey(m)]
+		if more <= 0 {
+			continue
+		}
+		l.Moved[moveKey(m)] = m.Total
+		a := l.account(m.Team)
+		a.Held[m.From] -= more
+		a.Held[m.To] += more
+	}
+}
+
+// Return takes the sum of slots that a member gave back into its account.
+func (l *Ledger) Return(team id.Team, member id.Member, total int) {
+	a := l.account(team)
+	if more := total - a.Returned[member]; more > 0 {
+		a.Returned[member] = total
+		a.Held[member] -= more
+	}
+}
+
+// forget removes the sums exchanged with a member that can trade no more.
+func (l *Ledger) forget(member id.Member) {
+	for key := range l.Moved {
+		from, rest, _ := strings.Cut(key, ">")
+		to, _, _ := strings.Cut(rest, ">")
+		if from == string(member) || to == string(member) {
+			delete(l.Moved, key)
+		}
+	}
+}
+
+// Reclaim frees everything that a member holds; neither it nor a task of its may still run.
+func (l *Ledger) Reclaim(member id.Member) {
+	for _, a := range l.Teams {
+		delete(a.Held, member)
+		delete(a.Issued, member)
+		delete(a.Returned, member)
+	}
+	l.forget(member)
+}
+
+// Issue spreads a team's free slots evenly over the live members.
+func (l *Ledger) Issue(team id.Team, limit int, live []id.Member) {
+	a := l.account(team)
+	a.Limit = limit
+	free := limit - a.Outstanding()
+	if free <= 0 || len(live) == 0 {
+		return
+	}
+	for i, member := range live {
+		n := free / len(live)
+		if i < free%len(live) {
+			n++
+		}
+		if n > 0 {
+			a.Held[member] += n
+			a.Issued[member] += n
+		}
+	}
+}
--- /dev/null
+++ b/rules/parse_test.go
@@ -0,0 +1,89 @@
+package rules
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const sample = `# a sample
+pool counter size=10 budget=2 # Maria
+spare admin size=4 budget=4 # Maria
+team sales share=3 limit=40 # Jose
+queue quotes pool=counter for=sales # Jose
+key k1 team=sales hash=9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08 # Jose
+`
+
+func TestParse(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want []string
+	}{
+		{"sample", sample, nil},
+		{"no asker", "pool a size=1 budget=0", []string{"line 1: no comment"}},
+		{"unknown kind", "zone a # x", []string{`line 1: no rule is called "zone"`}},
+		{"every fault", "pool a size=0 budget=x # x\nqueue q pool=b for=t # y", []string{
+			"line 1: size=0", "line 1: budget=x", `line 2: no pool is called "b"`, `line 2: no team is called "t"`,
+		}},
+		{"twice", "team a share=1 limit=1 # x\nteam a share=1 limit=1 # x", []string{"line 2: team a already stands on line 1"}},
+		{"bad hash", "team a share=1 limit=1 # x\nkey k team=a hash=zz # x", []string{"line 2: hash is not"}},
+		{"unknown argument", "out dc1 now # x", []string{`line 1: out takes no argument "now"`}},
+		{"open queue with two teams", "pool p size=1 budget=0 # x\nteam a share=1 limit=1 # x\nteam b share=1 limit=1 # x\n" +
+			"queue q pool=p open for=a,b # x", []string{"line 4: an open queue names one team"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Parse(tt.text)
+			if len(tt.want) == 0 {
+				if err != nil {
+					t.Fatalf("Parse() = %v, want no fault", err)
+				}
+				return
+			}
+			var faults Errors
+			if !errors.As(err, &faults) {
+				t.Fatalf("Parse() = %v, want Errors", err)
+			}
+			for _, want := range tt.want {
+				if !strings.Contains(faults.Error(), want) {
+					t.Errorf("faults %q lack %q", faults.Error(), want)
+				}
+			}
+		})
+	}
+}
+
+func TestEdit(t *testing.T) {
+	text, err := Edit(sample, []string{"out dc1 # Ana", "team sales share=5 limit=40 # Ana"}, []Ref{{Kind: "key", Name: "k1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, err := Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !set.Out("dc1") || len(set.Keys) != 0 || set.Teams[0].Share != 5 {
+		t.Errorf("edited file reads as %+v", set)
+	}
+	if !strings.HasPrefix(text, "# a sample\n") {
+		t.Error("a comment line was lost")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(sample)
+	f.Add("pool a size=1 budget=0 # x\nout b # y")
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, faults := Lines(text)
+		if len(faults) > 0 {
+			return
+		}
+		for _, line := range lines {
+			again, faults := Lines(line.String())
+			if len(faults) > 0 || len(again) != 1 || again[0].Ref() != line.Ref() {
+				t.Fatalf("line %q does not read back as itself", line.String())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,205 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+
+	"marigoldshed.example/marigoldshed/caller"
+	"marigoldshed.example/marigoldshed/endpoint"
+	"marigoldshed.example/marigoldshed/entry"
+	"marigoldshed.example/marigoldshed/operator"
+	"marigoldshed.example/marigoldshed/peer"
+	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/settings"
+)
+
+// Bounds on connections.
+const (
+	headerTimeout   = 5 * time.Second
+	bodyTimeout     = 30 * time.Second
+	idleTimeout     = 2 * time.Minute
+	maxHeaderBytes  = 16 << 10
+	maxCallers      = 10_000 // connections
+	maxOperators    = 100    // connections
+	maxPeers        = 1_000  // connections
+	dialTimeout     = time.Second
+	endpointIdle    = 30 * time.Second
+	endpointConns   = 64 // connections to one worker
+	endpointsConns  = 4_000
+	shutdownTimeout = 10 * time.Second
+)
+
+// Config holds what a Server needs.
+type Config struct {
+	Settings settings.Settings
+	Logger   *zap.Logger
+	Timing   entry.Timing
+	// Dial replaces the way connections are made, for trials that cut some of them; nil is the usual way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Server is one entry instance on the network.
+type Server struct {
+	config    Config
+	control   *entry.Control
+	metrics   *entry.Metrics
+	servers   []*http.Server
+	listeners []net.Listener
+}
+
+// New binds the listeners of an entry instance; it fails when an address cannot be bound.
+func New(c Config) (*Server, error) {
+	s := &Server{config: c, metrics: entry.NewMetrics()}
+	set := c.Settings
+	callers, err := s.listen(set.Callers, maxCallers)
+	if err != nil {
+		return nil, err
+	}
+	operators, err := s.listen(set.Operators, maxOperators)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := s.listen(set.Peers, maxPeers)
+	if err != nil {
+		return nil, err
+	}
+	s.control = entry.New(s.entryConfig(addressOf(peers)))
+	s.add(callers, caller.NewHandler(caller.Config{Server: s.control, Ready: s.control.Ready}))
+	s.add(operators, operator.NewHandler(operator.Config{Control: s.control, Metrics: s.metrics, Secret: set.OperatorSecret}))
+	s.add(peers, peer.NewHandler(peer.HandlerConfig{Secret: set.PeerSecret, Service: s.control}))
+	return s, nil
+}
+
+func (s *Server) listen(address netip.AddrPort, most int) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address.String())
+	if err != nil {
+		for _, bound := range s.listeners {
+			_ = bound.Close()
+		}
+		return nil, errors.Annotatef(err, "listening on %s", address)
+	}
+	s.listeners = append(s.listeners, listener)
+	return netutil.LimitListener(listener, most), nil
+}
+
+func addressOf(listener net.Listener) netip.AddrPort {
+	address, _ := netip.ParseAddrPort(listener.Addr().String())
+	return address
+}
+
+func (s *Server) entryConfig(self netip.AddrPort) entry.Config {
+	set := s.config.Settings
+	store := platform.NewClient(platform.Config{Address: set.Platform, Transport: s.transport(0)})
+	return entry.Config{
+		Entry: set.Entry, DataCentre: set.DataCentre, Peer: self, Seeds: set.Seeds,
+		Log: store, Fleet: store,
+		Endpoints: endpoint.NewClient(endpoint.Config{Transport: s.transport(endpointConns)}),
+		Peers:     peer.NewClient(peer.ClientConfig{Secret: set.PeerSecret, Transport: s.peerTransport()}),
+		Timing:    s.config.Timing,
+		Logger:    s.config.Logger,
+		Metrics:   s.metrics,
+	}
+}
+
+func (s *Server) transport(perHost int) *http.Transport {
+	dial := s.config.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &http.Transport{
+		DialContext:         dial,
+		IdleConnTimeout:     endpointIdle,
+		MaxConnsPerHost:     perHost,
+		MaxIdleConns:        endpointsConns,
+		MaxIdleConnsPerHost: endpointConns,
+		DisableCompression:  true,
+	}
+}
+
+// peerTransport speaks HTTP/2 without TLS, which packs the headers of many small messages.
+func (s *Server) peerTransport() *http.Transport {
+	transport := s.transport(0)
+	transport.Protocols = &http.Protocols{}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: idleTimeout, PingTimeout: headerTimeout}
+	return transport
+}
+
+func (s *Server) add(listener net.Listener, handler http.Handler) {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.listeners[len(s.servers)] = listener
+	s.servers = append(s.servers, &http.Server{
+		Handler: handler, Protocols: protocols,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       zap.NewStdLog(s.logger()),
+	})
+}
+
+func (s *Server) logger() *zap.Logger {
+	if s.config.Logger == nil {
+		return zap.NewNop()
+	}
+	return s.config.Logger
+}
+
+// Control returns the entry instance.
+func (s *Server) Control() *entry.Control { return s.control }
+
+// Callers returns the address that callers are served at.
+func (s *Server) Callers() netip.AddrPort { return addressOf(s.listeners[0]) }
+
+// Operators returns the address that operators are served at.
+func (s *Server) Operators() netip.AddrPort { return addressOf(s.listeners[1]) }
+
+// Peers returns the address that other members are served at.
+func (s *Server) Peers() netip.AddrPort { return addressOf(s.listeners[2]) }
+
+// Run serves until the context ends, which cuts off what runs, or until Stop has finished.
+func (s *Server) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for i, server := range s.servers {
+		listener := s.listeners[i]
+		group.Go(func() error {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Annotatef(err, "serving on %s", listener.Addr())
+			}
+			return nil
+		})
+	}
+	group.Go(func() error {
+		err := s.control.Run(ctx)
+		s.close(ctx)
+		return err
+	})
+	return errors.Trace(group.Wait())
+}
+
+// close ends the listeners: gracefully after a graceful stop, at once otherwise.
+func (s *Server) close(ctx context.Context) {
+	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, server := range s.servers {
+		if ctx.Err() == nil {
+			_ = server.Shutdown(shutdown)
+		}
+		_ = server.Close()
+	}
+}
+
+// Stop ends the instance gracefully; Run returns when it has finished.
+func (s *Server) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.config.Settings.StopLimit)
+	defer cancel()
+	return errors.Trace(s.control.Stop(ctx, s.config.Settings.Grace))
+}
--- /dev/null
+++ b/standin/log.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldshed.example/marigoldshed/platform"
+)
+
+// Errors of a platform that is told to fail.
+var (
+	errDown = errors.New("the platform is down")
+	errLost = errors.New("the platform's answer was lost")
+)
+
+// LogFault is how a Log misbehaves.
+type LogFault struct {
+	Down   bool          // fails every call without effect
+	Lose   bool          // appends take effect and then fail
+	Repeat bool          // appends take effect twice
+	Slow   time.Duration // every call takes so much longer
+}
+
+// Log is an in-memory append-only log; it implements platform.Log.
+type Log struct {
+	mu      sync.Mutex
+	streams map[string]*stream
+	fault   LogFault
+	appends int
+}
+
+// stream is one stream of a Log.
+type stream struct {
+	first   int64
+	records [][]byte
+	grown   chan struct{} // closed at the next append
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{streams: map[string]*stream{}} }
+
+// SetFault sets how the log misbehaves from now on.
+func (l *Log) SetFault(f LogFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = f
+}
+
+// Appends returns how many appends took effect.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Expire drops all but the newest records of a stream.
+func (l *Log) Expire(name string, keep int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	if drop := len(s.records) - keep; drop > 0 {
+		s.records = s.records[drop:]
+		s.first += int64(drop)
+	}
+}
+
+func (l *Log) stream(name string) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{grown: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (l *Log) faults(ctx context.Context) (LogFault, error) {
+	l.mu.Lock()
+	f := l.fault
+	l.mu.Unlock()
+	if f.Slow > 0 {
+		if err := sleep(ctx, f.Slow); err != nil {
+			return f, err
+		}
+	}
+	if f.Down {
+		return f, errDown
+	}
+	return f, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Append adds a record to a stream.
+func (l *Log) Append(ctx context.Context, name string, data []byte) error {
+	f, err := l.faults(ctx)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	s.records = append(s.records, append([]byte(nil), data...))
+	if f.Repeat {
+		s.records = append(s.records, append([]byte(nil), data...))
+	}
+	l.appends++
+	close(s.grown)
+	s.grown = make(chan struct{})
+	if f.Lose {
+		return errLost
+	}
+	return nil
+}
+
+// maxBatch bounds the records of one read.
+const maxBatch = 512
+
+// Read returns the records of a stream from an offset on, or the newest one for a negative offset.
+func (l *Log) Read(ctx context.Context, name string, from int64, wait time.Duration) (platform.Batch, error) {
+	if _, err := l.faults(ctx); err != nil {
+		return platform.Batch{}, err
+	}
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		batch, grown := l.batch(name, from)
+		if len(batch.Records) > 0 || wait == 0 || from < batch.First {
+			return batch, nil
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Batch{}, ctx.Err()
+		case <-deadline.C:
+			_, err := l.faults(ctx)
+			return batch, err
+		case <-grown:
+		}
+	}
+}
+
+func (l *Log) batch(name string, from int64) (platform.Batch, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	next := s.first + int64(len(s.records))
+	batch := platform.Batch{First: s.first, Next: next}
+	if from < 0 {
+		from = max(s.first, next-1)
+	}
+	for offset := max(from, s.first); offset < next && len(batch.Records) < maxBatch; offset++ {
+		batch.Records = append(batch.Records, platform.Stored{Offset: offset, Data: s.records[offset-s.first]})
+	}
+	if from < s.first {
+		batch.Records = nil
+	}
+	return batch, s.grown
+}
