--- a/commands/commands.go
+++ b/commands/commands.go
@@ -69,6 +69,7 @@
 		name, short string
 		command     any
 	}{
+		{"try", "Run a whole fleet in this process and check every promise.", &tryCommand{output: o}},
 		{"serve", "Run one entry instance.", &serveCommand{}},
 		{"standin", "Run a small fake of the platform or of an endpoint.", &standinCommand{Platform: platformCommand{output: o}, Endpoint: endpointCommand{output: o}}},
 		{"check", "Check a rules file.", &checkCommand{output: o}},
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,6 +39,7 @@
 	Endpoints  map[id.Instance]*standin.Endpoint
 	Entries    []*Entry
 
+	mu      sync.Mutex // guards Entries
 	config  FleetConfig
 	group   *errgroup.Group
 	ctx     context.Context
@@ -175,7 +177,9 @@
 	f.Network.Place(s.Peers(), dc)
 	ctx, cancel := context.WithCancel(f.ctx)
 	e := &Entry{Name: name, DataCentre: dc, Server: s, done: make(chan struct{}), cancel: cancel}
+	f.mu.Lock()
 	f.Entries = append(f.Entries, e)
+	f.mu.Unlock()
 	f.group.Go(func() error {
 		defer close(e.done)
 		defer cancel()
