entry: Plan as many drains as budgets allow and remember free slots of workers

Ruled out: partitioning workers among members by contiguous ranges, since ranges shift with every division while tasks run on.

--- a/commands/try.go
+++ b/commands/try.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/trial"
 )
@@ -16,6 +17,7 @@
 	Seed       uint64        `long:"seed" default:"1" description:"determines the load"`
 	Time       time.Duration `long:"time" default:"20s" description:"length of the load"`
 	Faults     []string      `long:"fault" description:"fault to bring about, may be repeated; list names them"`
+	Log        string        `long:"log" value-name:"FILE" description:"write the entry instances' logs here"`
 	JSON       bool          `long:"json" description:"print the report as JSON"`
 	output
 }
@@ -43,6 +45,9 @@
 	if c.Time < leastTrial {
 		return errors.NotValidf("--time %s, which is shorter than %s,", c.Time, leastTrial)
 	}
+	if err := c.openLog(&config); err != nil {
+		return err
+	}
 	var err error
 	if config.Deployment, err = trial.DeploymentOf(c.Deployment); err != nil {
 		return errors.Trace(err)
@@ -60,6 +65,19 @@
 	return nil
 }
 
+// openLog has the entry instances log to a file if one is asked for.
+func (c *tryCommand) openLog(config *trial.Config) error {
+	if c.Log == "" {
+		return nil
+	}
+	production := zap.NewProductionConfig()
+	production.Sampling = nil
+	production.OutputPaths = []string{c.Log}
+	var err error
+	config.Logger, err = production.Build()
+	return errors.Annotatef(err, "opening %s", c.Log)
+}
+
 func (c *tryCommand) print(report *trial.Report) error {
 	if !c.JSON {
 		report.Print(c.out)
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -153,7 +153,7 @@
 		p.line.Push(t.item)
 		return
 	}
-	w.running++
+	w.use(now)
 	p.running[t.item.Team]++
 	t.worker = w
 	t.started = now
@@ -218,6 +218,7 @@
 	switch o.kind {
 	case answered:
 		w.down = time.Time{}
+		w.tells(o.free)
 		if o.failed {
 			w.fail(now)
 			return
@@ -225,7 +226,7 @@
 		w.failures = 0
 	case refused:
 		w.down = time.Time{}
-		w.full = now.Add(fullPause)
+		w.lacks(now)
 	case unreachable, unknown:
 		if w.down.IsZero() {
 			w.down = now
@@ -281,10 +282,11 @@
 	}
 }
 
-// reports returns the members in contact and what all of them claim, this one included.
+// reports returns the members in contact and what all of them claim. This one's claims are those
+// that it told the others, so that all divide alike.
 func (c *Control) reports(now time.Time) ([]id.Member, []queue.Claim) {
 	members := []id.Member{c.self}
-	claims := c.claims(now)
+	claims := append([]queue.Claim(nil), c.told...)
 	for name, r := range c.remotes {
 		if now.Sub(r.heard) < c.timing.Contact && !r.beat.Stopping {
 			members = append(members, name)
--- a/entry/beat.go
+++ b/entry/beat.go
@@ -155,10 +155,12 @@
 	}
 	c.links.sent = now
 	c.links.urged = false
+	c.told = c.claims(now)
+	c.dirty = true
 	common := peer.Beat{
 		Member: c.self, DataCentre: c.config.DataCentre, Address: c.config.Peer,
 		Offset: c.tables.Offset, Version: c.view.Load().version, Digest: c.tables.Digest,
-		Age: now.Sub(c.lease.fresh), Claims: c.claims(now), Wants: c.wants(),
+		Age: now.Sub(c.lease.fresh), Claims: c.told, Wants: c.wants(),
 		Restrictions: c.restrictions(now), Hears: c.hears(now), Stopping: c.stage == stopping,
 	}
 	for _, target := range c.targets() {
--- a/entry/control.go
+++ b/entry/control.go
@@ -55,12 +55,14 @@
 	divided time.Time       // newest division
 	dirty   bool            // demand has changed since
 
-	remotes map[id.Member]*remote
-	links   links
-	pending map[string]*restriction // restrictions on their way to the log, by record id
-	asked   map[string]time.Time    // when a proposal was last made, by subject
-	waiters map[string][]chan fleet.Outcome
-	upkeep  upkeep
+	remotes  map[id.Member]*remote
+	told     []queue.Claim // this instance's demand as it told the others last
+	links    links
+	pending  map[string]*restriction // restrictions on their way to the log, by record id
+	asked    map[string]time.Time    // when a proposal was last made, by subject
+	proposed map[string]string       // subjects of proposals, by record id
+	waiters  map[string][]chan fleet.Outcome
+	upkeep   upkeep
 
 	observed time.Time // newest update of the gauges
 }
@@ -87,24 +89,25 @@
 	}
 	self := id.Member(string(config.Entry) + "@" + uuid.NewString()[:8])
 	c := &Control{
-		config:  config,
-		timing:  config.Timing.withDefaults(),
-		self:    self,
-		log:     config.Logger.With(zap.String("member", string(self))),
-		inbox:   make(chan func(), inboxLength),
-		stopped: make(chan struct{}),
-		holder:  quota.NewHolder(self),
-		book:    attempt.NewBook(),
-		pools:   map[id.Pool]*pool{},
-		tickets: map[uint64]*ticket{},
-		workers: map[id.Instance]*worker{},
-		remotes: map[id.Member]*remote{},
-		pending: map[string]*restriction{},
-		asked:   map[string]time.Time{},
-		waiters: map[string][]chan fleet.Outcome{},
-		upkeep:  newUpkeep(),
-		wanting: map[id.Team]int{},
-		lease:   lease{sent: map[int]time.Time{}, seqs: map[id.Member]seen{}},
+		config:   config,
+		timing:   config.Timing.withDefaults(),
+		self:     self,
+		log:      config.Logger.With(zap.String("member", string(self))),
+		inbox:    make(chan func(), inboxLength),
+		stopped:  make(chan struct{}),
+		holder:   quota.NewHolder(self),
+		book:     attempt.NewBook(),
+		pools:    map[id.Pool]*pool{},
+		tickets:  map[uint64]*ticket{},
+		workers:  map[id.Instance]*worker{},
+		remotes:  map[id.Member]*remote{},
+		pending:  map[string]*restriction{},
+		asked:    map[string]time.Time{},
+		proposed: map[string]string{},
+		waiters:  map[string][]chan fleet.Outcome{},
+		upkeep:   newUpkeep(),
+		wanting:  map[id.Team]int{},
+		lease:    lease{sent: map[int]time.Time{}, seqs: map[id.Member]seen{}},
 	}
 	c.links = newLinks(c)
 	c.setTables(fleet.NewTables())
@@ -172,6 +175,7 @@
 	c.tendDrains(now)
 	c.tendRemotes(now)
 	c.book.Expire(now)
+	c.forgetProposals(now)
 	c.beat(now)
 	c.config.Metrics.observe(c, now)
 	c.ready.Store(c.stage == serving && !c.leaving && c.mayStart(now) == nil && !c.out(c.config.DataCentre))
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -69,18 +69,18 @@
 	pool  id.Pool
 }
 
-// plan proposes the drains that rules ask for and budgets allow, one instance a pool at a time.
+// plan proposes the drains that rules ask for, as many of each pool at once as its budget allows.
 func (c *Control) plan(now time.Time) {
-	planned := id.Set[id.Pool]{}
+	allowed := map[id.Pool]int{}
+	for _, rule := range c.tables.Rules().Pools {
+		allowed[rule.Name] = c.tables.Serving(rule.Name) - (rule.Size - rule.Budget)
+	}
 	for _, next := range c.candidates(now) {
-		if planned.Has(next.pool) {
-			continue
-		}
-		if c.tables.CheckStop(next.pool) != nil && !c.config.Planted.IgnoreBudget {
+		if allowed[next.pool] <= 0 && !c.config.Planted.IgnoreBudget {
 			continue
 		}
-		planned.Add(next.pool)
-		c.propose(now, "drain "+string(next.pool), next.drain)
+		allowed[next.pool]--
+		c.propose(now, "drain "+string(next.name), next.drain)
 	}
 }
 
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -33,7 +33,9 @@
 	slots    int
 	running  int
 	rank     uint64    // orders equals differently on every member
-	full     time.Time // refused for lack of slots until then
+	free     int       // slots that it said were free, less those used since; -1 when not known
+	refusals int       // in a row for lack of slots
+	full     time.Time // not asked again for a slot until then
 	avoid    time.Time // not tried again until then
 	failures int       // in a row
 	down     time.Time // since when it has not answered at all
@@ -41,7 +43,8 @@
 
 // Intervals for workers that refuse or fail.
 const (
-	fullPause    = 20 * time.Millisecond
+	fullLeast    = 50 * time.Millisecond
+	fullMost     = 400 * time.Millisecond
 	avoidLeast   = 250 * time.Millisecond
 	avoidMost    = 4 * time.Second
 	failureLimit = 5 // failed answers in a row before a worker is avoided
@@ -89,7 +92,7 @@
 func (c *Control) worker(name id.Instance, instance *fleet.Instance) *worker {
 	w, ok := c.workers[name]
 	if !ok || w.address != instance.Address && w.running == 0 {
-		w = &worker{name: name, rank: xxhash.Sum64String(string(c.self) + string(name))}
+		w = &worker{name: name, free: -1, rank: xxhash.Sum64String(string(c.self) + string(name))}
 		c.workers[name] = w
 	}
 	w.address = instance.Address
@@ -104,7 +107,7 @@
 func (c *Control) choose(now time.Time, p *pool) (*worker, bool) {
 	var best *worker
 	for _, w := range p.workers {
-		if w.running >= w.slots || now.Before(w.full) || now.Before(w.avoid) {
+		if w.running >= w.slots || w.free == 0 && now.Before(w.full) || now.Before(w.avoid) {
 			continue
 		}
 		if best == nil || c.prefer(w, best) {
@@ -128,6 +131,32 @@
 	return a.rank < b.rank
 }
 
+// use notes that a slot of a worker is about to be used. Once none is known to be free, the worker is
+// left alone until a request ends there and says how many are, or until it is time to ask again.
+func (w *worker) use(now time.Time) {
+	w.running++
+	if w.free <= 0 {
+		return
+	}
+	w.free--
+	if w.free == 0 {
+		w.full = now.Add(fullLeast)
+	}
+}
+
+// lacks notes that a worker refused for lack of slots.
+func (w *worker) lacks(now time.Time) {
+	w.free = 0
+	w.full = now.Add(min(fullMost, fullLeast<<min(w.refusals, 8)))
+	w.refusals++
+}
+
+// tells notes how many slots a worker said were free.
+func (w *worker) tells(free int) {
+	w.refusals = 0
+	w.free = free
+}
+
 // trouble keeps work away from a worker for a time that doubles with every failure in a row.
 func (w *worker) trouble(now time.Time) {
 	w.failures++
--- a/entry/propose.go
+++ b/entry/propose.go
@@ -28,9 +28,35 @@
 	}
 	if c.send(envelope) {
 		c.asked[subject] = now
+		c.proposed[envelope.ID] = subject
 	}
 }
 
+// decided lets a subject be proposed again at once when the log has decided about it.
+func (c *Control) decided(proposal string) {
+	if subject, ok := c.proposed[proposal]; ok {
+		delete(c.asked, subject)
+		delete(c.proposed, proposal)
+	}
+}
+
+// forgetProposals drops what was proposed so long ago that it may be proposed again anyway.
+func (c *Control) forgetProposals(now time.Time) {
+	for proposal, subject := range c.proposed {
+		if asked, ok := c.asked[subject]; !ok || now.Sub(asked) > proposalMemory {
+			delete(c.proposed, proposal)
+		}
+	}
+	for subject, asked := range c.asked {
+		if now.Sub(asked) > proposalMemory {
+			delete(c.asked, subject)
+		}
+	}
+}
+
+// proposalMemory is how long a proposal without an outcome is remembered.
+const proposalMemory = time.Minute
+
 // send hands a record to the appenders and reports false when they have too much to do.
 func (c *Control) send(envelope fleet.Envelope) bool {
 	select {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -76,6 +76,7 @@
 type outcome struct {
 	kind   kind
 	failed bool // the worker answered that it failed
+	free   int  // slots that the worker said were free, -1 when it did not
 }
 
 // Serve carries a request to an endpoint and returns its whole answer. It fails with RefusedError
@@ -190,7 +191,7 @@
 	var notStarted endpoint.NotStartedError
 	switch {
 	case err == nil:
-		return outcome{kind: answered, failed: answer.Status >= http.StatusInternalServerError}
+		return outcome{kind: answered, failed: answer.Status >= http.StatusInternalServerError, free: answer.Free}
 	case errors.As(err, &notStarted) && notStarted.Refused:
 		return outcome{kind: refused}
 	case errors.As(err, &notStarted):
--- a/entry/spare.go
+++ b/entry/spare.go
@@ -37,6 +37,7 @@
 		}
 		if name, ok := c.pick(spare.Name, lent); ok {
 			lent++
+			p.short = now
 			c.propose(now, "borrow "+string(rule.Name), fleet.Drain{Instance: name, Reason: fleet.ForMove, Pool: rule.Name})
 		}
 	}
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -202,6 +202,7 @@
 	}
 	delete(c.waiters, envelope.ID)
 	delete(c.pending, envelope.ID)
+	c.decided(envelope.ID)
 	c.stale = c.stale || envelope.Kind != "renew"
 }
 
--- a/trial/load.go
+++ b/trial/load.go
@@ -22,8 +22,8 @@
 	meanUse     = 0.40 // of a pool's slots, at a queue's mean
 	burstFactor = 5.0
 	quietFactor = 0.05
-	fullFactor  = 3.0 // of every queue's mean while the whole fleet is full
-	patience    = 8 * time.Second
+	fullFactor  = 3.6 // of every queue's mean while the whole fleet is full
+	patience    = 4 * time.Second
 )
 
 // Call is one request as its caller saw it.
--- a/trial/report.go
+++ b/trial/report.go
@@ -21,6 +21,7 @@
 	Verdicts   []Verdict      `json:"verdicts"`
 	Urgent     Quantiles      `json:"urgent"`  // seconds until an urgent request started
 	Shares     []ShareMeasure `json:"shares"`  // while the whole fleet was full
+	InUse      float64        `json:"inuse"`   // part of all slots in use meanwhile
 	Rollout    Quantiles      `json:"rollout"` // seconds until a version was in force everywhere
 	Wave       WaveMeasure    `json:"wave"`
 	Buffer     BufferMeasure  `json:"buffer"`
@@ -92,6 +93,7 @@
 	r.Rollout = quantiles(seconds(t.rollouts))
 	full := began.Add(time.Duration(float64(t.config.Length) * fullFrom))
 	r.Shares = t.shares(e.Runs, full.Add(settle), began.Add(t.config.Length))
+	r.InUse = t.inUse(e.Runs, full.Add(settle), began.Add(t.config.Length))
 	r.Wave = t.waveMeasure(e)
 	r.Buffer = t.buffer(e, ended)
 	r.Outage = t.outage(e)
@@ -168,6 +170,16 @@
 	return measures
 }
 
+// inUse returns the part of all slots that was in use in a window.
+func (t *Trial) inUse(runs []standin.Run, from, to time.Time) float64 {
+	used := 0.0
+	for _, run := range runs {
+		used += overlap(run.Started, run.Ended, from, to)
+	}
+	slots := len(t.fleet.Endpoints) * t.fleet.Deployment.Slots
+	return used / (float64(slots) * to.Sub(from).Seconds())
+}
+
 func overlap(from, to, start, end time.Time) float64 {
 	if from.Before(start) {
 		from = start
@@ -273,33 +285,6 @@
 	return m
 }
 
-// outage compares the work started while the data centre was out with what was offered, as far as
-// the remaining workers could do it.
-func (t *Trial) outage(e Evidence) OutageMeasure {
-	var m OutageMeasure
-	from := eventAt(e, "out")
-	to := eventAt(e, "back")
-	if from.IsZero() || to.IsZero() {
-		return m
-	}
-	for _, run := range e.Runs {
-		m.Done += overlap(run.Started, run.Ended, from, to)
-	}
-	offered := map[id.Queue]float64{}
-	for _, c := range e.Calls {
-		if c.Sent.After(from) && c.Sent.Before(to) {
-			offered[c.Queue] += c.Work.Seconds()
-		}
-	}
-	d := t.fleet.Deployment
-	rest := float64(len(d.DataCentres)-1) / float64(len(d.DataCentres))
-	for _, p := range d.Pools {
-		can := float64(p.Workers*d.Slots) * to.Sub(from).Seconds() * rest
-		m.Possible += min(offered[p.Queue], can)
-	}
-	return m
-}
-
 // Print writes the report for a person.
 func (r *Report) Print(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
@@ -314,6 +299,7 @@
 	row("wave\t%d instances in %.1fs\tbound %.1fs", r.Wave.Instances, r.Wave.Seconds, r.Wave.Bound)
 	row("buffer\t%d moves\t%.1f instance-seconds", r.Buffer.Moves, r.Buffer.InstanceSeconds)
 	row("work while out\t%.1fs of %.1fs\t%.1f%%", r.Outage.Done, r.Outage.Possible, 100*r.Outage.Done/max(r.Outage.Possible, 1e-9))
+	row("full fleet\t%.1f%% of slots in use\t", 100*r.InUse)
 	row("\nTEAM\tHAD\tSHOULD HAVE, OF A FULL FLEET")
 	for _, s := range r.Shares {
 		row("%s\t%.1f%%\t%.1f%%", s.Team, 100*s.Had, 100*s.Should)
