--- a/entry/admit.go
+++ b/entry/admit.go
@@ -32,9 +32,14 @@
 type verdict struct {
 	worker  id.Instance
 	address netip.AddrPort
+	at      time.Time // when it was given
 	err     error
 }
 
+// verdictValid is how long after its verdict a request may be sent: an instance that was paused in
+// between must look again at what is allowed.
+const verdictValid = time.Second
+
 // admit lets a request wait for a slot, or refuses it at once.
 func (c *Control) admit(now time.Time, t *ticket) {
 	if err := c.admissible(now, t); err != nil {
@@ -157,7 +162,7 @@
 	p.running[t.item.Team]++
 	t.worker = w
 	t.started = now
-	t.verdict <- verdict{worker: w.name, address: w.address}
+	t.verdict <- verdict{worker: w.name, address: w.address, at: now}
 }
 
 // release ends a request's use of its worker and slot.
--- a/entry/beat.go
+++ b/entry/beat.go
@@ -253,6 +253,7 @@
 		c.config.Metrics.Diverged.Inc()
 		c.log.Error("another member's tables differ", zap.String("with", string(beat.Member)), zap.Int64("offset", beat.Offset))
 	}
+	c.follow(now, beat)
 	c.give(beat)
 	c.dirty = true
 }
--- a/entry/config.go
+++ b/entry/config.go
@@ -77,18 +77,19 @@
 }
 
 // Planted switches single mechanisms off, so that tests can show that their checks fail without
-// them. Every field is false outside tests.
+// them. Every field is zero outside tests.
 type Planted struct {
-	IgnoreLimits       bool // start work without a slot of the team's limit
-	IgnoreWithdrawals  bool // take keys that were withdrawn
-	IgnoreOuts         bool // start work in data centres that are out
-	RetryUnknown       bool // send a request again that may have run
-	ClearEarly         bool // confirm drains while requests still run
-	IgnoreBudget       bool // ask for reboots whether or not the budget holds
-	ReserveNothing     bool // forget idempotency keys
-	SayNotRun          bool // say not run of a request that may have run
-	IgnoreLeaving      bool // send work to instances that are draining
-	TakeAnyKey         bool // take a key's work for every queue
-	KeepOldVersion     bool // never take a new version of the rules into force
-	AcceptShortAnswers bool // pass a cut answer on as whole
+	Pause              func() // called on the control thread at every tick, to bring about pauses
+	IgnoreLimits       bool   // start work without a slot of the team's limit
+	IgnoreWithdrawals  bool   // take keys that were withdrawn
+	IgnoreOuts         bool   // start work in data centres that are out
+	RetryUnknown       bool   // send a request again that may have run
+	ClearEarly         bool   // confirm drains while requests still run
+	IgnoreBudget       bool   // ask for reboots whether or not the budget holds
+	ReserveNothing     bool   // forget idempotency keys
+	SayNotRun          bool   // say not run of a request that may have run
+	IgnoreLeaving      bool   // send work to instances that are draining
+	TakeAnyKey         bool   // take a key's work for every queue
+	KeepOldVersion     bool   // never take a new version of the rules into force
+	AcceptShortAnswers bool   // pass a cut answer on as whole
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -25,8 +25,9 @@
 type Control struct {
 	config Config
 	timing Timing
-	self   id.Member
 	log    *zap.Logger
+	self   id.Member                 // for the control thread; it changes when the instance joins anew
+	name   atomic.Pointer[id.Member] // the same, for all others
 
 	inbox   chan func()
 	stopped chan struct{} // closed when loop has ended
@@ -61,6 +62,8 @@
 	pending  map[string]*restriction // restrictions on their way to the log, by record id
 	asked    map[string]time.Time    // when a proposal was last made, by subject
 	proposed map[string]string       // subjects of proposals, by record id
+	behind   time.Time               // since when another member is ahead of behindAt
+	behindAt int64
 	waiters  map[string][]chan fleet.Outcome
 	upkeep   upkeep
 
@@ -87,15 +90,12 @@
 	if config.Order == nil {
 		config.Order = queue.DelayRatio{Urgent: time.Second, Overnight: 20 * time.Second}
 	}
-	self := id.Member(string(config.Entry) + "@" + uuid.NewString()[:8])
 	c := &Control{
 		config:   config,
 		timing:   config.Timing.withDefaults(),
-		self:     self,
-		log:      config.Logger.With(zap.String("member", string(self))),
+		log:      config.Logger.With(zap.String("entry", string(config.Entry))),
 		inbox:    make(chan func(), inboxLength),
 		stopped:  make(chan struct{}),
-		holder:   quota.NewHolder(self),
 		book:     attempt.NewBook(),
 		pools:    map[id.Pool]*pool{},
 		tickets:  map[uint64]*ticket{},
@@ -107,15 +107,25 @@
 		waiters:  map[string][]chan fleet.Outcome{},
 		upkeep:   newUpkeep(),
 		wanting:  map[id.Team]int{},
-		lease:    lease{sent: map[int]time.Time{}, seqs: map[id.Member]seen{}},
 	}
 	c.links = newLinks(c)
+	c.begin()
 	c.setTables(fleet.NewTables())
 	return c
 }
 
+// begin gives the instance a new name and nothing that it owns.
+func (c *Control) begin() {
+	c.self = id.Member(string(c.config.Entry) + "@" + uuid.NewString()[:8])
+	name := c.self
+	c.name.Store(&name)
+	c.holder = quota.NewHolder(c.self)
+	c.lease = lease{sent: map[int]time.Time{}, seqs: map[id.Member]seen{}, fresh: c.lease.fresh, direct: c.lease.direct}
+	c.told = nil
+}
+
 // Member returns the name of this life of the entry instance.
-func (c *Control) Member() id.Member { return c.self }
+func (c *Control) Member() id.Member { return *c.name.Load() }
 
 // Ready reports whether callers may be sent here.
 func (c *Control) Ready() bool { return c.ready.Load() }
@@ -132,6 +142,7 @@
 		group.Go(func() error { return c.appendLoop(ctx) })
 	}
 	group.Go(func() error { return c.finishLoop(ctx) })
+	group.Go(func() error { return c.pullLoop(ctx) })
 	group.Go(func() error { return c.upkeepLoop(ctx) })
 	c.links.start(ctx, group)
 	err := group.Wait()
@@ -156,6 +167,9 @@
 		case job := <-c.inbox:
 			job()
 		case <-ticker.C:
+			if pause := c.config.Planted.Pause; pause != nil {
+				pause()
+			}
 			c.tick(time.Now())
 		}
 		if c.stage == stopping && c.lease.left {
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -61,7 +61,7 @@
 		return FencedError{Reason: "its lease has run out"}
 	case !c.lease.joined && !c.guestInContact(now):
 		return FencedError{Reason: "it has not joined and does not hear who lent it slots"}
-	case now.Sub(c.informed(now)) > hold:
+	case now.Sub(c.informed()) > hold:
 		return FencedError{Reason: "its data centre has heard nothing for " + hold.String()}
 	}
 	return nil
@@ -92,35 +92,35 @@
 
 // informed returns when an operator's word would last have reached this instance: through the log,
 // or through members in contact that between them hear every other data centre.
-func (c *Control) informed(now time.Time) time.Time {
-	if c.hearsAll(now) {
-		c.lease.fresh = later(c.lease.fresh, now)
-	}
+func (c *Control) informed() time.Time {
+	c.lease.fresh = later(c.lease.fresh, c.heardAll())
 	return c.lease.fresh
 }
 
-// hearsAll reports whether this instance hears every data centre, itself or through another.
-func (c *Control) hearsAll(now time.Time) bool {
-	heard := id.NewSet(c.config.DataCentre)
+// heardAll returns the time up to which this instance has heard every other data centre, itself or
+// through another; zero when it has not, or when there is no other.
+func (c *Control) heardAll() time.Time {
+	heard := map[id.DataCentre]time.Time{}
 	for _, r := range c.remotes {
-		if now.Sub(r.heard) > c.timing.Contact {
-			continue
-		}
-		heard.Add(r.beat.DataCentre)
+		heard[r.beat.DataCentre] = later(heard[r.beat.DataCentre], r.heard)
 		for _, dc := range r.beat.Hears {
-			heard.Add(dc)
+			heard[dc] = later(heard[dc], r.heard.Add(-c.timing.Contact))
 		}
 	}
-	others := 0
+	var oldest time.Time
 	for _, m := range c.tables.Members {
-		if m.DataCentre != c.config.DataCentre {
-			others++
+		if m.DataCentre == c.config.DataCentre || m.Lapsed {
+			continue
 		}
-		if !m.Lapsed && !heard.Has(m.DataCentre) {
-			return false
+		at := heard[m.DataCentre]
+		if at.IsZero() {
+			return at
+		}
+		if oldest.IsZero() || at.Before(oldest) {
+			oldest = at
 		}
 	}
-	return others > 0
+	return oldest
 }
 
 // tendLease joins, renews, and settles with members that have lapsed.
@@ -129,7 +129,10 @@
 		return
 	}
 	switch {
-	case c.lease.lapsed || c.lease.left:
+	case c.lease.left:
+		return
+	case c.lease.lapsed:
+		c.rejoin()
 		return
 	case !c.lease.joined && c.stage != stopping:
 		c.propose(now, "join", fleet.Join{
@@ -142,6 +145,16 @@
 	c.tendLapsed(now)
 }
 
+// rejoin starts another life of this instance once nothing that the lapsed one started can run.
+func (c *Control) rejoin() {
+	if c.stage == stopping || c.running() {
+		return
+	}
+	c.log.Info("joining anew", zap.String("lapsed", string(c.self)))
+	c.begin()
+	c.refresh()
+}
+
 func (c *Control) renew(now time.Time) {
 	if asked, ok := c.asked["renew"]; ok && now.Sub(asked) < c.timing.Propose {
 		return
@@ -210,25 +223,28 @@
 func (c *Control) followMembers(record fleet.Record) {
 	switch r := record.(type) {
 	case fleet.Join:
-		if r.Member == c.self && c.tables.IsLive(c.self) {
+		if r.Member == c.self {
 			c.lease.joined = true
 			c.lease.renewed = time.Now()
 		}
 	case fleet.Renew:
-		if r.Member == c.self && c.tables.IsLive(c.self) {
+		if r.Member == c.self {
 			c.lease.renewed = later(c.lease.renewed, c.lease.sent[r.Seq])
 			delete(c.lease.sent, r.Seq)
 		}
 	case fleet.Leave:
-		if c.tables.Members[r.Member] == nil {
-			c.leaveAccounts(r.Member, r.Moved)
-		}
+		c.leaveAccounts(r.Member, r.Moved)
 	}
+	c.followLapse()
+	c.closeAccounts()
+}
+
+// followLapse notes that this member has lapsed.
+func (c *Control) followLapse() {
 	if m := c.tables.Members[c.self]; c.lease.joined && !c.lease.left && (m == nil || m.Lapsed) {
 		c.lease.lapsed = true
-		c.log.Error("the lease of this instance has lapsed; it starts nothing more")
+		c.log.Error("the lease of this instance has lapsed", zap.String("member", string(c.self)))
 	}
-	c.closeAccounts()
 }
 
 func (c *Control) leaveAccounts(member id.Member, last []quota.Moved) {
--- a/entry/propose.go
+++ b/entry/propose.go
@@ -81,25 +81,61 @@
 	}
 }
 
-// append sends a record to the log, or through another member when the log does not answer here. A
-// record that arrives twice takes effect once, since both copies carry its id.
+// relayAfter is how long the platform may take before a record also goes by another member.
+const relayAfter = 300 * time.Millisecond
+
+// append sends a record to the log, and by another member as well when the log does not answer here.
+// A record that arrives twice takes effect once, since both copies carry its id.
 func (c *Control) append(ctx context.Context, envelope fleet.Envelope) error {
 	data, err := envelope.Encode()
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if err = c.appendDirect(ctx, data); err == nil {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d := &direct{control: c, data: data, done: make(chan error, 1)}
+	go d.run(ctx)
+	timer := time.NewTimer(relayAfter)
+	defer timer.Stop()
+	select {
+	case err = <-d.done:
+		if err == nil {
+			return nil
+		}
+	case <-timer.C:
+	}
+	if c.relay(ctx, data) == nil {
 		return nil
 	}
+	if err == nil {
+		err = <-d.done
+	}
+	return errors.Annotatef(err, "appending %s %s", envelope.Kind, envelope.ID)
+}
+
+// direct is one append on its way to the platform.
+type direct struct {
+	control *Control
+	data    []byte
+	done    chan error
+}
+
+func (d *direct) run(ctx context.Context) { d.done <- d.control.appendDirect(ctx, d.data) }
+
+// errNoRelay is the fault of a relay that no member took.
+var errNoRelay = errors.New("no member could append the record")
+
+// relay has the first member that can append a record.
+func (c *Control) relay(ctx context.Context, data []byte) error {
 	for _, to := range c.links.addresses() {
-		relay, cancel := context.WithTimeout(ctx, c.timing.LogTimeout)
-		relayed := c.config.Peers.Relay(relay, to, peer.Relay{Data: data})
+		call, cancel := context.WithTimeout(ctx, c.timing.LogTimeout)
+		err := c.config.Peers.Relay(call, to, peer.Relay{Data: data})
 		cancel()
-		if relayed == nil {
+		if err == nil {
 			return nil
 		}
 	}
-	return errors.Annotatef(err, "appending %s %s", envelope.Kind, envelope.ID)
+	return errNoRelay
 }
 
 func (c *Control) appendDirect(ctx context.Context, data []byte) error {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -169,6 +169,9 @@
 }
 
 func (c *Control) run(ctx context.Context, r Request, t *ticket, place verdict) (endpoint.Answer, error) {
+	if time.Since(place.at) > verdictValid {
+		return endpoint.Answer{}, endpoint.NotStartedError{To: place.address, Refused: true, Reason: "this instance was paused"}
+	}
 	task := endpoint.Task{
 		Request: r.ID + "." + uuid.NewString()[:8],
 		Team:    t.item.Team,
@@ -238,7 +241,7 @@
 func (c *Control) serveOnce(ctx context.Context, r Request, team id.Team, serve func() (endpoint.Answer, error)) (endpoint.Answer, error) {
 	a := attempt.Attempt{
 		Key: attempt.Key{Team: team, Value: r.IdempotencyKey}, ID: uuid.NewString(),
-		Holder: c.self, State: attempt.Open, At: time.Now(),
+		Holder: c.Member(), State: attempt.Open, At: time.Now(),
 	}
 	if c.config.Planted.ReserveNothing {
 		return serve()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -69,9 +69,11 @@
 
 // inUse reports whether anything waits or runs here, tasks with lost answers included.
 func (c *Control) inUse() bool {
-	if len(c.tickets) > 0 {
-		return true
-	}
+	return len(c.tickets) > 0 || c.running()
+}
+
+// running reports whether a request, or a task with a lost answer, occupies a worker.
+func (c *Control) running() bool {
 	for _, w := range c.workers {
 		if w.running > 0 {
 			return true
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/fleet"
-	"marigoldshed.example/marigoldshed/peer"
 	"marigoldshed.example/marigoldshed/platform"
 )
 
@@ -105,77 +104,32 @@
 		t.loaded = true
 		return nil
 	}
-	return t.adopt(ctx, batch.Records[len(batch.Records)-1].Data)
-}
-
-// adopt takes over a snapshot unless the tables are already further.
-func (t *tail) adopt(ctx context.Context, snapshot []byte) error {
-	tables, err := fleet.Load(snapshot)
-	if err != nil {
-		return errors.Trace(err)
+	if err := t.control.adopt(ctx, batch.Records[len(batch.Records)-1].Data); err != nil {
+		return err
 	}
-	c := t.control
-	return c.do(ctx, func() {
-		if tables.Offset > c.tables.Offset {
-			c.recent = recentRecords{from: tables.Offset}
-			c.setTables(tables)
-		}
-		t.offset = c.tables.Offset
-		t.loaded = true
-	})
+	t.loaded = true
+	return c.do(ctx, func() { t.offset = c.tables.Offset })
 }
 
-// pull takes records from another member while the platform's log cannot be read.
+// pull takes records from any other member while the platform's log cannot be read.
 func (t *tail) pull(ctx context.Context) error {
-	c := t.control
-	ctx, cancel := context.WithTimeout(ctx, c.timing.LogTimeout)
-	defer cancel()
-	for _, to := range c.links.addresses() {
-		asked := time.Now()
-		records, err := c.config.Peers.Pull(ctx, to, peer.Pull{From: t.offset})
-		if err != nil {
-			continue
-		}
-		if len(records.Snapshot) > 0 {
-			if err := t.adopt(ctx, records.Snapshot); err != nil {
-				return err
-			}
-		}
-		err = c.do(ctx, func() { t.takePulled(records, asked) })
-		if err != nil || len(records.Data) > 0 {
-			return err
+	for _, to := range t.control.links.addresses() {
+		found, err := t.control.pullFrom(ctx, to)
+		if err == nil && found {
+			t.loaded = true
+			return t.control.do(ctx, func() { t.offset = t.control.tables.Offset })
 		}
 	}
-	pause(ctx, c.timing.Tick*4)
+	pause(ctx, t.control.timing.Tick*4)
 	return nil
 }
 
-func (t *tail) takePulled(records peer.Records, asked time.Time) {
-	c := t.control
-	for i, data := range records.Data {
-		offset := records.From + int64(i)
-		if offset != c.tables.Offset {
-			continue
-		}
-		if !c.apply(offset, data) {
-			break
-		}
-	}
-	t.offset = c.tables.Offset
-	if c.tables.Version > 0 {
-		t.loaded = true
-		c.lease.fresh = later(c.lease.fresh, asked.Add(-records.Age))
-	}
-	c.caughtUp()
-}
-
 // apply takes one record into the tables and reports false when it needs a newer program.
 func (c *Control) apply(offset int64, data []byte) bool {
 	if offset < c.tables.Offset {
 		return true
 	}
-	before := c.tables
-	err := before.Apply(offset, data)
+	outcome, err := c.tables.Apply(offset, data)
 	var format fleet.FormatError
 	if errors.As(err, &format) {
 		c.lease.frozen = true
@@ -183,20 +137,22 @@
 		return false
 	}
 	c.recent.add(offset, data)
-	c.afterRecord(data)
+	c.afterRecord(data, outcome)
 	return true
 }
 
 // afterRecord tells everybody who waits for a proposal and follows changes of membership.
-func (c *Control) afterRecord(data []byte) {
+func (c *Control) afterRecord(data []byte, outcome fleet.Outcome) {
 	envelope, err := fleet.Decode(data)
 	if err != nil {
 		return
 	}
-	if record, err := envelope.Record(); err == nil {
+	if record, err := envelope.Record(); err == nil && outcome.Refused == "" {
 		c.followMembers(record)
 	}
-	outcome, _ := c.tables.Outcome(envelope.ID)
+	if first, known := c.tables.Outcome(envelope.ID); known {
+		outcome = first
+	}
 	for _, waiter := range c.waiters[envelope.ID] {
 		waiter <- outcome
 	}
@@ -216,7 +172,7 @@
 		c.stage = serving
 		c.began = time.Now()
 		c.hadMembers = c.tables.Past[c.config.DataCentre]
-		c.log.Info("serving", zap.Int64("offset", c.tables.Offset), zap.Int("version", c.tables.Version))
+		c.log.Info("serving", zap.String("member", string(c.self)), zap.Int64("offset", c.tables.Offset), zap.Int("version", c.tables.Version))
 	}
 }
 
--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sort"
 	"time"
 
@@ -28,6 +29,7 @@
 type upkeep struct {
 	records   chan fleet.Envelope
 	finishes  chan finish
+	ahead     chan netip.AddrPort // a member that has read further
 	retries   *rate.Limiter
 	rebooted  map[string]bool // reboots that the platform has taken, by token
 	snapshots int64           // offset of the newest snapshot known
@@ -37,6 +39,7 @@
 	return upkeep{
 		records:  make(chan fleet.Envelope, recordsLength),
 		finishes: make(chan finish, finishLength),
+		ahead:    make(chan netip.AddrPort, 1),
 		retries:  rate.NewLimiter(retryRate, retryBurst),
 		rebooted: map[string]bool{},
 	}
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -56,41 +56,49 @@
 // Rules returns the rules in force.
 func (t *Tables) Rules() *rules.Set { return t.rules }
 
-// Apply takes the record at an offset into the tables; it fails with FormatError, and then changes
-// nothing, when the record needs a newer program. A record that stands twice takes effect once.
-func (t *Tables) Apply(offset int64, data []byte) error {
+// Apply takes the record at an offset into the tables and returns what became of it; it fails with
+// FormatError, and then changes nothing, when the record needs a newer program. A record that stands
+// twice takes effect once.
+func (t *Tables) Apply(offset int64, data []byte) (Outcome, error) {
 	if offset < t.Offset {
-		return nil
+		return Outcome{Refused: repeated}, nil
 	}
 	envelope, unreadable := Decode(data)
-	if unreadable != nil {
-		t.advance(offset, data, Outcome{Refused: "unreadable"})
-		return nil //nolint:nilerr // Every member passes over a record that none can read.
+	if unreadable == nil && envelope.Format > Format {
+		return Outcome{}, FormatError{Format: envelope.Format}
 	}
-	if envelope.Format > Format {
-		return FormatError{Format: envelope.Format}
+	outcome := t.decide(offset, envelope, unreadable)
+	t.advance(offset, data, outcome)
+	return outcome, nil
+}
+
+// repeated is why the second copy of a record is refused.
+const repeated = "repeated"
+
+func (t *Tables) decide(offset int64, envelope Envelope, unreadable error) Outcome {
+	if unreadable != nil {
+		return Outcome{Refused: "unreadable"}
 	}
 	if envelope.At.After(t.Clock) {
 		t.Clock = envelope.At
 	}
 	outcome := Outcome{ID: envelope.ID}
 	if t.seen.Has(envelope.ID) {
-		outcome.Refused = "repeated"
-		t.advance(offset, data, outcome)
-		return nil
+		outcome.Refused = repeated
+		return outcome
 	}
 	record, err := envelope.Record()
+	if err == nil {
+		err = t.apply(offset, record)
+	}
 	if err != nil {
 		outcome.Refused = err.Error()
-	} else if err := t.apply(offset, record); err != nil {
-		outcome.Refused = err.Error()
 	}
 	t.settleAccounts()
 	t.finishDrains()
 	outcome.Version = t.Version
 	t.remember(record, outcome)
-	t.advance(offset, data, outcome)
-	return nil
+	return outcome
 }
 
 func (t *Tables) apply(offset int64, record Record) error {
--- /dev/null
+++ b/matrix/world_test.go
@@ -0,0 +1,321 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/entry"
+	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/standin"
+)
+
+const platformSite id.DataCentre = "platform"
+
+// Shape of the world: small, with limits and budgets that bind.
+const (
+	slotsEach   = 2
+	rebootTakes = 2 * time.Second
+	holdAlone   = 12 * time.Second
+)
+
+var sites = []id.DataCentre{"dc1", "dc2", "dc3"}
+
+const rulesText = `pool web size=5 budget=2 # matrix
+pool batch size=3 budget=1 # matrix
+spare admin size=1 budget=1 # matrix
+team red share=2 limit=5 # matrix
+team blue share=1 limit=4 # matrix
+team guest share=1 limit=2 # matrix
+queue front pool=web for=red,blue # matrix
+queue nights pool=batch for=red,blue # matrix
+queue guests pool=web for=guest # matrix
+cutoff dc1 hold=12s # matrix
+cutoff dc2 hold=12s # matrix
+cutoff dc3 hold=12s # matrix
+`
+
+// worker is one endpoint and where it stands.
+type worker struct {
+	name     id.Instance
+	dc       id.DataCentre
+	endpoint *standin.Endpoint
+	mu       sync.Mutex
+	down     bool
+}
+
+func (w *worker) isDown() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.down
+}
+
+func (w *worker) setDown(down bool) {
+	w.mu.Lock()
+	w.down = down
+	w.mu.Unlock()
+	if down {
+		w.endpoint.Down()
+	} else {
+		w.endpoint.Start()
+	}
+}
+
+// instance is one entry instance.
+type instance struct {
+	name    id.Entry
+	dc      id.DataCentre
+	address netip.AddrPort
+	control *entry.Control
+	planted entry.Planted
+	ctx     context.Context
+	kill    context.CancelFunc
+	done    chan struct{}
+
+	mu     sync.Mutex
+	paused chan struct{} // closed when the pause ends; nil when not paused
+}
+
+func (i *instance) alive() bool {
+	select {
+	case <-i.done:
+		return false
+	default:
+		return i.ctx.Err() == nil
+	}
+}
+
+func (i *instance) isPaused() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.paused != nil
+}
+
+// wait blocks the control thread while the instance is paused.
+func (i *instance) wait() {
+	i.mu.Lock()
+	paused := i.paused
+	i.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
+// world is a whole small fleet in memory.
+type world struct {
+	platform *standin.Platform
+	journal  *standin.Journal
+	workers  map[netip.AddrPort]*worker
+	names    []*worker
+	planted  entry.Planted
+
+	mu        sync.Mutex
+	cuts      map[way]bool
+	changed   chan struct{}
+	instances []*instance
+	first     []platform.Listed // the list at the start
+	stale     []platform.Listed // what the list shows instead, if anything
+	armed     step
+	fire      func(*instance) // runs once when the armed step is reached
+	group     sync.WaitGroup
+}
+
+func newWorld(planted entry.Planted) *world {
+	w := &world{
+		platform: standin.NewPlatform(rebootTakes), journal: &standin.Journal{}, workers: map[netip.AddrPort]*worker{},
+		cuts: map[way]bool{}, changed: make(chan struct{}), planted: planted,
+	}
+	for n := range 9 {
+		pool := id.Pool("web")
+		if n >= 5 {
+			pool = "batch"
+		}
+		if n == 8 {
+			pool = "admin"
+		}
+		w.addWorker(n, pool)
+	}
+	for n := range 6 {
+		w.start(n)
+	}
+	return w
+}
+
+func (w *world) addWorker(n int, pool id.Pool) {
+	dc := sites[n%len(sites)]
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 80)
+	name := id.Instance(fmt.Sprintf("w%d", n))
+	e := standin.NewEndpoint(standin.EndpointConfig{
+		Instance: name, DataCentre: dc, Slots: slotsEach, Journal: w.journal, Work: workOf,
+	})
+	found := &worker{name: name, dc: dc, endpoint: e}
+	w.workers[address] = found
+	w.names = append(w.names, found)
+	w.platform.Add(platform.Listed{
+		Instance: name, Address: address, DataCentre: dc, Rack: id.Rack(string(dc) + "-r1"), Pool: pool, Slots: slotsEach,
+	}, e)
+}
+
+func workOf(body string) time.Duration {
+	_, length, _ := strings.Cut(body, " ")
+	d, err := time.ParseDuration(length)
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+// start adds an entry instance; its number decides its data centre and address.
+func (w *world) start(n int) *instance {
+	ctx, kill := context.WithCancel(context.Background())
+	i := &instance{
+		name: id.Entry(fmt.Sprintf("e%d", n)), dc: sites[n%len(sites)],
+		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
+		ctx:     ctx, kill: kill, done: make(chan struct{}), planted: w.planted,
+	}
+	w.mu.Lock()
+	var seeds []netip.AddrPort
+	for _, other := range w.instances {
+		seeds = append(seeds, other.address)
+	}
+	w.mu.Unlock()
+	i.planted.Pause = i.wait
+	i.control = entry.New(entry.Config{
+		Entry: i.name, DataCentre: i.dc, Peer: i.address, Seeds: seeds,
+		Log: store{w, i}, Fleet: store{w, i}, Endpoints: runner{w, i}, Peers: peers{w, i},
+		Planted: i.planted,
+		Timing: entry.Timing{
+			Tick: 50 * time.Millisecond, Renew: 4 * time.Second, TaskLease: 4 * time.Second,
+			ListEvery: time.Second, SpareAfter: time.Second, SpareHold: 4 * time.Second, Snapshot: 30,
+		},
+	})
+	w.mu.Lock()
+	w.instances = append(w.instances, i)
+	w.mu.Unlock()
+	w.group.Go(func() {
+		defer close(i.done)
+		_ = i.control.Run(ctx)
+	})
+	return i
+}
+
+func (w *world) instanceAt(address netip.AddrPort) *instance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var found *instance
+	for _, i := range w.instances {
+		if i.address == address {
+			found = i
+		}
+	}
+	return found
+}
+
+// living returns the entry instances that run.
+func (w *world) living() []*instance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*instance
+	for _, i := range w.instances {
+		if i.alive() {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// pause freezes an entry instance until resume.
+func (w *world) pause(i *instance) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.paused == nil {
+		i.paused = make(chan struct{})
+	}
+}
+
+func (w *world) resume(i *instance) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.paused != nil {
+		close(i.paused)
+		i.paused = nil
+	}
+}
+
+// arm has a function run once when a step is next reached.
+func (w *world) arm(s step, fire func(*instance)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.armed = s
+	w.fire = fire
+}
+
+// reach runs what is armed for a step.
+func (w *world) reach(s step, i *instance, body string) {
+	w.mu.Lock()
+	fire := w.fire
+	if w.armed != s || fire == nil || s.marked() && !strings.HasPrefix(body, "marked") {
+		w.mu.Unlock()
+		return
+	}
+	w.fire = nil
+	w.mu.Unlock()
+	fire(i)
+}
+
+// appended reaches the steps that show in the log.
+func (w *world) appended(stream string, data []byte, i *instance) {
+	if stream == platform.SnapshotStream {
+		w.reach(stepSnapshot, i, "")
+		return
+	}
+	envelope, err := fleet.Decode(data)
+	if err != nil {
+		return
+	}
+	record, err := envelope.Record()
+	if err != nil {
+		return
+	}
+	switch r := record.(type) {
+	case fleet.Apply, fleet.Edit:
+		w.reach(stepAccept, i, "")
+	case fleet.Clear:
+		w.reach(stepEmpty, i, "")
+	case fleet.Restore:
+		w.reach(stepReturn, i, "")
+	case fleet.Drain:
+		if r.Reason == fleet.ForMove {
+			w.reach(stepMove, i, "")
+		} else {
+			w.reach(stepDrain, i, "")
+		}
+	}
+}
+
+// kept returns every record that the control stream ever held, so that checks see what has expired.
+func (w *world) kept() *standin.Log { return w.platform.Log.Kept() }
+
+// distort returns the list as the platform shows it.
+func (w *world) distort(list []platform.Listed) []platform.Listed {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stale != nil {
+		return w.stale
+	}
+	return list
+}
+
+// close ends everything.
+func (w *world) close() {
+	for _, i := range w.instances {
+		w.resume(i)
+		i.kill()
+	}
+	w.group.Wait()
+}
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -26,6 +26,7 @@
 	Crosses   EndpointFault = "crosses"   // the answer carries another request's id
 	Fails     EndpointFault = "fails"     // every task fails at once with status 500
 	Hangs     EndpointFault = "hangs"     // the task starts and never ends
+	Delays    EndpointFault = "delays"    // answers leave late, after the task has ended
 )
 
 // Run is one task as the endpoint saw it.
@@ -190,6 +191,9 @@
 	e.end(request, t, false)
 	free := e.config.Slots - len(e.running)
 	e.mu.Unlock()
+	if fault == Delays {
+		_ = sleep(r.Context(), answerDelay)
+	}
 	if !whole || fault == DiesLate {
 		panic(http.ErrAbortHandler)
 	}
@@ -259,5 +263,8 @@
 	_, _ = io.WriteString(w, answer)
 }
 
+// answerDelay is how late an endpoint with the fault Delays answers.
+const answerDelay = 2 * time.Second
+
 // Answer returns the whole answer that a worker gives to a body.
 func Answer(body string) string { return "done: " + body + "\n" }
--- a/standin/log.go
+++ b/standin/log.go
@@ -34,8 +34,9 @@
 
 // stream is one stream of a Log.
 type stream struct {
-	first   int64
+	first   int64 // oldest offset that readers get
 	records [][]byte
+	times   []time.Time   // when each record arrived
 	grown   chan struct{} // closed at the next append
 }
 
@@ -56,15 +57,24 @@
 	return l.appends
 }
 
-// Expire drops all but the newest records of a stream.
+// Expire keeps all but the newest records of a stream from readers.
 func (l *Log) Expire(name string, keep int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
-	if drop := len(s.records) - keep; drop > 0 {
-		s.records = s.records[drop:]
-		s.first += int64(drop)
+	s.first = max(s.first, int64(len(s.records)-keep))
+}
+
+// Kept returns a log without faults that holds every record, expired ones too, for checks.
+func (l *Log) Kept() *Log {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := NewLog()
+	for name, s := range l.streams {
+		kept.stream(name).records = append([][]byte(nil), s.records...)
+		kept.stream(name).times = append([]time.Time(nil), s.times...)
 	}
+	return kept
 }
 
 func (l *Log) stream(name string) *stream {
@@ -111,9 +121,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
-	s.records = append(s.records, append([]byte(nil), data...))
+	s.add(data)
 	if f.Repeat {
-		s.records = append(s.records, append([]byte(nil), data...))
+		s.add(data)
 	}
 	l.appends++
 	close(s.grown)
@@ -124,6 +134,18 @@
 	return nil
 }
 
+func (s *stream) add(data []byte) {
+	s.records = append(s.records, append([]byte(nil), data...))
+	s.times = append(s.times, time.Now())
+}
+
+// Arrived returns when each record of a stream arrived, by offset.
+func (l *Log) Arrived(name string) []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]time.Time(nil), l.stream(name).times...)
+}
+
 // maxBatch bounds the records of one read.
 const maxBatch = 512
 
@@ -154,13 +176,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
-	next := s.first + int64(len(s.records))
+	next := int64(len(s.records))
 	batch := platform.Batch{First: s.first, Next: next}
 	if from < 0 {
 		from = max(s.first, next-1)
 	}
 	for offset := max(from, s.first); offset < next && len(batch.Records) < maxBatch; offset++ {
-		batch.Records = append(batch.Records, platform.Stored{Offset: offset, Data: s.records[offset-s.first]})
+		batch.Records = append(batch.Records, platform.Stored{Offset: offset, Data: s.records[offset]})
 	}
 	if from < s.first {
 		batch.Records = nil
--- a/trial/check.go
+++ b/trial/check.go
@@ -15,6 +15,15 @@
 // within is the time in which a restriction or configuration must be in force.
 const within = 3 * time.Second
 
+// within returns how soon a restriction must be in force in a data centre: later only where the
+// data centre is cut off from everything and operators let it go on alone for a while.
+func (e Evidence) within(dc id.DataCentre) time.Duration {
+	if e.Alone > 0 && dc == e.Out {
+		return within + e.Alone
+	}
+	return within
+}
+
 // Verdict is how one promise fared.
 type Verdict struct {
 	Promise string
@@ -54,27 +63,26 @@
 	return v
 }
 
-// checkOnePool looks for a worker that ran work of two queues, and so of two pools, at once.
+// checkOnePool looks for a worker that ran work of two pools at once.
 func checkOnePool(e Evidence) Verdict {
 	v := Verdict{Promise: "an instance belongs to exactly one pool"}
 	byInstance := map[id.Instance][]standin.Run{}
 	for _, run := range e.Runs {
-		if !isGuest(run.Body) {
-			byInstance[run.Instance] = append(byInstance[run.Instance], run)
-		}
+		byInstance[run.Instance] = append(byInstance[run.Instance], run)
 	}
 	for instance, runs := range byInstance {
 		sort.Slice(runs, func(i, j int) bool { return runs[i].Started.Before(runs[j].Started) })
-		until := map[id.Queue]time.Time{}
+		until := map[id.Pool]time.Time{}
 		for _, run := range runs {
 			v.Looked++
+			pool := e.Pools[run.Queue]
 			for other, end := range until {
-				if other != run.Queue && end.After(run.Started) {
-					v.broken("%s ran work of %s and %s at once", instance, run.Queue, other)
+				if other != pool && end.After(run.Started) {
+					v.broken("%s ran work of pools %s and %s at once", instance, pool, other)
 				}
 			}
-			if run.Ended.After(until[run.Queue]) {
-				until[run.Queue] = run.Ended
+			if run.Ended.After(until[pool]) {
+				until[pool] = run.Ended
 			}
 		}
 	}
@@ -91,10 +99,10 @@
 			if c.Queue != "guests" {
 				v.broken("%s ran in queue %s without a right to it", c.ID, c.Queue)
 			}
-			if run.Team != guestTeam {
+			if run.Team != GuestTeam {
 				v.broken("%s counted for team %s", c.ID, run.Team)
 			}
-			if !withdrawn.IsZero() && run.Started.After(withdrawn.Add(within)) {
+			if !withdrawn.IsZero() && run.Started.After(withdrawn.Add(e.within(run.DataCentre))) {
 				v.broken("%s started %s after its key was withdrawn", c.ID, run.Started.Sub(withdrawn))
 			}
 		}
@@ -118,8 +126,7 @@
 
 func checkLimits(e Evidence) Verdict {
 	v := Verdict{Promise: "no team has more running than its upper limit"}
-	limits := append([]TeamShape{{Team: guestTeam, Limit: 4}}, e.Limits...)
-	for _, team := range limits {
+	for _, team := range e.Limits {
 		var edges []edge
 		for _, run := range e.Runs {
 			if run.Team != team.Team {
@@ -166,7 +173,7 @@
 			continue
 		}
 		v.Looked++
-		if run.Started.After(out.Add(within)) && (back.IsZero() || run.Started.Before(back)) {
+		if run.Started.After(out.Add(e.within(run.DataCentre))) && (back.IsZero() || run.Started.Before(back)) {
 			v.broken("%s started in %s %s after it was taken out", run.Body, run.DataCentre, run.Started.Sub(out))
 		}
 	}
@@ -220,7 +227,7 @@
 		v.Looked++
 		for _, run := range byInstance[g.Instance] {
 			ended := g.Ended.IsZero() || run.Started.Before(g.Ended)
-			if run.Started.After(g.At.Add(within)) && ended {
+			if run.Started.After(g.At.Add(e.within(run.DataCentre))) && ended {
 				v.broken("%s started on %s %s after its drain", run.Body, g.Instance, run.Started.Sub(g.At))
 			}
 		}
@@ -240,7 +247,12 @@
 }
 
 func checkVersions(e Evidence) Verdict {
-	v := Verdict{Promise: "a configuration in force never reverts", Looked: len(e.Versions)}
+	v := Verdict{Promise: "a configuration is in force in seconds and never reverts", Looked: len(e.Versions) + len(e.Rollouts)}
+	for _, took := range e.Rollouts {
+		if took > within {
+			v.broken("a version took %s to be in force", took)
+		}
+	}
 	newest := map[id.Member]int{}
 	for _, seen := range e.Versions {
 		if seen.Version < newest[seen.Member] {
--- a/trial/evidence.go
+++ b/trial/evidence.go
@@ -19,11 +19,14 @@
 	Runs     []standin.Run
 	Events   []Event
 	Versions []Version
+	Rollouts []time.Duration // until a configuration was in force wherever it could be heard of
 	Drains   []Granted
 	Limits   []TeamShape
-	Faulty   id.Set[id.Instance] // workers that went down without a plan
-	Out      id.DataCentre       // the data centre that was taken out
-	MayLose  bool                // an entry instance ended without a plan
+	Pools    map[id.Queue]id.Pool // that queues send work to
+	Faulty   id.Set[id.Instance]  // workers that went down without a plan
+	Out      id.DataCentre        // the data centre that was taken out
+	Alone    time.Duration        // how long operators let that data centre go on when it hears nothing
+	MayLose  bool                 // an entry instance ended without a plan
 }
 
 // Granted is a drain that the log granted and how its pool stood right after it.
@@ -37,8 +40,9 @@
 	Ended    time.Time // when it served again, zero if it did not
 }
 
-// replay reads the control stream and returns every drain that was granted.
-func replay(ctx context.Context, log platform.Log) ([]Granted, error) {
+// ReplayFrom reads the control stream and returns every drain that was granted.
+func ReplayFrom(ctx context.Context, log *standin.Log) ([]Granted, error) {
+	arrived := log.Arrived(platform.ControlStream)
 	tables := fleet.NewTables()
 	var granted []Granted
 	open := map[id.Instance]int{}
@@ -51,24 +55,24 @@
 			return granted, nil
 		}
 		for _, stored := range batch.Records {
-			if err := tables.Apply(stored.Offset, stored.Data); err != nil {
+			if _, err := tables.Apply(stored.Offset, stored.Data); err != nil {
 				return nil, errors.Trace(err)
 			}
-			granted = follow(tables, stored, granted, open)
+			granted = follow(tables, stored, arrived[stored.Offset], granted, open)
 		}
 	}
 }
 
 // follow notes drains that one record granted and those that it ended.
-func follow(tables *fleet.Tables, stored platform.Stored, granted []Granted, open map[id.Instance]int) []Granted {
+func follow(tables *fleet.Tables, stored platform.Stored, at time.Time, granted []Granted, open map[id.Instance]int) []Granted {
 	envelope, err := fleet.Decode(stored.Data)
 	if err != nil {
 		return granted
 	}
-	for name, at := range open {
+	for name, index := range open {
 		instance := tables.Instances[name]
 		if instance == nil || instance.State == fleet.Up {
-			granted[at].Ended = envelope.At
+			granted[index].Ended = at
 			delete(open, name)
 		}
 	}
@@ -82,7 +86,7 @@
 		return granted
 	}
 	pool := instance.Pool
-	g := Granted{Instance: drain.Instance, Reason: drain.Reason, Pool: pool, At: envelope.At, Serving: serving(tables, pool)}
+	g := Granted{Instance: drain.Instance, Reason: drain.Reason, Pool: pool, At: at, Serving: serving(tables, pool)}
 	if rule, ok := tables.Rules().Pool(pool); ok {
 		g.Need = rule.Size - rule.Budget
 	}
@@ -110,7 +114,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	t.fleet.Platform.Log.SetFault(standin.LogFault{})
-	drains, err := replay(ctx, t.fleet.Platform.Log)
+	drains, err := ReplayFrom(ctx, t.fleet.Platform.Log)
 	if err != nil {
 		return Evidence{}, err
 	}
@@ -118,8 +122,13 @@
 	defer t.mu.Unlock()
 	e := Evidence{
 		Calls: t.load.Calls(), Guests: t.probes, Runs: t.fleet.Journal.Runs(), Events: t.events,
-		Versions: t.versions, Drains: drains, Limits: t.fleet.Deployment.Teams, Faulty: id.Set[id.Instance]{}, Out: t.leaving(),
+		Versions: t.versions, Drains: drains, Limits: append([]TeamShape{{Team: GuestTeam, Limit: guestLimit}}, t.fleet.Deployment.Teams...),
+		Rollouts: t.rollouts, Faulty: id.Set[id.Instance]{}, Pools: map[id.Queue]id.Pool{}, Out: t.leaving(),
 	}
+	for _, p := range t.fleet.Deployment.Pools {
+		e.Pools[p.Queue] = p.Pool
+	}
+	e.Pools["guests"] = t.fleet.Deployment.Pools[0].Pool
 	for _, f := range t.config.Faults {
 		if f.Name == "rack-lost" {
 			e.Faulty = id.NewSet(rack()...)
--- a/trial/fault.go
+++ b/trial/fault.go
@@ -36,7 +36,7 @@
 		workerFault("worker-crosses", "a worker answers with another request's id", standin.Crosses),
 		{Name: "rack-lost", Help: "the first four workers go down", on: rackDown, off: rackUp},
 		{Name: "entry-killed", Help: "an entry instance ends at once", on: killEntry, off: func(*Trial) error { return nil }},
-		cutFault("cut-platform", "a data centre is cut off from the platform", func(t *Trial) []id.DataCentre { return []id.DataCentre{platformSite} }),
+		cutFault("cut-platform", "a data centre is cut off from the platform", func(*Trial) []id.DataCentre { return []id.DataCentre{platformSite} }),
 		cutFault("cut-all", "a data centre is cut off from everything", func(t *Trial) []id.DataCentre {
 			dcs := t.fleet.Deployment.DataCentres
 			return []id.DataCentre{platformSite, dcs[0], dcs[1]}
--- a/trial/run.go
+++ b/trial/run.go
@@ -45,8 +45,11 @@
 // changes is how many configuration changes a trial measures.
 const changes = 4
 
-// guestTeam is the team whose key the trial withdraws.
-const guestTeam id.Team = "guest"
+// GuestTeam is the team whose key the trial withdraws.
+const GuestTeam id.Team = "guest"
+
+// guestLimit is its upper limit, in slots.
+const guestLimit = 4
 
 // Trial is one run: a fleet, its load, and what happened when.
 type Trial struct {
@@ -59,7 +62,6 @@
 	rollouts []time.Duration
 	versions []Version
 	probes   []Call // sent with the key that is withdrawn
-	faults   []string
 }
 
 // Event is something that operators or the trial did.
@@ -185,6 +187,11 @@
 	}
 	t.note(name)
 	t.progress("%s: version %d after %s", name, version, time.Since(asked).Round(time.Millisecond))
+	var pending operator.PendingError
+	if errors.As(err, &pending) {
+		t.progress("%s: %v", name, pending)
+		return nil
+	}
 	if err != nil {
 		return errors.Annotatef(err, "%s", name)
 	}
@@ -216,17 +223,17 @@
 func (t *Trial) grantGuest(ctx context.Context) error {
 	var queues []string
 	for _, p := range t.fleet.Deployment.Pools[:1] {
-		queues = append(queues, fmt.Sprintf("queue guests pool=%s for=%s # the trial", p.Pool, guestTeam))
+		queues = append(queues, fmt.Sprintf("queue guests pool=%s for=%s # the trial", p.Pool, GuestTeam))
 	}
 	set := append([]string{
-		fmt.Sprintf("team %s share=1 limit=4 # the trial", guestTeam),
-		fmt.Sprintf("key k-%s team=%s hash=%s # the trial", guestTeam, guestTeam, entry.HashKey(Secret(guestTeam))),
+		fmt.Sprintf("team %s share=1 limit=%d # the trial", GuestTeam, guestLimit),
+		fmt.Sprintf("key k-%s team=%s hash=%s # the trial", GuestTeam, GuestTeam, entry.HashKey(Secret(GuestTeam))),
 	}, queues...)
 	return t.edit(ctx, "grant", set, nil)
 }
 
 func (t *Trial) withdraw(ctx context.Context) error {
-	return t.edit(ctx, "withdraw", nil, []rules.Ref{{Kind: "key", Name: "k-" + string(guestTeam)}})
+	return t.edit(ctx, "withdraw", nil, []rules.Ref{{Kind: "key", Name: "k-" + string(GuestTeam)}})
 }
 
 func (t *Trial) change(ctx context.Context) error {
@@ -303,8 +310,8 @@
 	for n := 0; sleepUntil(ctx, time.Now().Add(watchEvery)) == nil; n++ {
 		queues := []id.Queue{"guests", t.fleet.Deployment.Pools[n%len(t.fleet.Deployment.Pools)].Queue}
 		name := fmt.Sprintf("guest-%d", n)
-		c := Call{ID: name, Body: name + " 1ms", Team: guestTeam, Queue: queues[n%2], Class: queue.Urgent, Sent: time.Now()}
-		t.load.exchange(ctx, t.load.balance(uint64(n)), &c, Secret(guestTeam))
+		c := Call{ID: name, Body: name + " 1ms", Team: GuestTeam, Queue: queues[n%2], Class: queue.Urgent, Sent: time.Now()}
+		t.load.exchange(ctx, t.load.balance(uint64(n)), &c, Secret(GuestTeam))
 		c.Done = time.Now()
 		if ctx.Err() != nil {
 			return
