matrix: Plant a fault in every mechanism and see its check fail

Cause: a check that never failed proves little. Thirteen planted faults, one or more for each promise. Found on the way and mended, each kept by a cell: - when all instances of a data centre started together, each took the others for lost predecessors and refused every idempotency key for ten minutes; no keyed request had run in the matrix at all. The tables now say which member was the first of its data centre. Progress checks use keys. - a data centre that hears but cannot ask (cut-one-way) sent work to a draining instance for 7.4 s; beats now carry records to members that stay behind, and restrictions until all have read them. - an idempotent retry after a lost answer crashed the control thread; retries went on past the deadline. The one-pool check needed both pools full before it could see its fault.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -150,8 +150,7 @@
 // start sends one request to a worker, unless its key has been withdrawn while it waited.
 func (c *Control) start(now time.Time, p *pool, w *worker, t *ticket) {
 	if t.key != "" && !c.view.Load().granted(t.key) {
-		delete(c.tickets, t.item.ID)
-		t.verdict <- verdict{err: RefusedError{Status: statusUnauthorized, Reason: "the key was withdrawn"}}
+		c.refuse(t, RefusedError{Status: statusUnauthorized, Reason: "the key was withdrawn"})
 		return
 	}
 	if err := c.holder.Take(t.item.Team); err != nil && !c.config.Planted.IgnoreLimits {
@@ -198,16 +197,27 @@
 
 // again puts a request back in line after a worker did not take it.
 func (c *Control) again(now time.Time, t *ticket, o outcome) {
-	t.worker.learn(now, o)
+	if t.worker != nil {
+		t.worker.learn(now, o)
+	}
 	c.release(t)
 	if err := c.mayStart(now); err != nil {
-		delete(c.tickets, t.item.ID)
-		t.verdict <- verdict{err: RefusedError{Status: statusUnavailable, Reason: err.Error(), RetryAfter: time.Second}}
+		c.refuse(t, RefusedError{Status: statusUnavailable, Reason: err.Error(), RetryAfter: time.Second})
+		return
+	}
+	if !t.item.Deadline.IsZero() && !now.Before(t.item.Deadline) {
+		c.refuse(t, RefusedError{Status: statusTimeout, Reason: "no slot before the deadline"})
 		return
 	}
 	c.wait(now, t)
 }
 
+// refuse ends a request that waits.
+func (c *Control) refuse(t *ticket, why RefusedError) {
+	delete(c.tickets, t.item.ID)
+	t.verdict <- verdict{err: why}
+}
+
 func (c *Control) learnTime(t *ticket, took time.Duration) {
 	p := c.pool(t.pool)
 	old := p.took[t.item.Team]
@@ -253,9 +263,7 @@
 func (c *Control) expireWaiting(now time.Time) {
 	for _, p := range c.pools {
 		for _, item := range p.line.Expired(now) {
-			t := c.tickets[item.ID]
-			delete(c.tickets, item.ID)
-			t.verdict <- verdict{err: RefusedError{Status: statusTimeout, Reason: "no slot before the deadline"}}
+			c.refuse(c.tickets[item.ID], RefusedError{Status: statusTimeout, Reason: "no slot before the deadline"})
 		}
 	}
 }
--- a/entry/beat.go
+++ b/entry/beat.go
@@ -167,6 +167,7 @@
 		beat := common
 		if target.member != "" {
 			beat.Given = c.holder.Given(target.member)
+			beat.From, beat.Records = c.missed(target.member)
 		}
 		target.link.offer(beat)
 	}
@@ -246,13 +247,14 @@
 	for _, restriction := range beat.Restrictions {
 		c.hearRestriction(now, restriction)
 	}
-	if beat.Offset <= c.tables.Offset {
-		c.lease.fresh = later(c.lease.fresh, now.Add(-beat.Age))
-	}
 	if beat.Offset == c.tables.Offset && beat.Digest != c.tables.Digest && beat.Version > 0 {
 		c.config.Metrics.Diverged.Inc()
 		c.log.Error("another member's tables differ", zap.String("with", string(beat.Member)), zap.Int64("offset", beat.Offset))
 	}
+	c.takeRecords(beat)
+	if beat.Offset <= c.tables.Offset {
+		c.lease.fresh = later(c.lease.fresh, now.Add(-beat.Age))
+	}
 	c.follow(now, beat)
 	c.give(beat)
 	c.dirty = true
--- a/entry/control.go
+++ b/entry/control.go
@@ -42,11 +42,10 @@
 	leaving bool      // callers are being sent elsewhere
 	leaveBy time.Time // when to end without the log's word
 
-	lease      lease
-	holder     *quota.Holder
-	book       *attempt.Book
-	memory     memory
-	hadMembers bool // the data centre had members before this one
+	lease  lease
+	holder *quota.Holder
+	book   *attempt.Book
+	memory memory
 
 	pools   map[id.Pool]*pool
 	workers map[id.Instance]*worker
@@ -60,10 +59,14 @@
 	told     []queue.Claim // this instance's demand as it told the others last
 	links    links
 	pending  map[string]*restriction // restrictions on their way to the log, by record id
+	passing  map[string]*restriction // restrictions that the log has and some member may not have read
 	asked    map[string]time.Time    // when a proposal was last made, by subject
 	proposed map[string]string       // subjects of proposals, by record id
 	behind   time.Time               // since when another member is ahead of behindAt
 	behindAt int64
+	markedAt time.Time // when marked was noted
+	marked   int64     // offset at that time
+	longAgo  int64     // offset the time before
 	waiters  map[string][]chan fleet.Outcome
 	upkeep   upkeep
 
@@ -102,6 +105,7 @@
 		workers:  map[id.Instance]*worker{},
 		remotes:  map[id.Member]*remote{},
 		pending:  map[string]*restriction{},
+		passing:  map[string]*restriction{},
 		asked:    map[string]time.Time{},
 		proposed: map[string]string{},
 		waiters:  map[string][]chan fleet.Outcome{},
@@ -190,6 +194,7 @@
 	c.tendRemotes(now)
 	c.book.Expire(now)
 	c.forgetProposals(now)
+	c.lagging(now)
 	c.beat(now)
 	c.config.Metrics.observe(c, now)
 	c.ready.Store(c.stage == serving && !c.leaving && c.mayStart(now) == nil && !c.out(c.config.DataCentre))
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -76,7 +76,7 @@
 		allowed[rule.Name] = c.tables.Serving(rule.Name) - (rule.Size - rule.Budget)
 	}
 	for _, next := range c.candidates(now) {
-		if allowed[next.pool] <= 0 && !c.config.Planted.IgnoreBudget {
+		if allowed[next.pool] <= 0 && !c.tables.Unbudgeted {
 			continue
 		}
 		allowed[next.pool]--
--- a/entry/once.go
+++ b/entry/once.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	rendezvous "github.com/dgryski/go-rendezvous"
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/attempt"
 	"marigoldshed.example/marigoldshed/common/id"
@@ -182,13 +183,10 @@
 // there was one before, keys used before this start cannot be known until they are too old to matter.
 func (c *Control) recall(ctx context.Context) {
 	var mates []netip.AddrPort
-	var done, others bool
+	done := false
 	err := c.do(ctx, func() {
 		done = c.memory.complete || c.stage != serving
 		mates = c.mates(time.Now(), c.config.DataCentre)
-		for name, m := range c.tables.Members {
-			others = others || name != c.self && !m.Lapsed && m.DataCentre == c.config.DataCentre
-		}
 	})
 	if err != nil || done {
 		return
@@ -205,16 +203,20 @@
 			return
 		}
 	}
-	c.post(func() { c.startCold(time.Now(), others) })
+	c.post(func() { c.startCold(time.Now()) })
 }
 
-// startCold begins without knowledge of earlier attempts once no other member can tell of them.
-func (c *Control) startCold(now time.Time, others bool) {
-	if others && now.Sub(c.began) < c.timing.Contact {
+// startCold begins without another member's knowledge: at once when no member of the data centre came
+// before this one, and else after a while, refusing keys for as long as earlier ones would be kept.
+func (c *Control) startCold(now time.Time) {
+	if m := c.tables.Members[c.self]; m != nil && m.First {
+		c.memory.complete = true
 		return
 	}
-	c.memory.complete = true
-	if others || c.hadMembers {
-		c.memory.cold = now.Add(attempt.Retention)
+	if now.Sub(c.began) < 2*c.timing.Contact {
+		return
 	}
+	c.memory.complete = true
+	c.memory.cold = now.Add(attempt.Retention)
+	c.log.Warn("no other instance of this data centre knows the used keys; keys are refused for a while", zap.Time("until", c.memory.cold))
 }
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -74,7 +74,7 @@
 	}
 	for name, instance := range c.tables.Instances {
 		w := c.worker(name, instance)
-		usable := instance.State == fleet.Up || instance.State == fleet.Draining && c.config.Planted.IgnoreLeaving
+		usable := instance.State == fleet.Up || c.config.Planted.IgnoreLeaving
 		if !usable || c.out(instance.DataCentre) {
 			continue
 		}
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/fleet"
 	"marigoldshed.example/marigoldshed/peer"
 )
@@ -34,6 +35,49 @@
 	}
 }
 
+// maxPushed bounds the records that one beat carries.
+const maxPushed = 64
+
+// lagging notes, once in a while, how far the tables were some time ago.
+func (c *Control) lagging(now time.Time) {
+	if now.Sub(c.markedAt) > c.timing.Contact/2 {
+		c.markedAt = now
+		c.longAgo, c.marked = c.marked, c.tables.Offset
+	}
+}
+
+// missed returns the records that a member has not shown to have though they are not new any more. It
+// may hear this instance without being able to ask.
+func (c *Control) missed(member id.Member) (int64, [][]byte) {
+	r, ok := c.remotes[member]
+	if !ok || r.beat.Offset >= c.longAgo {
+		return 0, nil
+	}
+	data, kept := c.recent.since(r.beat.Offset)
+	if !kept {
+		return 0, nil
+	}
+	return r.beat.Offset, append([][]byte(nil), data[:min(len(data), maxPushed)]...)
+}
+
+// takeRecords applies the records that a beat carries.
+func (c *Control) takeRecords(beat peer.Beat) {
+	if c.stage == starting || len(beat.Records) == 0 {
+		return
+	}
+	c.applyFrom(beat.From, beat.Records)
+	c.caughtUp()
+}
+
+// applyFrom applies records that follow each other, as far as they follow the tables.
+func (c *Control) applyFrom(from int64, records [][]byte) {
+	for i, data := range records {
+		if offset := from + int64(i); offset == c.tables.Offset && !c.apply(offset, data) {
+			return
+		}
+	}
+}
+
 // pullLoop takes records from members that are ahead, until the context ends.
 func (c *Control) pullLoop(ctx context.Context) error {
 	for {
@@ -77,12 +121,7 @@
 
 // takePulled applies records on the control thread; they are as fresh as the sender's own read.
 func (c *Control) takePulled(records peer.Records, asked time.Time) {
-	for i, data := range records.Data {
-		offset := records.From + int64(i)
-		if offset == c.tables.Offset && !c.apply(offset, data) {
-			break
-		}
-	}
+	c.applyFrom(records.From, records.Data)
 	if c.tables.Version > 0 {
 		c.lease.fresh = later(c.lease.fresh, asked.Add(-records.Age))
 	}
--- a/entry/restrict.go
+++ b/entry/restrict.go
@@ -18,8 +18,12 @@
 	envelope fleet.Envelope
 	since    time.Time // when the operator gave it, by this clock
 	outs     []id.DataCentre
+	logged   int64 // offset after its record, zero until the log has it
 }
 
+// passOn is how long a restriction that the log has is still told to members that have not read so far.
+const passOn = time.Minute
+
 // restrict puts an operator's record into force at once if it only takes away.
 func (c *Control) restrict(now time.Time, envelope fleet.Envelope) {
 	record, err := envelope.Record()
@@ -83,13 +87,45 @@
 	}
 }
 
-// restrictions returns what other members must hear of.
+// logged ends a restriction's own force once its record is in the tables, which carry it from here on.
+func (c *Control) logged(name string) {
+	if r, ok := c.pending[name]; ok {
+		delete(c.pending, name)
+		r.logged = c.tables.Offset
+		c.passing[name] = r
+	}
+}
+
+// restrictions returns what other members must hear of: what the log does not have yet, and what some
+// member may not have read there.
 func (c *Control) restrictions(now time.Time) []peer.Restriction {
 	var messages []peer.Restriction
 	for _, r := range c.pending {
-		message := r.message
-		message.Age = now.Sub(r.since)
-		messages = append(messages, message)
+		messages = append(messages, r.tell(now))
+	}
+	for name, r := range c.passing {
+		if now.Sub(r.since) > passOn || c.allHaveRead(r.logged) {
+			delete(c.passing, name)
+			continue
+		}
+		messages = append(messages, r.tell(now))
 	}
 	return messages
 }
+
+func (r *restriction) tell(now time.Time) peer.Restriction {
+	message := r.message
+	message.Age = now.Sub(r.since)
+	return message
+}
+
+// allHaveRead reports whether every live member has shown that it has read the log up to an offset.
+func (c *Control) allHaveRead(offset int64) bool {
+	for _, name := range c.tables.Live() {
+		r, ok := c.remotes[name]
+		if name != c.self && (!ok || r.beat.Offset < offset) {
+			return false
+		}
+	}
+	return true
+}
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -157,7 +157,7 @@
 		waiter <- outcome
 	}
 	delete(c.waiters, envelope.ID)
-	delete(c.pending, envelope.ID)
+	c.logged(envelope.ID)
 	c.decided(envelope.ID)
 	c.stale = c.stale || envelope.Kind != "renew"
 }
@@ -171,7 +171,6 @@
 	if c.stage == starting && c.tables.Version > 0 {
 		c.stage = serving
 		c.began = time.Now()
-		c.hadMembers = c.tables.Past[c.config.DataCentre]
 		c.log.Info("serving", zap.String("member", string(c.self)), zap.Int64("offset", c.tables.Offset), zap.Int("version", c.tables.Version))
 	}
 }
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -89,7 +89,7 @@
 // failed, rebooting, missing and taken-out instances all count against it.
 func (t *Tables) CheckStop(pool id.Pool) error {
 	p, ok := t.rules.Pool(pool)
-	if !ok {
+	if !ok || t.Unbudgeted {
 		return nil
 	}
 	serving := t.Serving(pool)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -13,8 +13,9 @@
 	Entry      id.Entry          `json:"entry"`
 	DataCentre id.DataCentre     `json:"dc"`
 	Peer       netip.AddrPort    `json:"peer"`
-	Joined     int64             `json:"joined"` // offset of its join
-	Seq        int               `json:"seq"`    // number of its newest lease renewal
+	Joined     int64             `json:"joined"`          // offset of its join
+	Seq        int               `json:"seq"`             // number of its newest lease renewal
+	First      bool              `json:"first,omitempty"` // no member of its data centre joined before it
 	Lapsed     bool              `json:"lapsed"`
 	Settled    id.Set[id.Member] `json:"settled,omitempty"` // members that have settled with it
 }
@@ -75,6 +76,7 @@
 	}
 	t.Members[r.Member] = &Member{
 		Entry: r.Entry, DataCentre: r.DataCentre, Peer: r.Peer, Joined: offset, Settled: id.Set[id.Member]{},
+		First: !t.Past[r.DataCentre],
 	}
 	t.Past[r.DataCentre] = true
 	return nil
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -30,6 +30,10 @@
 	Outcomes  []Outcome                 `json:"outcomes"`
 	Past      map[id.DataCentre]bool    `json:"past"` // data centres that ever had a member
 
+	// Unbudgeted grants planned stops whether or not the budget holds, so that tests can show that
+	// their check fails then. It is false outside tests.
+	Unbudgeted bool `json:"-"`
+
 	rules *rules.Set
 	seen  id.Set[string]
 }
--- /dev/null
+++ b/matrix/planted_test.go
@@ -0,0 +1,65 @@
+package matrix
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"marigoldshed.example/marigoldshed/entry"
+	"marigoldshed.example/marigoldshed/trial"
+)
+
+// TestPlanted shows for every promise that its check fails when its mechanism is switched off.
+func TestPlanted(t *testing.T) {
+	tests := []struct {
+		promise string
+		planted entry.Planted
+		step    step
+		fault   string
+	}{
+		{"every availability budget holds", entry.Planted{IgnoreBudget: true}, stepReboot, "list-late"},
+		{"an instance belongs to exactly one pool", entry.Planted{ClearEarly: true}, stepShift, "list-late"},
+		{"a key works for its team and queues only", entry.Planted{TakeAnyKey: true}, stepEnter, "list-late"},
+		{"a key works for its team and queues only", entry.Planted{IgnoreWithdrawals: true}, stepWithdraw, "log-down"},
+		{"no team has more running than its upper limit", entry.Planted{IgnoreLimits: true}, stepCrowd, "list-late"},
+		{"no task starts in a data centre that was taken out", entry.Planted{IgnoreOuts: true}, stepOut, "list-late"},
+		{"a caller gets the whole answer", entry.Planted{AcceptShortAnswers: true}, stepAnswer, "truncates"},
+		{"a refusal saying not run is true", entry.Planted{SayNotRun: true}, stepRun, "dies-late"},
+		{"a non-idempotent request runs at most once", entry.Planted{RetryUnknown: true}, stepRun, "dies-late"},
+		{"a non-idempotent request runs at most once", entry.Planted{ReserveNothing: true}, stepRun, "dies-late"},
+		{"a leaving endpoint gets no new work", entry.Planted{IgnoreLeaving: true}, stepHold, "list-late"},
+		{"every planned stop cuts off no request", entry.Planted{ClearEarly: true}, stepReboot, "list-late"},
+		{"a configuration is in force", entry.Planted{KeepOldVersion: true}, stepForce, "list-late"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.promise+"/"+tt.fault, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				verdicts := run(t, tt.step, faultOf(t, tt.fault), nil, 1, tt.planted)
+				if !breaks(verdicts, tt.promise) {
+					t.Errorf("the check of %q did not see the planted fault %+v", tt.promise, tt.planted)
+				}
+			})
+		})
+	}
+}
+
+func faultOf(t *testing.T, name string) fault {
+	t.Helper()
+	for _, f := range faults() {
+		if f.name == name {
+			return f
+		}
+	}
+	t.Fatalf("no fault is called %q", name)
+	return fault{}
+}
+
+func breaks(verdicts []trial.Verdict, promise string) bool {
+	for _, v := range verdicts {
+		if strings.HasPrefix(v.Promise, promise) && len(v.Broken) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -26,6 +26,8 @@
 	Given        []quota.Moved   `cbor:"10,keyasint,omitempty"`
 	Restrictions []Restriction   `cbor:"11,keyasint,omitempty"`
 	Hears        []id.DataCentre `cbor:"12,keyasint,omitempty"` // data centres heard of late
+	From         int64           `cbor:"14,keyasint,omitempty"` // offset of the first of Records
+	Records      [][]byte        `cbor:"15,keyasint,omitempty"` // for a member that is behind and may not be able to ask
 	Stopping     bool            `cbor:"13,keyasint,omitempty"`
 }
 
--- a/trial/evidence.go
+++ b/trial/evidence.go
@@ -21,6 +21,7 @@
 	Versions []Version
 	Rollouts []time.Duration // until a configuration was in force wherever it could be heard of
 	Drains   []Granted
+	Reboots  []standin.Rebooted
 	Limits   []TeamShape
 	Pools    map[id.Queue]id.Pool // that queues send work to
 	Faulty   id.Set[id.Instance]  // workers that went down without a plan
@@ -123,7 +124,7 @@
 	e := Evidence{
 		Calls: t.load.Calls(), Guests: t.probes, Runs: t.fleet.Journal.Runs(), Events: t.events,
 		Versions: t.versions, Drains: drains, Limits: append([]TeamShape{{Team: GuestTeam, Limit: guestLimit}}, t.fleet.Deployment.Teams...),
-		Rollouts: t.rollouts, Faulty: id.Set[id.Instance]{}, Pools: map[id.Queue]id.Pool{}, Out: t.leaving(),
+		Rollouts: t.rollouts, Reboots: t.fleet.Platform.Reboots(), Faulty: id.Set[id.Instance]{}, Pools: map[id.Queue]id.Pool{}, Out: t.leaving(),
 	}
 	for _, p := range t.fleet.Deployment.Pools {
 		e.Pools[p.Queue] = p.Pool
--- a/trial/load.go
+++ b/trial/load.go
@@ -34,6 +34,7 @@
 	Queue   id.Queue
 	Class   queue.Class
 	Work    time.Duration
+	Repeats bool // it is idempotent and may run more than once
 	Sent    time.Time
 	Done    time.Time
 	Status  int
