task: Take tasks that are collected later and let them outlive their instance

Cause: callers could only wait for an answer; overnight work is submitted, watched, cancelled and collected. A task stands in its owner's own stream of the platform's log before it is acknowledged, again before it is sent, and at its end; the control stream names the heir of a member that has ended. Weighed: keeping tasks with a second instance in memory (a replicated store of our own, which the users do not want) and one record each in the control stream (every member would read all of them).

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -16,20 +16,24 @@
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/endpoint"
 	"marigoldshed.example/marigoldshed/entry"
+	"marigoldshed.example/marigoldshed/peer"
 	"marigoldshed.example/marigoldshed/queue"
+	"marigoldshed.example/marigoldshed/task"
 )
 
 // Bounds on one request of a caller.
 const (
 	MaxBodyBytes    = 1 << 20
-	maxDeadline     = time.Hour
+	maxDeadline     = 24 * time.Hour
 	defaultDeadline = 30 * time.Second
 	maxKeyLength    = 200 // bytes of an idempotency key
 )
 
-// Server serves requests; entry.Control is one.
+// Server serves requests and tasks; entry.Control is one.
 type Server interface {
 	Serve(ctx context.Context, r entry.Request) (endpoint.Answer, error)
+	Submit(ctx context.Context, r entry.Request) (task.Task, error)
+	Task(ctx context.Context, secret string, ask peer.Ask) (task.Task, error)
 }
 
 // Config holds what a Handler needs.
@@ -48,6 +52,10 @@
 func NewHandler(c Config) *Handler {
 	h := &Handler{config: c, mux: http.NewServeMux()}
 	h.mux.HandleFunc("POST /v1/queues/{queue}", h.serve)
+	h.mux.HandleFunc("POST /v1/queues/{queue}/tasks", h.submit)
+	h.mux.HandleFunc("GET /v1/tasks/{task}", h.watch)
+	h.mux.HandleFunc("GET /v1/tasks/{task}/answer", h.collect)
+	h.mux.HandleFunc("DELETE /v1/tasks/{task}", h.cancel)
 	h.mux.HandleFunc("GET /ready", h.ready)
 	h.mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return h
@@ -98,7 +106,7 @@
 	}
 	wait, ok := deadline(r.Header.Get("Deadline"))
 	if !ok {
-		return request, refusal(http.StatusBadRequest, "Deadline is not a time such as 3s, up to 1h")
+		return request, refusal(http.StatusBadRequest, "Deadline is not a time such as 3s, up to 24h")
 	}
 	request.Deadline = time.Now().Add(wait)
 	if request.Secret, ok = secret(r.Header.Get("Authorization")); !ok {
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -23,6 +23,7 @@
 	item    queue.Item
 	pool    id.Pool
 	key     string // hash of the key it came with, empty for an open queue without one
+	request string // id of the request
 	verdict chan verdict
 	worker  *worker // where it runs
 	started time.Time
--- a/entry/control.go
+++ b/entry/control.go
@@ -15,6 +15,7 @@
 	"marigoldshed.example/marigoldshed/fleet"
 	"marigoldshed.example/marigoldshed/queue"
 	"marigoldshed.example/marigoldshed/quota"
+	"marigoldshed.example/marigoldshed/task"
 )
 
 // inboxLength bounds the jobs that wait for the control thread.
@@ -55,6 +56,11 @@
 	divided time.Time       // newest division
 	dirty   bool            // demand has changed since
 
+	tasks   *task.Table
+	held    map[string]*held // by task
+	adopted id.Set[id.Member]
+	journal *journal
+
 	remotes  map[id.Member]*remote
 	told     []queue.Claim // this instance's demand as it told the others last
 	links    links
@@ -70,6 +76,7 @@
 	waiters  map[string][]chan fleet.Outcome
 	upkeep   upkeep
 
+	expired  time.Time // newest look for tasks to forget
 	observed time.Time // newest update of the gauges
 }
 
@@ -113,6 +120,7 @@
 		wanting:  map[id.Team]int{},
 	}
 	c.links = newLinks(c)
+	c.journal = newJournal(c)
 	c.begin()
 	c.setTables(fleet.NewTables())
 	return c
@@ -126,6 +134,9 @@
 	c.holder = quota.NewHolder(c.self)
 	c.lease = lease{sent: map[int]time.Time{}, seqs: map[id.Member]seen{}, fresh: c.lease.fresh, direct: c.lease.direct}
 	c.told = nil
+	c.tasks = task.NewTable()
+	c.held = map[string]*held{}
+	c.adopted = id.Set[id.Member]{}
 }
 
 // Member returns the name of this life of the entry instance.
@@ -147,6 +158,7 @@
 	}
 	group.Go(func() error { return c.finishLoop(ctx) })
 	group.Go(func() error { return c.pullLoop(ctx) })
+	group.Go(func() error { return c.journal.loop(ctx) })
 	group.Go(func() error { return c.upkeepLoop(ctx) })
 	c.links.start(ctx, group)
 	err := group.Wait()
@@ -193,6 +205,7 @@
 	c.tendDrains(now)
 	c.tendRemotes(now)
 	c.book.Expire(now)
+	c.expireTasks(now)
 	c.forgetProposals(now)
 	c.lagging(now)
 	c.beat(now)
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -244,6 +244,7 @@
 	if m := c.tables.Members[c.self]; c.lease.joined && !c.lease.left && (m == nil || m.Lapsed) {
 		c.lease.lapsed = true
 		c.log.Error("the lease of this instance has lapsed", zap.String("member", string(c.self)))
+		c.handOver()
 	}
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -39,6 +39,8 @@
 	Idempotent     bool // may run more than once
 	Header         http.Header
 	Body           []byte
+
+	before func(ctx context.Context) error // runs when a place is found; on failure nothing is sent
 }
 
 // RefusedError reports a request that did not run and never will under this attempt.
@@ -69,9 +71,16 @@
 	refused          // the worker did not take it
 	unreachable      // the worker cannot have received it
 	unknown          // the worker may have run it
+	withheld         // it was not sent though a worker had been chosen
 	abandoned        // it never reached a worker
 )
 
+// withheldError reports a request that was not sent though a worker had been chosen for it.
+type withheldError struct{ Reason string }
+
+// Error returns the reason.
+func (e withheldError) Error() string { return "not sent: " + e.Reason }
+
 // outcome is how a request went on a worker and what that says of the worker.
 type outcome struct {
 	kind   kind
@@ -123,6 +132,7 @@
 		item:    queue.Item{Team: team, Class: r.Class, Arrived: started, Deadline: r.Deadline},
 		pool:    pool,
 		key:     key,
+		request: r.ID,
 		verdict: make(chan verdict, 1),
 	}
 	if err := c.do(ctx, func() { c.admit(time.Now(), t) }); err != nil {
@@ -170,7 +180,10 @@
 
 func (c *Control) run(ctx context.Context, r Request, t *ticket, place verdict) (endpoint.Answer, error) {
 	if time.Since(place.at) > verdictValid {
-		return endpoint.Answer{}, endpoint.NotStartedError{To: place.address, Refused: true, Reason: "this instance was paused"}
+		return endpoint.Answer{}, withheldError{Reason: "this instance was paused"}
+	}
+	if err := c.prepare(ctx, r); err != nil {
+		return endpoint.Answer{}, withheldError{Reason: err.Error()}
 	}
 	task := endpoint.Task{
 		Request: r.ID + "." + uuid.NewString()[:8],
@@ -189,10 +202,23 @@
 	return answer, err
 }
 
+// prepare does what must come before a request is sent, in time for it to be sent still.
+func (c *Control) prepare(ctx context.Context, r Request) error {
+	if r.before == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, verdictValid)
+	defer cancel()
+	return r.before(ctx)
+}
+
 // judge says what an answer or error means for where the request has been.
 func judge(answer endpoint.Answer, err error) outcome {
 	var notStarted endpoint.NotStartedError
+	var kept withheldError
 	switch {
+	case errors.As(err, &kept):
+		return outcome{kind: withheld}
 	case err == nil:
 		return outcome{kind: answered, failed: answer.Status >= http.StatusInternalServerError, free: answer.Free}
 	case errors.As(err, &notStarted) && notStarted.Refused:
@@ -209,7 +235,7 @@
 		return false
 	}
 	switch o.kind {
-	case refused, unreachable:
+	case refused, unreachable, withheld:
 		return true
 	case unknown:
 		return (r.Idempotent || c.config.Planted.RetryUnknown) && c.upkeep.retries.Allow()
@@ -227,7 +253,7 @@
 	switch {
 	case o.kind == answered:
 		return answer, nil
-	case o.kind == unknown && c.config.Planted.SayNotRun, o.kind == refused, o.kind == unreachable:
+	case o.kind == unknown && c.config.Planted.SayNotRun, o.kind == refused, o.kind == unreachable, o.kind == withheld:
 		return endpoint.Answer{}, RefusedError{Status: statusUnavailable, Reason: "no endpoint took the request"}
 	}
 	return endpoint.Answer{}, lostAnswer()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -19,7 +19,11 @@
 		return errors.Trace(err)
 	}
 	pause(ctx, grace)
-	if err := c.do(ctx, func() { c.stage = stopping }); err != nil {
+	stopNow := func() {
+		c.stage = stopping
+		c.handOver()
+	}
+	if err := c.do(ctx, stopNow); err != nil {
 		return errors.Trace(err)
 	}
 	for !c.ended() {
--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -78,6 +78,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, c.timing.Tick*2)
 		c.recall(ctx)
+		c.inherit(ctx)
 		if time.Since(listed) > c.timing.ListEvery && c.does(ctx, listDuty) {
 			listed = time.Now()
 			c.readList(ctx)
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -29,6 +29,7 @@
 	Ledger    quota.Ledger              `json:"ledger"`
 	Outcomes  []Outcome                 `json:"outcomes"`
 	Past      map[id.DataCentre]bool    `json:"past"` // data centres that ever had a member
+	Heirs     []Heir                    `json:"heirs,omitempty"`
 
 	// Unbudgeted grants planned stops whether or not the budget holds, so that tests can show that
 	// their check fails then. It is false outside tests.
@@ -99,6 +100,7 @@
 		outcome.Refused = err.Error()
 	}
 	t.settleAccounts()
+	t.settleHeirs()
 	t.finishDrains()
 	outcome.Version = t.Version
 	t.remember(record, outcome)
--- a/matrix/net_test.go
+++ b/matrix/net_test.go
@@ -249,6 +249,15 @@
 	return to.control.TakeRecall(ctx)
 }
 
+// Ask asks about a task.
+func (p peers) Ask(ctx context.Context, address netip.AddrPort, ask peer.Ask) (peer.Told, error) {
+	to, err := p.to(ctx, address)
+	if err != nil {
+		return peer.Told{}, err
+	}
+	return to.control.TakeAsk(ctx, ask)
+}
+
 // store is one entry instance's way to the platform.
 type store struct {
 	w     *world
--- a/peer/client.go
+++ b/peer/client.go
@@ -65,6 +65,11 @@
 	return call[Recall, Recalled](ctx, c, to, recallPath, &Recall{})
 }
 
+// Ask asks a member about a task.
+func (c *Client) Ask(ctx context.Context, to netip.AddrPort, ask Ask) (Told, error) {
+	return call[Ask, Told](ctx, c, to, askPath, &ask)
+}
+
 func call[Q, A any](ctx context.Context, c *Client, to netip.AddrPort, path string, message *Q) (A, error) {
 	var none A
 	request := connect.NewRequest(message)
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -24,6 +24,7 @@
 	handle(mux, reservePath, func(ctx context.Context, m *Reserve) (Reserved, error) { return c.Service.TakeReserve(ctx, *m) })
 	handle(mux, finishPath, func(ctx context.Context, m *Finish) (Ack, error) { return Ack{}, c.Service.TakeFinish(ctx, *m) })
 	handle(mux, recallPath, func(ctx context.Context, _ *Recall) (Recalled, error) { return c.Service.TakeRecall(ctx) })
+	handle(mux, askPath, func(ctx context.Context, m *Ask) (Told, error) { return c.Service.TakeAsk(ctx, *m) })
 	return guard(c.Secret, mux)
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -9,6 +9,7 @@
 	"marigoldshed.example/marigoldshed/fleet"
 	"marigoldshed.example/marigoldshed/queue"
 	"marigoldshed.example/marigoldshed/quota"
+	"marigoldshed.example/marigoldshed/task"
 )
 
 // Beat is what a member tells each other member from time to time, and at once when it wants slots,
@@ -92,3 +93,17 @@
 type Recalled struct {
 	Attempts []attempt.Attempt `cbor:"1,keyasint,omitempty"`
 }
+
+// Ask asks the member that answers for a task.
+type Ask struct {
+	Task   string        `cbor:"1,keyasint"`
+	Team   id.Team       `cbor:"2,keyasint"`
+	Cancel bool          `cbor:"3,keyasint,omitempty"`
+	Wait   time.Duration `cbor:"4,keyasint,omitempty"` // for the task's end
+}
+
+// Told answers an Ask.
+type Told struct {
+	Found bool      `cbor:"1,keyasint"`
+	Task  task.Task `cbor:"2,keyasint"`
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,6 +14,7 @@
 	Reserve(ctx context.Context, to netip.AddrPort, reserve Reserve) (Reserved, error)
 	Finish(ctx context.Context, to netip.AddrPort, finish Finish) error
 	Recall(ctx context.Context, to netip.AddrPort) (Recalled, error)
+	Ask(ctx context.Context, to netip.AddrPort, ask Ask) (Told, error)
 }
 
 // Service takes messages from other members.
@@ -24,6 +25,7 @@
 	TakeReserve(ctx context.Context, reserve Reserve) (Reserved, error)
 	TakeFinish(ctx context.Context, finish Finish) error
 	TakeRecall(ctx context.Context) (Recalled, error)
+	TakeAsk(ctx context.Context, ask Ask) (Told, error)
 }
 
 // Paths of the procedures.
@@ -34,4 +36,5 @@
 	reservePath = "/peer/reserve"
 	finishPath  = "/peer/finish"
 	recallPath  = "/peer/recall"
+	askPath     = "/peer/ask"
 )
--- a/trial/fleet_test.go
+++ b/trial/fleet_test.go
@@ -2,38 +2,23 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"marigoldshed.example/marigoldshed/caller"
 	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/entry"
 	"marigoldshed.example/marigoldshed/operator"
 	"marigoldshed.example/marigoldshed/rules"
 	"marigoldshed.example/marigoldshed/standin"
+	"marigoldshed.example/marigoldshed/task"
 )
 
-// post sends one request to an entry instance and returns the status and body.
-func post(t *testing.T, e *Entry, queue id.Queue, secret, body string) (int, string) {
-	t.Helper()
-	request, err := http.NewRequest(http.MethodPost, "http://"+e.Server.Callers().String()+"/v1/queues/"+string(queue), strings.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Header.Set("Authorization", "Bearer "+secret)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return response.StatusCode, string(answer)
-}
-
 func TestPathFromCallerToEndpoint(t *testing.T) {
 	d := tambuli()
 	f, err := StartFleet(FleetConfig{Deployment: d, Reboot: time.Second})
@@ -48,7 +33,7 @@
 	}
 	team := d.Teams[0].Team
 	for _, e := range f.Entries {
-		status, answer := post(t, e, "prices", Secret(team), "drum 1ms")
+		status, answer := call(t, http.MethodPost, e, "/v1/queues/prices", team, "drum 1ms")
 		if status != http.StatusOK || answer != standin.Answer("drum 1ms") {
 			t.Fatalf("entry %s answered %d %q", e.Name, status, answer)
 		}
@@ -59,9 +44,100 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	for _, e := range f.Entries {
-		status, answer := post(t, e, "prices", Secret(team), "drum 1ms")
+		status, answer := call(t, http.MethodPost, e, "/v1/queues/prices", team, "drum 1ms")
 		if status != http.StatusUnauthorized || !strings.Contains(answer, `"outcome":"not run"`) {
 			t.Errorf("entry %s answered a withdrawn key with %d %q", e.Name, status, answer)
 		}
 	}
 }
+
+func TestTasksOutliveTheInstanceThatTookThem(t *testing.T) {
+	d := tambuli()
+	f, err := StartFleet(FleetConfig{Deployment: d, Reboot: time.Second, Timing: entry.Timing{TaskLease: time.Second}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	if err := f.Publish(ctx); err != nil {
+		t.Fatal(err)
+	}
+	team := d.Teams[5] // its limit is 40, so that tasks wait
+	var names []string
+	for n := range 60 {
+		status, answer := call(t, http.MethodPost, f.Entries[0], "/v1/queues/prices/tasks", team.Team, "task"+strconv.Itoa(n)+" 300ms")
+		var shown caller.Status
+		if err := json.Unmarshal([]byte(answer), &shown); err != nil || status != http.StatusAccepted {
+			t.Fatalf("submitting answered %d %q", status, answer)
+		}
+		names = append(names, shown.ID)
+	}
+	cancelled := names[len(names)-1]
+	call(t, http.MethodDelete, f.Entries[1], "/v1/tasks/"+cancelled, team.Team, "")
+	f.Entries[0].Kill()
+	done, unknown := 0, 0
+	for n, name := range names[:len(names)-1] {
+		state := collect(t, ctx, f.Entries[2], name, team.Team, "task"+strconv.Itoa(n)+" 300ms")
+		switch state {
+		case task.Done:
+			done++
+		case task.Unknown:
+			unknown++
+		default:
+			t.Errorf("task %s is %s", name, state)
+		}
+	}
+	if done == 0 || done+unknown != len(names)-1 {
+		t.Errorf("%d done and %d unknown of %d", done, unknown, len(names)-1)
+	}
+	for body, runs := range runsByBody(f.Journal.Runs()) {
+		if len(runs) > 1 {
+			t.Errorf("%s ran %d times", body, len(runs))
+		}
+	}
+	if status, _ := call(t, http.MethodGet, f.Entries[2], "/v1/tasks/"+cancelled, d.Teams[0].Team, ""); status != http.StatusNotFound {
+		t.Errorf("another team's look at a task answered %d", status)
+	}
+}
+
+// call makes one call of a caller.
+func call(t *testing.T, method string, e *Entry, path string, team id.Team, body string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+e.Server.Callers().String()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+Secret(team))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(answer)
+}
+
+// collect watches a task to its end and checks its answer.
+func collect(t *testing.T, ctx context.Context, e *Entry, name string, team id.Team, body string) task.State {
+	t.Helper()
+	for ctx.Err() == nil {
+		status, text := call(t, http.MethodGet, e, "/v1/tasks/"+name+"?wait=5s", team, "")
+		var shown caller.Status
+		if status != http.StatusOK || json.Unmarshal([]byte(text), &shown) != nil || !shown.State.Ended() {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		if shown.State == task.Done {
+			if status, answer := call(t, http.MethodGet, e, "/v1/tasks/"+name+"/answer", team, ""); status != http.StatusOK || answer != standin.Answer(body) {
+				t.Errorf("task %s answered %d %q", name, status, answer)
+			}
+		}
+		return shown.State
+	}
+	t.Fatalf("task %s did not end", name)
+	return ""
+}
