--- a/entry/admit.go
+++ b/entry/admit.go
@@ -193,6 +193,7 @@
 	}
 	c.release(t)
 	delete(c.tickets, t.item.ID)
+	c.yield(now, t.item.Team)
 	c.dispatch(now, c.pool(t.pool))
 }
 
--- a/entry/beat.go
+++ b/entry/beat.go
@@ -160,7 +160,7 @@
 	common := peer.Beat{
 		Member: c.self, DataCentre: c.config.DataCentre, Address: c.config.Peer,
 		Offset: c.tables.Offset, Version: c.view.Load().version, Digest: c.tables.Digest,
-		Age: now.Sub(c.lease.fresh), Claims: c.told, Wants: c.wants(),
+		Age: now.Sub(c.lease.fresh), Claims: c.told, Wants: c.wants(now),
 		Restrictions: c.restrictions(now), Hears: c.hears(now), Stopping: c.stage == stopping,
 	}
 	for _, target := range c.targets() {
@@ -233,10 +233,11 @@
 		return
 	}
 	m, known := c.tables.Members[beat.Member]
-	if known && m.Lapsed {
+	if known && m.Lapsed || c.tables.HasEnded(beat.Member) {
 		return
 	}
 	r := c.remote(beat.Member)
+	beat.Wants = append([]peer.Want(nil), beat.Wants...)
 	r.beat = beat
 	r.claims = beat.Claims
 	r.heard = now
@@ -273,12 +274,49 @@
 	}
 }
 
+// yield hands an idle slot of a team to the member whose request has waited longest for one, if it has
+// waited longer than any here: without it, slots would stay where work never ceases.
+func (c *Control) yield(now time.Time, team id.Team) {
+	if !c.lease.joined || c.lease.lapsed || c.stage == stopping || c.holder.Idle(team) == 0 {
+		return
+	}
+	longest := c.oldest(now, team)
+	var to *remote
+	var want *peer.Want
+	for _, r := range c.remotes {
+		if now.Sub(r.heard) > c.timing.Contact {
+			continue
+		}
+		for i := range r.beat.Wants {
+			w := &r.beat.Wants[i]
+			if age := w.Oldest + now.Sub(r.heard); w.Team == team && w.Count > 0 && age > longest {
+				longest, to, want = age, r, w
+			}
+		}
+	}
+	if to != nil && c.holder.Give(to.member, team, 1, 0) > 0 {
+		want.Count--
+		c.links.urge()
+	}
+}
+
+// oldest returns the age of the oldest request of a team that waits here.
+func (c *Control) oldest(now time.Time, team id.Team) time.Duration {
+	var age time.Duration
+	for _, p := range c.pools {
+		if at, ok := p.line.Oldest(team); ok {
+			age = max(age, now.Sub(at))
+		}
+	}
+	return age
+}
+
 // wants returns the slots of limits that waiting work of this instance has room for but lacks.
-func (c *Control) wants() []peer.Want {
+func (c *Control) wants(now time.Time) []peer.Want {
 	var wants []peer.Want
 	for _, team := range c.tables.Rules().Teams {
-		if n := c.wanting[team.Name]; n > 0 {
-			wants = append(wants, peer.Want{Team: team.Name, Count: n})
+		if n := min(c.wanting[team.Name], c.waiting(team.Name)); n > 0 {
+			wants = append(wants, peer.Want{Team: team.Name, Count: n, Oldest: c.oldest(now, team.Name)})
 		}
 	}
 	return wants
--- a/entry/config.go
+++ b/entry/config.go
@@ -43,6 +43,7 @@
 	Contact    time.Duration // a member not heard for so long is out of contact
 	TaskLease  time.Duration // a task runs so long without a renewal
 	ListEvery  time.Duration // between reads of the platform's list
+	GoneAfter  time.Duration // an instance is missing from the list for so long before it is forgotten
 	Propose    time.Duration // before the same proposal is made again
 	SpareAfter time.Duration // a pool is short for so long before it borrows
 	SpareHold  time.Duration // an instance stays so long before it may go back
@@ -66,6 +67,7 @@
 	set(&t.Contact, 3*time.Second)
 	set(&t.TaskLease, 10*time.Second)
 	set(&t.ListEvery, 2*time.Second)
+	set(&t.GoneAfter, time.Minute)
 	set(&t.Propose, time.Second)
 	set(&t.SpareAfter, time.Second)
 	set(&t.SpareHold, 20*time.Second)
--- a/entry/control.go
+++ b/entry/control.go
@@ -50,6 +50,7 @@
 
 	pools   map[id.Pool]*pool
 	workers map[id.Instance]*worker
+	missing map[id.Instance]time.Time // since when the list has lacked an instance
 	tickets map[uint64]*ticket
 	nextID  uint64
 	wanting map[id.Team]int // slots of limits that waiting work lacks
@@ -110,6 +111,7 @@
 		pools:    map[id.Pool]*pool{},
 		tickets:  map[uint64]*ticket{},
 		workers:  map[id.Instance]*worker{},
+		missing:  map[id.Instance]time.Time{},
 		remotes:  map[id.Member]*remote{},
 		pending:  map[string]*restriction{},
 		passing:  map[string]*restriction{},
--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -135,15 +135,26 @@
 	c.compareGone(now, listed)
 }
 
-// compareGone removes instances that are missing from the list, but only when they serve nothing:
-// the list lags and may be wrong, and what answers is not gone.
+// compareGone removes instances that have been missing from the list for a while, but only when they
+// serve nothing: the list lags and may be wrong, and what answers is not gone. One that reboots may be
+// missing for longer.
 func (c *Control) compareGone(now time.Time, listed id.Set[id.Instance]) {
 	var gone fleet.Gone
 	for name, instance := range c.tables.Instances {
 		if listed.Has(name) || instance.State == fleet.Up || instance.State == fleet.Draining {
+			delete(c.missing, name)
 			continue
 		}
-		gone.Instances = append(gone.Instances, name)
+		if _, ok := c.missing[name]; !ok {
+			c.missing[name] = now
+		}
+		patience := c.timing.GoneAfter
+		if instance.State == fleet.Rebooting {
+			patience *= rebootPatience
+		}
+		if now.Sub(c.missing[name]) > patience {
+			gone.Instances = append(gone.Instances, name)
+		}
 	}
 	if len(gone.Instances) > 0 {
 		sort.Slice(gone.Instances, func(i, j int) bool { return gone.Instances[i] < gone.Instances[j] })
@@ -151,6 +162,9 @@
 	}
 }
 
+// rebootPatience is how many times longer a rebooting instance may be missing from the list.
+const rebootPatience = 10
+
 // snapshot writes the tables to the log before the records they rest on expire.
 func (c *Control) snapshot(ctx context.Context) {
 	var data []byte
--- a/fleet/heir.go
+++ b/fleet/heir.go
@@ -29,6 +29,16 @@
 	return "", false
 }
 
+// HasEnded reports whether a member has left or lapsed and its accounts are closed.
+func (t *Tables) HasEnded(member id.Member) bool {
+	for _, h := range t.Heirs {
+		if h.Ended == member {
+			return true
+		}
+	}
+	return false
+}
+
 // Inherited returns the ended members whose tasks fall to a member.
 func (t *Tables) Inherited(heir id.Member) []id.Member {
 	var ended []id.Member
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -201,12 +201,20 @@
 	for _, drain := range r.Drains {
 		instance, ok := t.Instances[drain.Instance]
 		if ok && instance.State == Draining && instance.Drain == drain.Offset {
-			instance.Cleared.Add(r.Member)
+			instance.confirm(r.Member)
 		}
 	}
 	return nil
 }
 
+// confirm notes that a member has cleared the drain; a snapshot drops a set that is empty.
+func (i *Instance) confirm(member id.Member) {
+	if i.Cleared == nil {
+		i.Cleared = id.Set[id.Member]{}
+	}
+	i.Cleared.Add(member)
+}
+
 // finishDrains takes the next step with every instance that all members have cleared; a lapsed
 // member counts until its accounts are settled, since its tasks may hold leases until then.
 func (t *Tables) finishDrains() {
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -99,9 +99,11 @@
 	if err != nil {
 		outcome.Refused = err.Error()
 	}
-	t.settleAccounts()
-	t.settleHeirs()
-	t.finishDrains()
+	if _, ok := record.(Renew); !ok {
+		t.settleAccounts()
+		t.settleHeirs()
+		t.finishDrains()
+	}
 	outcome.Version = t.Version
 	t.remember(record, outcome)
 	return outcome
--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -86,11 +86,15 @@
 }
 
 func pause(c *cell, at *instance) {
-	c.befallen = at
+	c.befallen = append(c.befallen, at)
 	c.w.pause(at)
 }
 
-func resume(c *cell) { c.w.resume(c.befallen) }
+func resume(c *cell) {
+	for _, i := range c.befallen {
+		c.w.resume(i)
+	}
+}
 
 func stop(c *cell, at *instance) {
 	c.background.Go(func() { _ = at.control.Stop(context.Background(), 200*time.Millisecond) })
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -32,7 +32,7 @@
 	second     *fault
 	struck     chan struct{}
 	once       sync.Once
-	befallen   *instance
+	befallen   []*instance
 	avoid      id.DataCentre
 	background sync.WaitGroup
 
@@ -107,6 +107,9 @@
 	isPlanted := !reflect.ValueOf(planted).IsZero()
 	w := newWorld(planted)
 	c := &cell{w: w, fault: f, second: second, struck: make(chan struct{}), avoid: f.avoid}
+	if second != nil && second.avoid != "" {
+		c.avoid = second.avoid
+	}
 	w.publish(t)
 	c.load = startLoad(w, seed)
 	time.Sleep(2 * time.Second)
@@ -247,3 +250,28 @@
 		})
 	}
 }
+
+// TestFoundPairs keeps the pairs of faults that once broke a promise or kept work from flowing again.
+func TestFoundPairs(t *testing.T) {
+	tests := []struct {
+		step          step
+		first, second string
+		seed          uint64
+	}{
+		{stepAnswer, "entry-paused", "truncates", 1},
+		{stepDrain, "entry-paused", "refuses", 1},
+		{stepStop, "entry-paused", "cut-one-way", 1},
+		{stepEmpty, "entry-stops", "list-wrong", 1},
+		{stepStop, "log-down", "crosses", 1},
+		{stepWithdraw, "log-slow", "cut-one-way", 1},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%s/%s+%s", tt.step, tt.first, tt.second), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				second := faultOf(t, tt.second)
+				report(t, run(t, tt.step, faultOf(t, tt.first), &second, tt.seed, entry.Planted{}))
+			})
+		})
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -34,8 +34,9 @@
 
 // Want is a number of slots of a team's limit that a member could use now.
 type Want struct {
-	Team  id.Team `cbor:"1,keyasint"`
-	Count int     `cbor:"2,keyasint"`
+	Team   id.Team       `cbor:"1,keyasint"`
+	Count  int           `cbor:"2,keyasint"`
+	Oldest time.Duration `cbor:"3,keyasint"` // age of the oldest request that waits for one
 }
 
 // Restriction is an operator's change that only takes away, on its way to the log.
--- a/queue/divide.go
+++ b/queue/divide.go
@@ -50,51 +50,70 @@
 func Divide(self id.Member, members []id.Member, pools []Capacity, rights []Right, claims []Claim) Division {
 	d := newDivider(pools, rights, claims)
 	d.fill()
-	division := Division{Slots: map[Place]int{}, Slack: map[id.Pool]int{}}
-	for place, slots := range d.granted {
-		division.Slots[place] = part(self, slots, d.claims[place])
+	division := Division{Slots: make(map[Place]int, len(d.places)), Slack: make(map[id.Pool]int, len(pools))}
+	for _, p := range d.places {
+		if n := part(self, p.granted, p.claims); n > 0 {
+			division.Slots[p.place] = n
+		}
 	}
-	for _, pool := range pools {
-		division.Slack[pool.Pool] = even(self, members, d.left[pool.Pool])
+	for _, pool := range d.pools {
+		division.Slack[pool.name] = even(self, members, pool.left)
 	}
 	return division
 }
 
+// poolFill is one pool while its slots are granted.
+type poolFill struct {
+	name id.Pool
+	left int
+}
+
+// placeFill is one team's work in one pool while slots are granted.
+type placeFill struct {
+	place   Place
+	pool    *poolFill
+	need    int
+	granted int
+	claims  []Claim
+}
+
 // divider fills pools slot by slot.
 type divider struct {
-	left    map[id.Pool]int
-	need    map[Place]int
-	granted map[Place]int
-	claims  map[Place][]Claim
-	teams   teamHeap
+	pools  []*poolFill
+	places []*placeFill
+	teams  teamHeap
 }
 
 func newDivider(pools []Capacity, rights []Right, claims []Claim) *divider {
-	d := &divider{
-		left:    make(map[id.Pool]int, len(pools)),
-		need:    make(map[Place]int, len(claims)),
-		granted: make(map[Place]int, len(claims)),
-		claims:  make(map[Place][]Claim, len(claims)),
-	}
+	d := &divider{}
+	byPool := make(map[id.Pool]*poolFill, len(pools))
 	for _, pool := range pools {
-		d.left[pool.Pool] = pool.Slots
+		fill := &poolFill{name: pool.Pool, left: pool.Slots}
+		byPool[pool.Pool] = fill
+		d.pools = append(d.pools, fill)
 	}
-	byTeam := map[id.Team][]id.Pool{}
+	byTeam := map[id.Team][]*placeFill{}
+	byPlace := map[Place]*placeFill{}
 	for _, claim := range claims {
 		place := Place{Pool: claim.Pool, Team: claim.Team}
-		if _, ok := d.need[place]; !ok {
-			byTeam[claim.Team] = append(byTeam[claim.Team], claim.Pool)
+		p, ok := byPlace[place]
+		if !ok {
+			if byPool[claim.Pool] == nil {
+				continue
+			}
+			p = &placeFill{place: place, pool: byPool[claim.Pool]}
+			byPlace[place] = p
+			byTeam[claim.Team] = append(byTeam[claim.Team], p)
+			d.places = append(d.places, p)
 		}
-		d.need[place] += claim.Running + claim.Waiting
-		d.claims[place] = append(d.claims[place], claim)
+		p.need += claim.Running + claim.Waiting
+		p.claims = append(p.claims, claim)
 	}
 	for _, right := range rights {
-		pools := byTeam[right.Team]
-		if len(pools) == 0 {
-			continue
+		if places := byTeam[right.Team]; len(places) > 0 {
+			sort.Slice(places, func(i, j int) bool { return places[i].place.Pool < places[j].place.Pool })
+			d.teams = append(d.teams, &teamFill{right: right, places: places})
 		}
-		sort.Slice(pools, func(i, j int) bool { return pools[i] < pools[j] })
-		d.teams = append(d.teams, &teamFill{right: right, pools: pools})
 	}
 	heap.Init(&d.teams)
 	return d
@@ -104,37 +123,31 @@
 func (d *divider) fill() {
 	for len(d.teams) > 0 {
 		team := d.teams[0]
-		pool, ok := d.next(team)
-		if !ok {
+		p := team.next()
+		if p == nil {
 			heap.Pop(&d.teams)
 			continue
 		}
-		place := Place{Pool: pool, Team: team.right.Team}
-		d.granted[place]++
-		d.need[place]--
-		d.left[pool]--
+		p.granted++
+		p.need--
+		p.pool.left--
 		team.slots++
 		heap.Fix(&d.teams, 0)
 	}
 }
 
-// next returns the pool with the most free slots among those that the team still asks for.
-func (d *divider) next(team *teamFill) (id.Pool, bool) {
-	if team.slots >= team.right.Limit {
-		return "", false
+// next returns the place with the most free slots among those that the team still asks for, or nil.
+func (t *teamFill) next() *placeFill {
+	if t.slots >= t.right.Limit {
+		return nil
 	}
-	var best id.Pool
-	found := false
-	for _, pool := range team.pools {
-		if d.need[Place{Pool: pool, Team: team.right.Team}] == 0 || d.left[pool] <= 0 {
-			continue
-		}
-		if !found || d.left[pool] > d.left[best] {
-			best = pool
-			found = true
+	var best *placeFill
+	for _, p := range t.places {
+		if p.need > 0 && p.pool.left > 0 && (best == nil || p.pool.left > best.pool.left) {
+			best = p
 		}
 	}
-	return best, found
+	return best
 }
 
 // part returns a member's part of the slots that a team was granted in a pool.
@@ -155,6 +168,9 @@
 			mine = n
 		}
 	}
+	if rest == 0 {
+		return mine
+	}
 	order := append([]Claim(nil), claims...)
 	sort.Slice(order, func(i, j int) bool {
 		if order[i].Oldest != order[j].Oldest {
@@ -186,9 +202,9 @@
 
 // teamFill is one team while slots are granted.
 type teamFill struct {
-	right Right
-	pools []id.Pool
-	slots int
+	right  Right
+	places []*placeFill
+	slots  int
 }
 
 // teamHeap orders teams by what they have for their share, least first.
--- /dev/null
+++ b/queue/line_test.go
@@ -0,0 +1,84 @@
+package queue
+
+import (
+	"testing"
+	"time"
+
+	"marigoldshed.example/marigoldshed/common/id"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestNextKeepsToTheOrder(t *testing.T) {
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	items := []Item{
+		{ID: 1, Team: "a", Class: Overnight, Arrived: at(0)},
+		{ID: 2, Team: "b", Class: Urgent, Arrived: at(1)},
+		{ID: 3, Team: "a", Class: Urgent, Arrived: at(2)},
+	}
+	rooms := []Room{{Team: "a", Running: 0, Slots: 4}, {Team: "b", Running: 3, Slots: 4}}
+	tests := []struct {
+		name  string
+		order Order
+		now   time.Time
+		want  []uint64
+	}{
+		{"first come", FirstCome{}, at(3), []uint64{1, 2, 3}},
+		{"fair: urgent first inside a team", Fair{}, at(3), []uint64{3, 1, 2}},
+		{"delay ratio: overnight after it has waited its weight", DelayRatio{Urgent: time.Second, Overnight: 10 * time.Second}, at(3), []uint64{3, 1, 2}},
+		{"delay ratio: overnight first when it has waited too long", DelayRatio{Urgent: 10 * time.Second, Overnight: time.Second}, at(3), []uint64{1, 3, 2}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := NewLine(tt.order)
+			for _, item := range items {
+				l.Push(item)
+			}
+			for _, want := range tt.want {
+				got, ok := l.Next(tt.now, rooms)
+				if !ok || got.ID != want {
+					t.Fatalf("Next() = %d %t, want %d", got.ID, ok, want)
+				}
+			}
+		})
+	}
+}
+
+func TestAnItemThatComesBackKeepsItsTurn(t *testing.T) {
+	l := NewLine(Fair{})
+	l.Push(Item{ID: 1, Team: "a", Class: Urgent, Arrived: start})
+	l.Push(Item{ID: 2, Team: "a", Class: Urgent, Arrived: start.Add(time.Second)})
+	rooms := []Room{{Team: "a", Slots: 1}}
+	first, _ := l.Next(start, rooms)
+	l.Push(first)
+	if again, _ := l.Next(start, rooms); again.ID != first.ID {
+		t.Errorf("item %d was served before item %d came back", again.ID, first.ID)
+	}
+}
+
+func TestExpiredItemsLeaveTheLine(t *testing.T) {
+	l := NewLine(Fair{})
+	l.Push(Item{ID: 1, Team: "a", Class: Urgent, Arrived: start, Deadline: start.Add(time.Second)})
+	l.Push(Item{ID: 2, Team: "a", Class: Overnight, Arrived: start})
+	expired := l.Expired(start.Add(time.Second))
+	if len(expired) != 1 || expired[0].ID != 1 || l.Len() != 1 {
+		t.Errorf("expired %v, %d left", expired, l.Len())
+	}
+}
+
+func BenchmarkNext(b *testing.B) {
+	l := NewLine(DelayRatio{Urgent: time.Second, Overnight: 20 * time.Second})
+	var rooms []Room
+	for n := range 65 {
+		team := id.Team(rune('A' + n))
+		rooms = append(rooms, Room{Team: team, Slots: 10, Running: n % 10})
+		for k := range 100 {
+			l.Push(Item{ID: uint64(n*100 + k), Team: team, Class: Urgent, Arrived: start})
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		item, _ := l.Next(start, rooms)
+		l.Push(item)
+	}
+}
--- /dev/null
+++ b/quota/holder_test.go
@@ -0,0 +1,202 @@
+package quota
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"marigoldshed.example/marigoldshed/common/id"
+)
+
+// TestMain fixes the seed of properties, so that every run gives the same verdict; -rapid.seed changes it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func TestTakeFailsWithoutASlot(t *testing.T) {
+	l := NewLedger()
+	l.Issue("red", 1, []id.Member{"a"})
+	h := NewHolder("a")
+	h.Sync(&l)
+	if err := h.Take("red"); err != nil {
+		t.Fatal(err)
+	}
+	var limit LimitError
+	if err := h.Take("red"); !errors.As(err, &limit) || limit.Own != 1 || limit.Running != 1 {
+		t.Errorf("Take() = %v, want a LimitError", err)
+	}
+}
+
+func TestNothingStartsWhileALoweredLimitIsPassed(t *testing.T) {
+	l := NewLedger()
+	l.Issue("red", 10, []id.Member{"a", "b"})
+	a, b := NewHolder("a"), NewHolder("b")
+	a.Sync(&l)
+	b.Sync(&l)
+	for range 5 {
+		if err := a.Take("red"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Issue("red", 6, []id.Member{"a", "b"})
+	b.Sync(&l)
+	if b.Idle("red") != 0 {
+		t.Fatal("a slot is idle though ten are held and the limit is six")
+	}
+	for _, tokens := range b.Release() {
+		l.Return(tokens.Team, "b", tokens.Total)
+	}
+	b.Sync(&l)
+	if got := b.Idle("red"); got != 1 {
+		t.Errorf("after the return %d slots are idle, want 1", got)
+	}
+}
+
+// machine plays members that issue, use, hand over, report, leave and lapse in any order, with every
+// message repeated, late or lost, and checks that no more run than the limit allows.
+type machine struct {
+	ledger  Ledger
+	limit   int
+	holders map[id.Member]*Holder
+	names   []id.Member
+	ended   map[id.Member]int // slots that an ended member still runs
+	count   int
+}
+
+const team id.Team = "red"
+
+func (m *machine) live() []id.Member {
+	var live []id.Member
+	for _, name := range m.names {
+		if m.holders[name] != nil {
+			live = append(live, name)
+		}
+	}
+	return live
+}
+
+func (m *machine) sync() {
+	m.ledger.Issue(team, m.limit, m.live())
+	for _, h := range m.holders {
+		h.Sync(&m.ledger)
+	}
+}
+
+func (m *machine) join() {
+	m.count++
+	name := id.Member(rune('a' + m.count))
+	m.names = append(m.names, name)
+	m.holders[name] = NewHolder(name)
+	m.sync()
+}
+
+func (m *machine) pick(t *rapid.T, label string) *Holder {
+	return m.holders[rapid.SampledFrom(m.live()).Draw(t, label)]
+}
+
+func (m *machine) running() int {
+	sum := 0
+	for _, h := range m.holders {
+		sum += h.Running(team)
+	}
+	for _, n := range m.ended {
+		sum += n
+	}
+	return sum
+}
+
+// leave ends a member that runs nothing, with its last word read by all.
+func (m *machine) leave(h *Holder) {
+	if h.Running(team) > 0 || len(m.live()) < 2 {
+		return
+	}
+	last := h.All()
+	m.ledger.Move(last)
+	m.ledger.Reclaim(h.self)
+	delete(m.holders, h.self)
+	for _, other := range m.holders {
+		other.Left(h.self, last)
+	}
+	m.sync()
+}
+
+// lapse ends a member without a word; its slots come back when all have settled and its tasks ended.
+func (m *machine) lapse(h *Holder) {
+	if len(m.live()) < 2 {
+		return
+	}
+	delete(m.holders, h.self)
+	for _, other := range m.holders {
+		m.ledger.Move(other.Exchanged(h.self))
+	}
+	m.ledger.Reclaim(h.self)
+	for _, other := range m.holders {
+		other.Reclaimed(h.self)
+	}
+	m.sync()
+}
+
+func TestNeverMoreThanTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{ledger: NewLedger(), limit: rapid.IntRange(0, 12).Draw(t, "limit"), holders: map[id.Member]*Holder{}, ended: map[id.Member]int{}}
+		for range rapid.IntRange(1, 4).Draw(t, "members") {
+			m.join()
+		}
+		var late [][]Moved
+		t.Repeat(map[string]func(*rapid.T){
+			"take": func(t *rapid.T) { _ = m.pick(t, "taker").Take(team) },
+			"put":  func(t *rapid.T) { m.pick(t, "putter").Put(team) },
+			"give": func(t *rapid.T) {
+				from, to := m.pick(t, "from"), m.pick(t, "to")
+				from.Give(to.self, team, rapid.IntRange(1, 5).Draw(t, "n"), 0)
+				late = append(late, from.Given(to.self))
+			},
+			"receive": func(t *rapid.T) {
+				if len(late) == 0 {
+					return
+				}
+				sums := rapid.SampledFrom(late).Draw(t, "message")
+				for _, s := range sums {
+					if to := m.holders[s.To]; to != nil && m.holders[s.From] != nil {
+						to.Receive(sums)
+					}
+				}
+			},
+			"report": func(t *rapid.T) {
+				for _, s := range m.pick(t, "reporter").Received() {
+					if m.holders[s.From] != nil {
+						m.ledger.Move([]Moved{s})
+					}
+				}
+				m.sync()
+			},
+			"release": func(t *rapid.T) {
+				h := m.pick(t, "releaser")
+				for _, tokens := range h.Release() {
+					m.ledger.Return(tokens.Team, h.self, tokens.Total)
+				}
+				m.sync()
+			},
+			"leave": func(t *rapid.T) { m.leave(m.pick(t, "leaver")) },
+			"lapse": func(t *rapid.T) { m.lapse(m.pick(t, "lapsed")) },
+			"join":  func(*rapid.T) { m.join() },
+			"": func(t *rapid.T) {
+				if got := m.running(); got > m.limit {
+					t.Fatalf("%d run, the limit is %d", got, m.limit)
+				}
+				own := 0
+				for _, h := range m.holders {
+					own += h.Own(team)
+				}
+				if own > m.limit {
+					t.Fatalf("members own %d slots, the limit is %d", own, m.limit)
+				}
+			},
+		})
+	})
+}
