--- a/commands/commands.go
+++ b/commands/commands.go
@@ -83,6 +83,7 @@
 		{"move", "Pin an instance to a pool.", &moveCommand{output: o}},
 		{"key", "Grant or withdraw a key.", &keyCommand{Grant: grantCommand{output: o}, Withdraw: withdrawCommand{output: o}}},
 		{"lapse", "Tell that an entry instance has ended for good.", &lapseCommand{output: o}},
+		{"measure", "Measure what a part costs.", &measureCommand{output: o}},
 		{"submit", "Send a request as a caller.", &submitCommand{output: o}},
 	}
 	for _, c := range commands {
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -303,7 +303,7 @@
 	members := []id.Member{c.self}
 	claims := append([]queue.Claim(nil), c.told...)
 	for name, r := range c.remotes {
-		if now.Sub(r.heard) < c.timing.Contact && !r.beat.Stopping {
+		if now.Sub(r.heard) < c.contact() && !r.beat.Stopping {
 			members = append(members, name)
 			claims = append(claims, r.claims...)
 		}
--- a/entry/beat.go
+++ b/entry/beat.go
@@ -103,7 +103,7 @@
 
 func (l *link) send(ctx context.Context, beat peer.Beat) {
 	c := l.control
-	call, cancel := context.WithTimeout(ctx, c.timing.Contact/2)
+	call, cancel := context.WithTimeout(ctx, c.contact()/2)
 	defer cancel()
 	asked := time.Now()
 	err := c.config.Peers.Beat(call, l.to, beat)
@@ -142,15 +142,34 @@
 	return r
 }
 
+// Time that each member adds to the least time between beats: the cost of a beat grows with the members
+// it goes to.
+const (
+	busyPerMember = 25 * time.Millisecond
+	idlePerMember = 100 * time.Millisecond
+)
+
+// beatEvery returns the time between beats.
+func (c *Control) beatEvery() time.Duration {
+	members := time.Duration(len(c.tables.Members))
+	switch {
+	case c.links.urged:
+		return c.timing.Tick / 2
+	case c.busy():
+		return max(c.timing.BeatBusy, members*busyPerMember)
+	}
+	return max(c.timing.BeatIdle, members*idlePerMember)
+}
+
+// contactBeats is how many idle beats may be missed before a member is out of contact.
+const contactBeats = 3
+
+// contact returns the time after which a member that is not heard is out of contact. Traffic asks too.
+func (c *Control) contact() time.Duration { return time.Duration(c.contactTime.Load()) }
+
 // beat tells the other members how things stand, when there is something to tell or it is time.
 func (c *Control) beat(now time.Time) {
-	every := c.timing.BeatIdle
-	if c.links.urged {
-		every = c.timing.Tick / 2
-	} else if c.busy() {
-		every = c.timing.BeatBusy
-	}
-	if now.Sub(c.links.sent) < every {
+	if now.Sub(c.links.sent) < c.beatEvery() {
 		return
 	}
 	c.links.sent = now
@@ -159,8 +178,8 @@
 	c.dirty = true
 	common := peer.Beat{
 		Member: c.self, DataCentre: c.config.DataCentre, Address: c.config.Peer,
-		Offset: c.tables.Offset, Version: c.view.Load().version, Digest: c.tables.Digest,
-		Age: now.Sub(c.lease.fresh), Claims: c.told, Wants: c.wants(now),
+		Offset: c.tables.Offset, Version: c.tables.Version, Digest: c.tables.Digest,
+		Age: now.Sub(c.lease.fresh), Claims: peer.Pack(c.tables.Rules(), c.told), Wants: c.wants(now),
 		Restrictions: c.restrictions(now), Hears: c.hears(now), Stopping: c.stage == stopping,
 	}
 	for _, target := range c.targets() {
@@ -215,7 +234,7 @@
 func (c *Control) hears(now time.Time) []id.DataCentre {
 	set := id.NewSet(c.config.DataCentre)
 	for _, r := range c.remotes {
-		if now.Sub(r.heard) < c.timing.Contact {
+		if now.Sub(r.heard) < c.contact() {
 			set.Add(r.beat.DataCentre)
 		}
 	}
@@ -239,7 +258,9 @@
 	r := c.remote(beat.Member)
 	beat.Wants = append([]peer.Want(nil), beat.Wants...)
 	r.beat = beat
-	r.claims = beat.Claims
+	if beat.Version == c.tables.Version {
+		r.claims = peer.Unpack(c.tables.Rules(), beat.Member, beat.Claims)
+	}
 	r.heard = now
 	r.guest = !known
 	if known {
@@ -284,7 +305,7 @@
 	var to *remote
 	var want *peer.Want
 	for _, r := range c.remotes {
-		if now.Sub(r.heard) > c.timing.Contact {
+		if now.Sub(r.heard) > c.contact() {
 			continue
 		}
 		for i := range r.beat.Wants {
@@ -328,10 +349,10 @@
 	for name, r := range c.remotes {
 		_, known := c.tables.Members[name]
 		silent := now.Sub(r.heard)
-		if known || silent < c.timing.Contact {
+		if known || silent < c.contact() {
 			continue
 		}
-		if !r.guest || silent > c.timing.Contact+contactGrace+c.timing.TaskLease {
+		if !r.guest || silent > c.contact()+contactGrace+c.timing.TaskLease {
 			if r.guest {
 				c.holder.TakeBack(name)
 			}
--- a/entry/control.go
+++ b/entry/control.go
@@ -30,15 +30,18 @@
 	self   id.Member                 // for the control thread; it changes when the instance joins anew
 	name   atomic.Pointer[id.Member] // the same, for all others
 
-	inbox   chan func()
-	stopped chan struct{} // closed when loop has ended
-	view    atomic.Pointer[view]
-	ready   atomic.Bool
+	inbox       chan func()
+	stopped     chan struct{} // closed when loop has ended
+	view        atomic.Pointer[view]
+	ready       atomic.Bool
+	contactTime atomic.Int64 // nanoseconds after which a member that is not heard is out of contact
 
 	tables  *fleet.Tables
 	recent  recentRecords
 	stale   bool // records have changed the tables since the last refresh
 	stage   stage
+	ticks   int
+	changed bool      // records have changed the tables since the last look at what changes slowly
 	began   time.Time // when the tables first held a configuration
 	leaving bool      // callers are being sent elsewhere
 	leaveBy time.Time // when to end without the log's word
@@ -121,6 +124,7 @@
 		upkeep:   newUpkeep(),
 		wanting:  map[id.Team]int{},
 	}
+	c.contactTime.Store(int64(c.timing.Contact))
 	c.links = newLinks(c)
 	c.journal = newJournal(c)
 	c.begin()
@@ -196,11 +200,27 @@
 	}
 }
 
-// tick runs every system once over the tables.
+// tendEvery is how many ticks pass between looks at what changes slowly.
+const tendEvery = 4
+
+// tick runs the systems over the tables: those that requests wait for at every tick, the others when
+// records have changed something or a few ticks have passed.
 func (c *Control) tick(now time.Time) {
+	c.lease.fresh = later(c.lease.fresh, c.heardAll())
 	c.expireWaiting(now)
 	c.divide(now)
 	c.dispatchAll(now)
+	c.ticks++
+	if c.changed || c.ticks%tendEvery == 0 {
+		c.changed = false
+		c.tend(now)
+	}
+	c.beat(now)
+	c.ready.Store(c.stage == serving && !c.leaving && c.mayStart(now) == nil && !c.out(c.config.DataCentre))
+}
+
+func (c *Control) tend(now time.Time) {
+	c.contactTime.Store(int64(max(c.timing.Contact, contactBeats*time.Duration(len(c.tables.Members))*idlePerMember)))
 	c.tendLease(now)
 	c.tendRestrictions(now)
 	c.tendExchange(now)
@@ -210,9 +230,7 @@
 	c.expireTasks(now)
 	c.forgetProposals(now)
 	c.lagging(now)
-	c.beat(now)
 	c.config.Metrics.observe(c, now)
-	c.ready.Store(c.stage == serving && !c.leaving && c.mayStart(now) == nil && !c.out(c.config.DataCentre))
 }
 
 // do runs a job on the control thread and waits for it; it fails when the instance has ended.
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -22,7 +22,7 @@
 
 // lease is what an instance knows of its own right to start work.
 type lease struct {
-	fresh   time.Time // newest time of the log that the tables rest on
+	fresh   time.Time // up to when an operator's word would have reached this instance
 	direct  time.Time // newest read of the whole log from the platform itself
 	joined  bool
 	lapsed  bool
@@ -61,7 +61,7 @@
 		return FencedError{Reason: "its lease has run out"}
 	case !c.lease.joined && !c.guestInContact(now):
 		return FencedError{Reason: "it has not joined and does not hear who lent it slots"}
-	case now.Sub(c.informed()) > hold:
+	case now.Sub(c.lease.fresh) > hold:
 		return FencedError{Reason: "its data centre has heard nothing for " + hold.String()}
 	}
 	return nil
@@ -71,7 +71,7 @@
 // before it settles.
 func (c *Control) inContact(now time.Time) bool {
 	for _, r := range c.remotes {
-		if now.Sub(r.answered) < c.timing.Contact && c.tables.IsLive(r.member) {
+		if now.Sub(r.answered) < c.contact() && c.tables.IsLive(r.member) {
 			return true
 		}
 	}
@@ -83,20 +83,13 @@
 func (c *Control) guestInContact(now time.Time) bool {
 	for _, partner := range c.holder.Partners() {
 		r, ok := c.remotes[partner]
-		if !ok || now.Sub(r.answered) >= c.timing.Contact {
+		if !ok || now.Sub(r.answered) >= c.contact() {
 			return false
 		}
 	}
 	return c.inContact(now)
 }
 
-// informed returns when an operator's word would last have reached this instance: through the log,
-// or through members in contact that between them hear every other data centre.
-func (c *Control) informed() time.Time {
-	c.lease.fresh = later(c.lease.fresh, c.heardAll())
-	return c.lease.fresh
-}
-
 // heardAll returns the time up to which this instance has heard every other data centre, itself or
 // through another; zero when it has not, or when there is no other.
 func (c *Control) heardAll() time.Time {
@@ -104,7 +97,7 @@
 	for _, r := range c.remotes {
 		heard[r.beat.DataCentre] = later(heard[r.beat.DataCentre], r.heard)
 		for _, dc := range r.beat.Hears {
-			heard[dc] = later(heard[dc], r.heard.Add(-c.timing.Contact))
+			heard[dc] = later(heard[dc], r.heard.Add(-c.contact()))
 		}
 	}
 	var oldest time.Time
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -54,7 +54,7 @@
 
 func (c *Control) hearsGuest(now time.Time) bool {
 	for _, r := range c.remotes {
-		if r.guest && now.Sub(r.heard) < c.timing.Contact+contactGrace {
+		if r.guest && now.Sub(r.heard) < c.contact()+contactGrace {
 			return true
 		}
 	}
--- a/entry/once.go
+++ b/entry/once.go
@@ -46,7 +46,7 @@
 	for _, name := range c.tables.Live() {
 		m := c.tables.Members[name]
 		r, ok := c.remotes[name]
-		if name != c.self && m.DataCentre == dc && ok && now.Sub(r.heard) < c.timing.Contact {
+		if name != c.self && m.DataCentre == dc && ok && now.Sub(r.heard) < c.contact() {
 			list = append(list, m.Peer)
 		}
 	}
@@ -213,7 +213,7 @@
 		c.memory.complete = true
 		return
 	}
-	if now.Sub(c.began) < 2*c.timing.Contact {
+	if now.Sub(c.began) < 2*c.contact() {
 		return
 	}
 	c.memory.complete = true
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -40,7 +40,7 @@
 
 // lagging notes, once in a while, how far the tables were some time ago.
 func (c *Control) lagging(now time.Time) {
-	if now.Sub(c.markedAt) > c.timing.Contact/2 {
+	if now.Sub(c.markedAt) > c.contact()/2 {
 		c.markedAt = now
 		c.longAgo, c.marked = c.marked, c.tables.Offset
 	}
--- a/entry/spare.go
+++ b/entry/spare.go
@@ -35,8 +35,13 @@
 		if now.Sub(p.short) < c.timing.SpareAfter {
 			continue
 		}
-		if name, ok := c.pick(spare.Name, lent); ok {
+		name, ok := c.pick(spare.Name, lent)
+		if ok {
 			lent++
+		} else {
+			name, ok = c.pickSurplus(demand)
+		}
+		if ok {
 			p.short = now
 			c.propose(now, "borrow "+string(rule.Name), fleet.Drain{Instance: name, Reason: fleet.ForMove, Pool: rule.Name})
 		}
@@ -84,6 +89,21 @@
 	return names[skip], true
 }
 
+// pickSurplus returns an instance of a pool that is above its size and would do without it: one move
+// brings it where it is needed, instead of two by way of the spare pool.
+func (c *Control) pickSurplus(demand map[id.Pool]int) (id.Instance, bool) {
+	for _, rule := range c.tables.Rules().Pools {
+		if rule.Spare || c.tables.Serving(rule.Name) <= rule.Size {
+			continue
+		}
+		name, ok := c.pick(rule.Name, 0)
+		if ok && demand[rule.Name]*100 <= (c.pool(rule.Name).slots-c.tables.Instances[name].Slots)*returnBelow {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 func (c *Control) pinned(name id.Instance) bool {
 	for _, move := range c.tables.Rules().Moves {
 		if move.Instance == name {
--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -64,7 +64,7 @@
 	names := []string{string(c.self)}
 	for _, name := range c.tables.Live() {
 		r, ok := c.remotes[name]
-		if ok && now.Sub(r.heard) < c.timing.Contact && r.beat.Age < c.timing.Contact {
+		if ok && now.Sub(r.heard) < c.contact() && r.beat.Age < c.contact() {
 			names = append(names, string(name))
 		}
 	}
@@ -76,7 +76,7 @@
 func (c *Control) upkeepLoop(ctx context.Context) error {
 	listed := time.Time{}
 	for ctx.Err() == nil {
-		pause(ctx, c.timing.Tick*2)
+		pause(ctx, c.timing.Tick*tendEvery)
 		c.recall(ctx)
 		c.inherit(ctx)
 		if time.Since(listed) > c.timing.ListEvery && c.does(ctx, listDuty) {
--- a/entry/view.go
+++ b/entry/view.go
@@ -74,6 +74,7 @@
 	c.holder.Sync(&c.tables.Ledger)
 	c.refreshPools()
 	c.dirty = true
+	c.changed = true
 }
 
 // out reports whether a data centre has been taken out, by the rules or by a restriction.
--- a/peer/message.go
+++ b/peer/message.go
@@ -9,6 +9,7 @@
 	"marigoldshed.example/marigoldshed/fleet"
 	"marigoldshed.example/marigoldshed/queue"
 	"marigoldshed.example/marigoldshed/quota"
+	"marigoldshed.example/marigoldshed/rules"
 	"marigoldshed.example/marigoldshed/task"
 )
 
@@ -18,11 +19,11 @@
 	Member       id.Member       `cbor:"1,keyasint"`
 	DataCentre   id.DataCentre   `cbor:"2,keyasint"`
 	Address      netip.AddrPort  `cbor:"3,keyasint"`
-	Offset       int64           `cbor:"4,keyasint"` // next offset to apply
-	Version      int             `cbor:"5,keyasint"` // rules in force
-	Digest       uint64          `cbor:"6,keyasint"` // digest at Offset
-	Age          time.Duration   `cbor:"7,keyasint"` // age of the newest log read that Offset rests on
-	Claims       []queue.Claim   `cbor:"8,keyasint,omitempty"`
+	Offset       int64           `cbor:"4,keyasint"`           // next offset to apply
+	Version      int             `cbor:"5,keyasint"`           // rules in force
+	Digest       uint64          `cbor:"6,keyasint"`           // digest at Offset
+	Age          time.Duration   `cbor:"7,keyasint"`           // age of the newest log read that Offset rests on
+	Claims       []Claim         `cbor:"8,keyasint,omitempty"` // in terms of the rules of Version
 	Wants        []Want          `cbor:"9,keyasint,omitempty"`
 	Given        []quota.Moved   `cbor:"10,keyasint,omitempty"`
 	Restrictions []Restriction   `cbor:"11,keyasint,omitempty"`
@@ -32,6 +33,52 @@
 	Stopping     bool            `cbor:"13,keyasint,omitempty"`
 }
 
+// Claim is a member's demand of one team in one pool; both are named by their place in the rules file,
+// which keeps a claim to a few bytes.
+type Claim struct {
+	_       struct{} `cbor:",toarray"`
+	Pool    uint16
+	Team    uint16
+	Running uint32 // slots
+	Waiting uint32 // requests
+	Oldest  uint32 // age of the oldest waiting request, in milliseconds
+}
+
+// Pack turns claims into those of a message.
+func Pack(set *rules.Set, claims []queue.Claim) []Claim {
+	pools := make(map[id.Pool]uint16, len(set.Pools))
+	for i, pool := range set.Pools {
+		pools[pool.Name] = uint16(i)
+	}
+	teams := make(map[id.Team]uint16, len(set.Teams))
+	for i, team := range set.Teams {
+		teams[team.Name] = uint16(i)
+	}
+	packed := make([]Claim, 0, len(claims))
+	for _, claim := range claims {
+		packed = append(packed, Claim{
+			Pool: pools[claim.Pool], Team: teams[claim.Team], Running: uint32(claim.Running),
+			Waiting: uint32(claim.Waiting), Oldest: uint32(claim.Oldest.Milliseconds()),
+		})
+	}
+	return packed
+}
+
+// Unpack turns a member's claims back; those that the rules do not name are left out.
+func Unpack(set *rules.Set, member id.Member, packed []Claim) []queue.Claim {
+	claims := make([]queue.Claim, 0, len(packed))
+	for _, claim := range packed {
+		if int(claim.Pool) >= len(set.Pools) || int(claim.Team) >= len(set.Teams) {
+			continue
+		}
+		claims = append(claims, queue.Claim{
+			Member: member, Pool: set.Pools[claim.Pool].Name, Team: set.Teams[claim.Team].Name,
+			Running: int(claim.Running), Waiting: int(claim.Waiting), Oldest: time.Duration(claim.Oldest) * time.Millisecond,
+		})
+	}
+	return claims
+}
+
 // Want is a number of slots of a team's limit that a member could use now.
 type Want struct {
 	Team   id.Team       `cbor:"1,keyasint"`
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"marigoldshed.example/marigoldshed/operator"
 	"marigoldshed.example/marigoldshed/peer"
 	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/queue"
 	"marigoldshed.example/marigoldshed/settings"
 )
 
@@ -42,6 +43,7 @@
 	Settings settings.Settings
 	Logger   *zap.Logger
 	Timing   entry.Timing
+	Order    queue.Order // nil is the usual one
 	// Dial replaces the way connections are made, for trials that cut some of them; nil is the usual way.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -104,6 +106,7 @@
 		Endpoints: endpoint.NewClient(endpoint.Config{Transport: s.transport(endpointConns)}),
 		Peers:     peer.NewClient(peer.ClientConfig{Secret: set.PeerSecret, Transport: s.peerTransport()}),
 		Timing:    s.config.Timing,
+		Order:     s.config.Order,
 		Logger:    s.config.Logger,
 		Metrics:   s.metrics,
 	}
--- a/standin/log.go
+++ b/standin/log.go
@@ -146,6 +146,13 @@
 	return append([]time.Time(nil), l.stream(name).times...)
 }
 
+// Next returns the offset after the newest record of a stream.
+func (l *Log) Next(name string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(len(l.stream(name).records))
+}
+
 // maxBatch bounds the records of one read.
 const maxBatch = 512
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"marigoldshed.example/marigoldshed/common/id"
@@ -146,9 +147,24 @@
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	list, err := p.List(r.Context())
+	if err == nil {
+		tag := tagOf(list)
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+	}
 	reply(w, list, err)
 }
 
+// tagOf returns a tag that changes with the list.
+func tagOf(list []platform.Listed) string {
+	hash := xxhash.New()
+	_ = json.NewEncoder(hash).Encode(list)
+	return strconv.Quote(strconv.FormatUint(hash.Sum64(), 16))
+}
+
 func (p *Platform) add(w http.ResponseWriter, r *http.Request) {
 	var listed platform.Listed
 	if err := json.NewDecoder(r.Body).Decode(&listed); err != nil {
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -19,6 +19,7 @@
 	"marigoldshed.example/marigoldshed/entry"
 	"marigoldshed.example/marigoldshed/operator"
 	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/queue"
 	"marigoldshed.example/marigoldshed/server"
 	"marigoldshed.example/marigoldshed/settings"
 	"marigoldshed.example/marigoldshed/standin"
@@ -52,6 +53,7 @@
 	Deployment Deployment
 	Reboot     time.Duration
 	Timing     entry.Timing
+	Order      queue.Order
 	Logger     *zap.Logger
 }
 
@@ -169,7 +171,7 @@
 			Platform: f.address, Seeds: f.seeds(), PeerSecret: peerSecret, OperatorSecret: operatorSecret,
 			Grace: 200 * time.Millisecond, StopLimit: 30 * time.Second,
 		},
-		Timing: f.config.Timing, Logger: logger, Dial: f.Network.Dialer(dc),
+		Timing: f.config.Timing, Order: f.config.Order, Logger: logger, Dial: f.Network.Dialer(dc),
 	})
 	if err != nil {
 		return nil, errors.Annotatef(err, "starting entry %s", name)
--- a/trial/load.go
+++ b/trial/load.go
@@ -216,3 +216,6 @@
 	}
 	c.Whole = string(body) == standin.Answer(c.Body)
 }
+
+// PeakUse is the part of a pool's slots that its queue asks for in a burst.
+const PeakUse = meanUse * burstFactor
--- a/trial/run.go
+++ b/trial/run.go
@@ -91,7 +91,7 @@
 // Run runs a trial and returns its report.
 func Run(ctx context.Context, c Config) (*Report, error) {
 	d := c.Deployment
-	f, err := StartFleet(FleetConfig{Deployment: d, Reboot: reboot, Timing: trialTiming(), Logger: c.Logger})
+	f, err := StartFleet(FleetConfig{Deployment: d, Reboot: reboot, Timing: trialTiming(), Order: c.Order, Logger: c.Logger})
 	if err != nil {
 		return nil, err
 	}
