caller: Bound the reading of a body without cutting off its answer

Cause: the servers' read timeout of 30 s also ended the context of a request that was still waiting or running when it passed; Go's server reads on in the background while a handler works. Requests longer than 30 s were cut off.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -27,6 +27,8 @@
 	maxDeadline     = 24 * time.Hour
 	defaultDeadline = 30 * time.Second
 	maxKeyLength    = 200 // bytes of an idempotency key
+
+	defaultBodyTimeout = 30 * time.Second
 )
 
 // Server serves requests and tasks; entry.Control is one.
@@ -40,6 +42,8 @@
 type Config struct {
 	Server Server
 	Ready  func() bool // whether the balancer may send callers here
+	// BodyTimeout bounds the reading of one body; zero means half a minute.
+	BodyTimeout time.Duration
 }
 
 // Handler takes requests of callers.
@@ -50,6 +54,9 @@
 
 // NewHandler returns the handler for callers and the balancer.
 func NewHandler(c Config) *Handler {
+	if c.BodyTimeout == 0 {
+		c.BodyTimeout = defaultBodyTimeout
+	}
 	h := &Handler{config: c, mux: http.NewServeMux()}
 	h.mux.HandleFunc("POST /v1/queues/{queue}", h.serve)
 	h.mux.HandleFunc("POST /v1/queues/{queue}/tasks", h.submit)
@@ -71,7 +78,7 @@
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
-	request, problem := read(w, r)
+	request, problem := h.read(w, r)
 	w.Header().Set("Request-Id", request.ID)
 	if problem != nil {
 		problem.write(w)
@@ -86,7 +93,7 @@
 }
 
 // read takes the request apart and names the first thing wrong with it.
-func read(w http.ResponseWriter, r *http.Request) (entry.Request, *Problem) {
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (entry.Request, *Problem) {
 	request := entry.Request{
 		ID:             uuid.NewString(),
 		Queue:          id.Queue(r.PathValue("queue")),
@@ -112,9 +119,12 @@
 	if request.Secret, ok = secret(r.Header.Get("Authorization")); !ok {
 		return request, refusal(http.StatusUnauthorized, "Authorization is not of the form Bearer KEY")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	if request.Needs, ok = needs(r.Header); !ok {
+		return request, refusal(http.StatusBadRequest, "a Needs- header is not a whole number")
+	}
+	body, err := h.readBody(w, r)
 	if err != nil {
-		return request, refusal(http.StatusRequestEntityTooLarge, "the body did not arrive whole within 1 MiB")
+		return request, refusal(http.StatusRequestEntityTooLarge, "the body did not arrive whole within 1 MiB and in time")
 	}
 	request.Body = body
 	if kind := r.Header.Get("Content-Type"); kind != "" {
@@ -123,6 +133,38 @@
 	return request, nil
 }
 
+// readBody reads a body in bounded time. The bound is taken off afterwards: a read deadline that passes
+// while the request waits would end the request's context and cut it off.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	deadlines := http.NewResponseController(w)
+	_ = deadlines.SetReadDeadline(time.Now().Add(h.config.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	if err != nil {
+		return nil, errors.Annotate(err, "reading the body")
+	}
+	_ = deadlines.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// needs reads what a request declares that a worker must have.
+func needs(h http.Header) (entry.Needs, bool) {
+	var n entry.Needs
+	whole := true
+	number := func(name string) int64 {
+		text := h.Get(name)
+		if text == "" {
+			return 0
+		}
+		value, err := strconv.ParseInt(text, 10, 64)
+		whole = whole && err == nil && value >= 0
+		return value
+	}
+	n.Processors = int(number("Needs-Processors"))
+	n.MemoryBytes = number("Needs-Memory")
+	n.Accelerators = int(number("Needs-Accelerators"))
+	return n, whole
+}
+
 func deadline(text string) (time.Duration, bool) {
 	if text == "" {
 		return defaultDeadline, true
--- a/caller/tasks.go
+++ b/caller/tasks.go
@@ -21,7 +21,7 @@
 }
 
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
-	request, problem := read(w, r)
+	request, problem := h.read(w, r)
 	w.Header().Set("Request-Id", request.ID)
 	if problem != nil {
 		problem.write(w)
--- a/commands/rules.go
+++ b/commands/rules.go
@@ -63,6 +63,16 @@
 	return string(text), errors.Annotatef(err, "reading %s", a.Args.File)
 }
 
+// checked returns a rules file that has no fault.
+func (a fileArgument) checked() (string, *rules.Set, error) {
+	text, err := a.read()
+	if err != nil {
+		return "", nil, err
+	}
+	set, err := rules.Parse(text)
+	return text, set, errors.Trace(err)
+}
+
 type checkCommand struct {
 	fileArgument
 	output
@@ -70,14 +80,10 @@
 
 // Execute checks a rules file and names every fault.
 func (c *checkCommand) Execute([]string) error {
-	text, err := c.read()
+	_, set, err := c.checked()
 	if err != nil {
 		return err
 	}
-	set, err := rules.Parse(text)
-	if err != nil {
-		return errors.Trace(err)
-	}
 	c.printf("%d pools, %d queues, %d teams, %d keys: no fault\n", len(set.Pools), len(set.Queues), len(set.Teams), len(set.Keys))
 	return nil
 }
@@ -90,13 +96,10 @@
 
 // Execute shows which rules a file would add and take away.
 func (c *planCommand) Execute([]string) error {
-	text, err := c.read()
+	text, _, err := c.checked()
 	if err != nil {
 		return err
 	}
-	if _, err := rules.Parse(text); err != nil {
-		return errors.Trace(err)
-	}
 	client, err := c.client()
 	if err != nil {
 		return err
@@ -123,13 +126,10 @@
 
 // Execute puts a rules file into force as one version.
 func (c *applyCommand) Execute([]string) error {
-	text, err := c.read()
+	text, _, err := c.checked()
 	if err != nil {
 		return err
 	}
-	if _, err := rules.Parse(text); err != nil {
-		return errors.Trace(err)
-	}
 	client, err := c.client()
 	if err != nil {
 		return err
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -24,6 +24,7 @@
 	pool    id.Pool
 	key     string // hash of the key it came with, empty for an open queue without one
 	request string // id of the request
+	needs   Needs
 	verdict chan verdict
 	worker  *worker // where it runs
 	started time.Time
@@ -64,6 +65,9 @@
 	if p.line.Len() >= maxWaiting {
 		return RefusedError{Status: statusTooMany, Reason: "too many requests wait for pool " + string(t.pool), RetryAfter: time.Second}
 	}
+	if err := c.checkNeeds(t.pool, t.needs); err != nil {
+		return err
+	}
 	if wait, late := c.tooLate(now, p, t.item); late {
 		return RefusedError{Status: statusTooMany, Reason: "the wait would pass the deadline", RetryAfter: wait}
 	}
@@ -100,31 +104,35 @@
 	}
 }
 
-// dispatch starts waiting requests of a pool while there is room for them.
+// dispatch starts waiting requests of a pool while there is room for them. A team whose next request
+// finds no worker that it fits on lets the others go first.
 func (c *Control) dispatch(now time.Time, p *pool) {
 	if p.line.Len() == 0 || c.mayStart(now) != nil {
 		return
 	}
+	blocked := id.Set[id.Team]{}
 	for p.line.Len() > 0 {
-		rooms := c.rooms(p)
-		if len(rooms) == 0 {
+		if _, ok := c.choose(now, p, Needs{}); !ok {
 			return
 		}
-		w, ok := c.choose(now, p)
+		item, ok := p.line.Next(now, c.rooms(p, blocked))
 		if !ok {
 			return
 		}
-		item, ok := p.line.Next(now, rooms)
+		t := c.tickets[item.ID]
+		w, ok := c.choose(now, p, t.needs)
 		if !ok {
-			return
+			p.line.Push(item)
+			blocked.Add(item.Team)
+			continue
 		}
-		c.start(now, p, w, c.tickets[item.ID])
+		c.start(now, p, w, t)
 	}
 }
 
 // rooms returns the teams that may start one more request in a pool; it notes the teams that have
 // room but no slot of their limit here.
-func (c *Control) rooms(p *pool) []queue.Room {
+func (c *Control) rooms(p *pool, blocked id.Set[id.Team]) []queue.Room {
 	var rooms []queue.Room
 	free := p.slack
 	for team, n := range p.running {
@@ -132,7 +140,7 @@
 	}
 	for _, team := range p.line.Teams() {
 		running := p.running[team]
-		if running >= p.part[team] && free <= 0 {
+		if blocked.Has(team) || running >= p.part[team] && free <= 0 {
 			continue
 		}
 		if c.holder.Idle(team) == 0 && !c.config.Planted.IgnoreLimits {
--- a/entry/beat.go
+++ b/entry/beat.go
@@ -142,23 +142,12 @@
 	return r
 }
 
-// Time that each member adds to the least time between beats: the cost of a beat grows with the members
-// it goes to.
-const (
-	busyPerMember = 25 * time.Millisecond
-	idlePerMember = 100 * time.Millisecond
-)
-
-// beatEvery returns the time between beats.
+// beatEvery returns the time until the next beat.
 func (c *Control) beatEvery() time.Duration {
-	members := time.Duration(len(c.tables.Members))
-	switch {
-	case c.links.urged:
+	if c.links.urged {
 		return c.timing.Tick / 2
-	case c.busy():
-		return max(c.timing.BeatBusy, members*busyPerMember)
 	}
-	return max(c.timing.BeatIdle, members*idlePerMember)
+	return c.timing.BeatEvery(len(c.tables.Members), c.busy())
 }
 
 // contactBeats is how many idle beats may be missed before a member is out of contact.
--- a/entry/config.go
+++ b/entry/config.go
@@ -51,8 +51,8 @@
 	Snapshot   int64         // records between snapshots
 }
 
-// withDefaults fills the fields that are zero.
-func (t Timing) withDefaults() Timing {
+// WithDefaults returns the timing with fields that are zero filled in.
+func (t Timing) WithDefaults() Timing {
 	set := func(field *time.Duration, value time.Duration) {
 		if *field == 0 {
 			*field = value
@@ -78,6 +78,22 @@
 	return t
 }
 
+// Time that each member adds to the least time between beats: the cost of a beat grows with the members
+// it goes to.
+const (
+	busyPerMember = 35 * time.Millisecond
+	idlePerMember = 100 * time.Millisecond
+)
+
+// BeatEvery returns the time between beats among so many members, while requests wait or run and
+// while none do.
+func (t Timing) BeatEvery(members int, busy bool) time.Duration {
+	if busy {
+		return max(t.BeatBusy, time.Duration(members)*busyPerMember)
+	}
+	return max(t.BeatIdle, time.Duration(members)*idlePerMember)
+}
+
 // Planted switches single mechanisms off, so that tests can show that their checks fail without
 // them. Every field is zero outside tests.
 type Planted struct {
--- a/entry/control.go
+++ b/entry/control.go
@@ -106,7 +106,7 @@
 	}
 	c := &Control{
 		config:   config,
-		timing:   config.Timing.withDefaults(),
+		timing:   config.Timing.WithDefaults(),
 		log:      config.Logger.With(zap.String("entry", string(config.Entry))),
 		inbox:    make(chan func(), inboxLength),
 		stopped:  make(chan struct{}),
@@ -220,7 +220,7 @@
 }
 
 func (c *Control) tend(now time.Time) {
-	c.contactTime.Store(int64(max(c.timing.Contact, contactBeats*time.Duration(len(c.tables.Members))*idlePerMember)))
+	c.contactTime.Store(int64(max(c.timing.Contact, contactBeats*c.timing.BeatEvery(len(c.tables.Members), false))))
 	c.tendLease(now)
 	c.tendRestrictions(now)
 	c.tendExchange(now)
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -26,11 +26,16 @@
 
 // worker is this instance's side of one worker.
 type worker struct {
-	name     id.Instance
-	address  netip.AddrPort
-	dc       id.DataCentre
-	rack     id.Rack
-	slots    int
+	name    id.Instance
+	address netip.AddrPort
+	dc      id.DataCentre
+	rack    id.Rack
+	slots   int
+
+	processors   int
+	memoryBytes  int64
+	accelerators int
+
 	running  int
 	rank     uint64    // orders equals differently on every member
 	free     int       // slots that it said were free, less those used since; -1 when not known
@@ -99,18 +104,21 @@
 	w.dc = instance.DataCentre
 	w.rack = instance.Rack
 	w.slots = instance.Slots
+	w.processors = instance.Processors
+	w.memoryBytes = instance.MemoryBytes
+	w.accelerators = instance.Accelerators
 	return w
 }
 
-// choose returns the worker of a pool for the next request: the least loaded one, in the own data
-// centre if there is one with a free slot.
-func (c *Control) choose(now time.Time, p *pool) (*worker, bool) {
+// choose returns the worker of a pool for a request: one without accelerators that it does not need, in
+// the own data centre, and the least loaded, in this order.
+func (c *Control) choose(now time.Time, p *pool, n Needs) (*worker, bool) {
 	var best *worker
 	for _, w := range p.workers {
-		if w.running >= w.slots || w.free == 0 && now.Before(w.full) || now.Before(w.avoid) {
+		if w.running >= w.slots || w.free == 0 && now.Before(w.full) || now.Before(w.avoid) || !w.fits(n) {
 			continue
 		}
-		if best == nil || c.prefer(w, best) {
+		if best == nil || c.prefer(w, best, n) {
 			best = w
 		}
 	}
@@ -118,7 +126,10 @@
 }
 
 // prefer reports whether a worker is the better choice of two.
-func (c *Control) prefer(a, b *worker) bool {
+func (c *Control) prefer(a, b *worker, n Needs) bool {
+	if n.Accelerators == 0 && (a.accelerators == 0) != (b.accelerators == 0) {
+		return a.accelerators == 0
+	}
 	home := c.config.DataCentre
 	if (a.dc == home) != (b.dc == home) {
 		return a.dc == home
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -18,14 +18,15 @@
 
 // Statuses of refusals.
 const (
-	statusUnauthorized = http.StatusUnauthorized
-	statusForbidden    = http.StatusForbidden
-	statusNotFound     = http.StatusNotFound
-	statusConflict     = http.StatusConflict
-	statusTooMany      = http.StatusTooManyRequests
-	statusBadGateway   = http.StatusBadGateway
-	statusUnavailable  = http.StatusServiceUnavailable
-	statusTimeout      = http.StatusGatewayTimeout
+	statusUnauthorized  = http.StatusUnauthorized
+	statusForbidden     = http.StatusForbidden
+	statusNotFound      = http.StatusNotFound
+	statusConflict      = http.StatusConflict
+	statusUnprocessable = http.StatusUnprocessableEntity
+	statusTooMany       = http.StatusTooManyRequests
+	statusBadGateway    = http.StatusBadGateway
+	statusUnavailable   = http.StatusServiceUnavailable
+	statusTimeout       = http.StatusGatewayTimeout
 )
 
 // Request is one request of a caller.
@@ -37,6 +38,7 @@
 	Deadline       time.Time // when to give up waiting for a slot
 	IdempotencyKey string
 	Idempotent     bool // may run more than once
+	Needs          Needs
 	Header         http.Header
 	Body           []byte
 
@@ -133,6 +135,7 @@
 		pool:    pool,
 		key:     key,
 		request: r.ID,
+		needs:   r.Needs,
 		verdict: make(chan verdict, 1),
 	}
 	c.post(func() { c.admit(time.Now(), t) })
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -40,7 +40,7 @@
 	}
 	t := task.Task{
 		Team: team, Queue: r.Queue, Class: r.Class, Key: key, Idempotent: r.Idempotent,
-		Type: r.Header.Get("Content-Type"), Body: r.Body, Submitted: time.Now().UTC().Round(0), Deadline: r.Deadline, State: task.Waiting,
+		Type: r.Header.Get("Content-Type"), Body: r.Body, Needs: task.Needs(r.Needs), Submitted: time.Now().UTC().Round(0), Deadline: r.Deadline, State: task.Waiting,
 	}
 	if r.IdempotencyKey == "" {
 		return c.submit(ctx, t)
@@ -122,7 +122,7 @@
 	t := r.task
 	request := Request{
 		ID: t.ID, Queue: t.Queue, Class: t.Class, Deadline: t.Deadline, Idempotent: t.Idempotent,
-		Header: http.Header{}, Body: t.Body, before: r.starting,
+		Needs: Needs(t.Needs), Header: http.Header{}, Body: t.Body, before: r.starting,
 	}
 	if t.Type != "" {
 		request.Header.Set("Content-Type", t.Type)
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -5,8 +5,10 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -198,7 +200,7 @@
 		}
 		e.MayLose = e.MayLose || f.lose
 		if f.alone {
-			e.Alone = holdAlone
+			e.Cut, e.Alone = "dc1", holdAlone
 		}
 		if f.down {
 			for _, found := range rackOf(c.w) {
@@ -222,10 +224,36 @@
 	}
 }
 
+// Counts of the cells of one run.
+var passed, failed, skipped atomic.Int64
+
+// TestMain prints the counts, which go test shows with -v.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	code := m.Run()
+	fmt.Printf("cells: %d passed, %d failed, %d skipped\n", passed.Load(), failed.Load(), skipped.Load())
+	os.Exit(code)
+}
+
+// counted notes how a cell ends.
+func counted(t *testing.T) {
+	t.Cleanup(func() {
+		switch {
+		case t.Failed():
+			failed.Add(1)
+		case t.Skipped():
+			skipped.Add(1)
+		default:
+			passed.Add(1)
+		}
+	})
+}
+
 func TestMatrix(t *testing.T) {
 	for _, s := range steps() {
 		for _, f := range faults() {
 			t.Run(string(s)+"/"+f.name, func(t *testing.T) {
+				counted(t)
 				if f.no != "" {
 					t.Skip("not applicable: " + f.no)
 				}
--- a/measure/control.go
+++ b/measure/control.go
@@ -41,10 +41,6 @@
 	maintainDays   = 28 // each instance is maintained once in so many days
 	renewSeconds   = 20
 	claimsPerPool  = 3
-	busyBeat       = 200 * time.Millisecond
-	idleBeat       = time.Second
-	busyPerMember  = 25 * time.Millisecond
-	idlePerMember  = 100 * time.Millisecond
 	playedRecords  = 400
 	daySeconds     = 86_400
 	recordsOfDrain = 2 // the drain and the return, beside a confirmation of every member
@@ -333,12 +329,7 @@
 	transport.Protocols.SetUnencryptedHTTP2(true)
 	defer transport.CloseIdleConnections()
 	client := peer.NewClient(peer.ClientConfig{Secret: rigSecret, Transport: transport})
-	members := time.Duration(f.rig.options.Entries)
-	every := max(idleBeat, members*idlePerMember)
-	if f.rig.options.Busy {
-		every = max(busyBeat, members*busyPerMember)
-	}
-	ticker := time.NewTicker(every)
+	ticker := time.NewTicker(entry.Timing{}.WithDefaults().BeatEvery(f.rig.options.Entries, f.rig.options.Busy))
 	defer ticker.Stop()
 	for {
 		select {
--- a/server/server.go
+++ b/server/server.go
@@ -26,7 +26,6 @@
 // Bounds on connections.
 const (
 	headerTimeout   = 5 * time.Second
-	bodyTimeout     = 30 * time.Second
 	idleTimeout     = 2 * time.Minute
 	maxHeaderBytes  = 16 << 10
 	maxCallers      = 10_000 // connections
@@ -145,7 +144,7 @@
 	s.listeners[len(s.servers)] = listener
 	s.servers = append(s.servers, &http.Server{
 		Handler: handler, Protocols: protocols,
-		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       zap.NewStdLog(s.logger()),
 	})
--- a/task/task.go
+++ b/task/task.go
@@ -23,6 +23,13 @@
 // Ended reports whether a state is final.
 func (s State) Ended() bool { return s != Waiting && s != Running }
 
+// Needs is what a task declares that a worker must have.
+type Needs struct {
+	Processors   int   `json:"processors,omitempty"`
+	MemoryBytes  int64 `json:"memory,omitempty"`
+	Accelerators int   `json:"accelerators,omitempty"`
+}
+
 // Task is one task of a caller.
 type Task struct {
 	ID         string      `json:"id"`
@@ -31,8 +38,9 @@
 	Class      queue.Class `json:"class"`
 	Key        string      `json:"key,omitempty"`     // hash of the key that it came with
 	Idempotent bool        `json:"repeats,omitempty"` // may run more than once
-	Type       string      `json:"type,omitempty"`    // content type of the body
-	Body       []byte      `json:"body,omitempty"`    // dropped once the task has ended
+	Needs      Needs       `json:"needs,omitzero"`
+	Type       string      `json:"type,omitempty"` // content type of the body
+	Body       []byte      `json:"body,omitempty"` // dropped once the task has ended
 	Submitted  time.Time   `json:"submitted"`
 	Deadline   time.Time   `json:"deadline"` // when to give up waiting for a slot
 	State      State       `json:"state"`
--- a/trial/check.go
+++ b/trial/check.go
@@ -18,7 +18,7 @@
 // within returns how soon a restriction must be in force in a data centre: later only where the
 // data centre is cut off from everything and operators let it go on alone for a while.
 func (e Evidence) within(dc id.DataCentre) time.Duration {
-	if e.Alone > 0 && dc == e.Out {
+	if e.Alone > 0 && dc == e.Cut {
 		return within + e.Alone
 	}
 	return within
--- a/trial/evidence.go
+++ b/trial/evidence.go
@@ -9,6 +9,7 @@
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/fleet"
 	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/rules"
 	"marigoldshed.example/marigoldshed/standin"
 )
 
@@ -26,7 +27,8 @@
 	Pools    map[id.Queue]id.Pool // that queues send work to
 	Faulty   id.Set[id.Instance]  // workers that went down without a plan
 	Out      id.DataCentre        // the data centre that was taken out
-	Alone    time.Duration        // how long operators let that data centre go on when it hears nothing
+	Cut      id.DataCentre        // the data centre that was cut off from everything
+	Alone    time.Duration        // how long operators let it go on then
 	MayLose  bool                 // an entry instance ended without a plan
 }
 
@@ -135,6 +137,9 @@
 			e.Faulty = id.NewSet(rack()...)
 		}
 		e.MayLose = e.MayLose || f.Name == "entry-killed"
+		if f.Name == "cut-all" {
+			e.Cut, e.Alone = t.fleet.Deployment.DataCentres[2], rules.DefaultHold
+		}
 	}
 	return e, nil
 }
--- a/trial/fault.go
+++ b/trial/fault.go
@@ -105,9 +105,16 @@
 	set := func(cut bool) func(t *Trial) error {
 		return func(t *Trial) error {
 			dcs := t.fleet.Deployment.DataCentres
-			for _, site := range from(t) {
+			sites := from(t)
+			for _, site := range sites {
 				t.fleet.Network.Cut(dcs[2], site, cut)
 			}
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.cutOff = ""
+			if cut && len(sites) == len(dcs) {
+				t.cutOff = dcs[2]
+			}
 			return nil
 		}
 	}
--- a/trial/fleet_test.go
+++ b/trial/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,6 +15,7 @@
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/entry"
 	"marigoldshed.example/marigoldshed/operator"
+	"marigoldshed.example/marigoldshed/queue"
 	"marigoldshed.example/marigoldshed/rules"
 	"marigoldshed.example/marigoldshed/standin"
 	"marigoldshed.example/marigoldshed/task"
@@ -38,6 +40,11 @@
 			t.Fatalf("entry %s answered %d %q", e.Name, status, answer)
 		}
 	}
+	if _, err := f.Entries[0].Server.Control().Serve(ctx, entry.Request{
+		Queue: "prices", Secret: Secret(team), Class: queue.Urgent, Needs: entry.Needs{Accelerators: 1},
+	}); !strings.Contains(fmt.Sprint(err), "not run: none of the 10 workers of pool counter") {
+		t.Errorf("a request that no worker fits got %v", err)
+	}
 	edit := operator.Edit{Remove: []rules.Ref{{Kind: "key", Name: "k-" + string(team)}}, By: "test"}
 	if _, err := f.Entries[1].Operator().Edit(ctx, edit); err != nil {
 		t.Fatal(err)
--- a/trial/load.go
+++ b/trial/load.go
@@ -136,12 +136,24 @@
 	work := time.Duration(float64(shape.Task) * (0.5 + s.random.Float64()))
 	name := fmt.Sprintf("%s-%d", shape.Queue, s.count)
 	c := Call{
-		ID: name, Body: name + " " + work.String(), Team: team, Queue: shape.Queue, Class: shape.Class, Work: work,
+		ID: name, Body: name + " " + work.String(), Team: team, Queue: shape.Queue, Class: s.class(shape), Work: work,
 	}
 	e := s.load.balance(s.random.Uint64())
 	s.load.wg.Go(func() { s.load.call(ctx, e, c) })
 }
 
+// otherClass is the part of a queue's requests that are not of its usual class.
+const otherClass = 0.25
+
+// class draws the class of a request.
+func (s *source) class(shape PoolShape) queue.Class {
+	usual := s.random.Float64() >= otherClass
+	if usual == (shape.Class == queue.Urgent) {
+		return queue.Urgent
+	}
+	return queue.Overnight
+}
+
 // team draws a team by its part of the work.
 func (s *source) team() id.Team {
 	draw := s.random.Float64()
--- a/trial/run.go
+++ b/trial/run.go
@@ -57,7 +57,9 @@
 	fleet  *Fleet
 	load   *Load
 
+	beside   sync.WaitGroup // what watches while the load runs
 	mu       sync.Mutex
+	cutOff   id.DataCentre // cut off from everything now
 	events   []Event
 	rollouts []time.Duration
 	versions []Version
@@ -103,16 +105,15 @@
 	if err := f.Publish(starting); err != nil {
 		return nil, err
 	}
-	var beside sync.WaitGroup
 	running, stop := context.WithCancel(ctx)
 	began := time.Now()
-	beside.Go(func() { t.versionLoop(running) })
-	beside.Go(func() { t.probeLoop(running) })
-	beside.Go(func() { t.eventLoop(running, began) })
+	t.beside.Go(func() { t.versionLoop(running) })
+	t.beside.Go(func() { t.probeLoop(running) })
+	t.beside.Go(func() { t.eventLoop(running, began) })
 	t.load.Run(ctx)
 	ended := time.Now()
 	stop()
-	beside.Wait()
+	t.beside.Wait()
 	return t.report(began, ended)
 }
 
@@ -195,16 +196,23 @@
 	if err != nil {
 		return errors.Annotatef(err, "%s", name)
 	}
-	t.awaitVersion(ctx, version, asked)
+	t.beside.Go(func() { t.awaitVersion(ctx, version, asked) })
 	return nil
 }
 
+// alone returns the data centre that is cut off from everything now, if any.
+func (t *Trial) alone() id.DataCentre {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cutOff
+}
+
 // awaitVersion measures how long a version takes to be in force everywhere.
 func (t *Trial) awaitVersion(ctx context.Context, version int, asked time.Time) {
 	for ctx.Err() == nil {
 		everywhere := true
 		for _, e := range t.fleet.Entries {
-			if !e.Alive() {
+			if !e.Alive() || e.DataCentre == t.alone() {
 				continue
 			}
 			got, _, err := e.Server.Control().Rules(ctx)
