--- a/caller/handler.go
+++ b/caller/handler.go
@@ -133,8 +133,7 @@
 	return request, nil
 }
 
-// readBody reads a body in bounded time. The bound is taken off afterwards: a read deadline that passes
-// while the request waits would end the request's context and cut it off.
+// readBody reads a body in bounded time; the bound is for the body only and taken off afterwards.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	deadlines := http.NewResponseController(w)
 	_ = deadlines.SetReadDeadline(time.Now().Add(h.config.BodyTimeout))
