--- a/attempt/book.go
+++ b/attempt/table.go
@@ -7,7 +7,7 @@
 	"marigoldshed.example/marigoldshed/common/id"
 )
 
-// Bounds of a book.
+// Bounds of a table.
 const (
 	Retention  = 10 * time.Minute
 	maxEntries = 200_000
@@ -47,87 +47,87 @@
 	return fmt.Sprintf("key %q was used before: %s", e.First.Key.Value, e.First.State)
 }
 
-// FullError reports that a book can remember no more keys.
+// FullError reports that a table can remember no more keys.
 type FullError struct{ Entries int }
 
 // Error returns the number of keys.
 func (e FullError) Error() string { return fmt.Sprintf("%d keys are remembered", e.Entries) }
 
-// Book remembers attempts for the retention time.
-type Book struct {
+// Table remembers attempts for the retention time.
+type Table struct {
 	attempts map[Key]Attempt
 	ages     []Key // in order of first use
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book { return &Book{attempts: map[Key]Attempt{}} }
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{attempts: map[Key]Attempt{}} }
 
 // Reserve records an attempt; it fails with UsedError when another attempt of the key may have run
-// and with FullError when the book is full. Reserving the same attempt again succeeds.
-func (b *Book) Reserve(a Attempt) error {
-	first, ok := b.attempts[a.Key]
+// and with FullError when the table is full. Reserving the same attempt again succeeds.
+func (t *Table) Reserve(a Attempt) error {
+	first, ok := t.attempts[a.Key]
 	if ok && first.ID != a.ID && first.State != NotRun {
 		return UsedError{First: first}
 	}
-	if !ok && len(b.attempts) >= maxEntries {
-		return FullError{Entries: len(b.attempts)}
+	if !ok && len(t.attempts) >= maxEntries {
+		return FullError{Entries: len(t.attempts)}
 	}
 	if !ok {
-		b.ages = append(b.ages, a.Key)
+		t.ages = append(t.ages, a.Key)
 	}
-	b.attempts[a.Key] = a
+	t.attempts[a.Key] = a
 	return nil
 }
 
 // Finish records what an attempt has come to; the state of another attempt stays as it is.
-func (b *Book) Finish(a Attempt) {
-	first, ok := b.attempts[a.Key]
+func (t *Table) Finish(a Attempt) {
+	first, ok := t.attempts[a.Key]
 	if !ok || first.ID != a.ID {
 		return
 	}
 	first.State = a.State
-	b.attempts[a.Key] = first
+	t.attempts[a.Key] = first
 }
 
 // Lose marks the open attempts of a member that has ended: they may have run.
-func (b *Book) Lose(holder id.Member) {
-	for key, a := range b.attempts {
+func (t *Table) Lose(holder id.Member) {
+	for key, a := range t.attempts {
 		if a.Holder == holder && a.State == Open {
 			a.State = Unknown
-			b.attempts[key] = a
+			t.attempts[key] = a
 		}
 	}
 }
 
 // Expire forgets attempts that are older than the retention time and no longer open.
-func (b *Book) Expire(now time.Time) {
+func (t *Table) Expire(now time.Time) {
 	kept := 0
-	for kept < len(b.ages) {
-		a := b.attempts[b.ages[kept]]
+	for kept < len(t.ages) {
+		a := t.attempts[t.ages[kept]]
 		if now.Sub(a.At) < Retention || a.State == Open {
 			break
 		}
-		delete(b.attempts, b.ages[kept])
+		delete(t.attempts, t.ages[kept])
 		kept++
 	}
-	b.ages = b.ages[kept:]
+	t.ages = t.ages[kept:]
 }
 
 // All returns every attempt in order of first use.
-func (b *Book) All() []Attempt {
-	all := make([]Attempt, 0, len(b.ages))
-	for _, key := range b.ages {
-		all = append(all, b.attempts[key])
+func (t *Table) All() []Attempt {
+	all := make([]Attempt, 0, len(t.ages))
+	for _, key := range t.ages {
+		all = append(all, t.attempts[key])
 	}
 	return all
 }
 
-// Merge adds attempts of another book that this one does not know.
-func (b *Book) Merge(others []Attempt) {
+// Merge adds attempts of another table that this one does not know.
+func (t *Table) Merge(others []Attempt) {
 	for _, a := range others {
-		if _, ok := b.attempts[a.Key]; !ok {
-			b.attempts[a.Key] = a
-			b.ages = append(b.ages, a.Key)
+		if _, ok := t.attempts[a.Key]; !ok {
+			t.attempts[a.Key] = a
+			t.ages = append(t.ages, a.Key)
 		}
 	}
 }
--- a/entry/adopt.go
+++ b/entry/adopt.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// rewrite writes inherited tasks to this member's own stream, so that its heir finds them.
+// rewrite writes inherited tasks to this member's own stream, so that its successor finds them.
 func (c *Control) rewrite(ctx context.Context, table *task.Table) error {
 	for _, t := range table.All() {
 		call, cancel := context.WithTimeout(ctx, submitPatience)
@@ -111,7 +111,7 @@
 	}
 }
 
-// handOver ends the tasks here that wait, so that an heir runs them.
+// handOver ends the tasks here that wait, so that an successor runs them.
 func (c *Control) handOver() {
 	for name := range c.held {
 		if t, ok := c.tasks.Get(name); !ok || t.State != task.Waiting {
--- a/entry/control.go
+++ b/entry/control.go
@@ -46,10 +46,10 @@
 	leaving bool      // callers are being sent elsewhere
 	leaveBy time.Time // when to end without the log's word
 
-	lease  lease
-	holder *quota.Holder
-	book   *attempt.Book
-	memory memory
+	lease    lease
+	holder   *quota.Holder
+	attempts *attempt.Table
+	memory   memory
 
 	pools   map[id.Pool]*pool
 	workers map[id.Instance]*worker
@@ -110,7 +110,7 @@
 		log:      config.Logger.With(zap.String("entry", string(config.Entry))),
 		inbox:    make(chan func(), inboxLength),
 		stopped:  make(chan struct{}),
-		book:     attempt.NewBook(),
+		attempts: attempt.NewTable(),
 		pools:    map[id.Pool]*pool{},
 		tickets:  map[uint64]*ticket{},
 		workers:  map[id.Instance]*worker{},
@@ -226,7 +226,7 @@
 	c.tendExchange(now)
 	c.tendDrains(now)
 	c.tendRemotes(now)
-	c.book.Expire(now)
+	c.attempts.Expire(now)
 	c.expireTasks(now)
 	c.forgetProposals(now)
 	c.lagging(now)
--- a/entry/once.go
+++ b/entry/once.go
@@ -123,7 +123,7 @@
 		return peer.Reserved{Reason: "this instance has not learnt the used keys yet"}
 	}
 	a.At = now
-	err := c.book.Reserve(a)
+	err := c.attempts.Reserve(a)
 	var used attempt.UsedError
 	switch {
 	case errors.As(err, &used):
@@ -132,7 +132,7 @@
 		return peer.Reserved{Reason: err.Error()}
 	case now.Before(c.memory.cold):
 		a.State = attempt.NotRun
-		c.book.Finish(a)
+		c.attempts.Finish(a)
 		return peer.Reserved{Reason: "this data centre lost what it knew of used keys"}
 	}
 	return peer.Reserved{Granted: true}
@@ -141,14 +141,14 @@
 // takeBack marks an attempt that could not be reserved everywhere as not run.
 func (c *Control) takeBack(a attempt.Attempt) {
 	a.State = attempt.NotRun
-	c.post(func() { c.book.Finish(a) })
+	c.post(func() { c.attempts.Finish(a) })
 }
 
 // finishAttempt tells the members that remember an attempt what it came to.
 func (c *Control) finishAttempt(a attempt.Attempt) {
 	c.post(func() {
 		home := c.home(a.Key)
-		c.book.Finish(a)
+		c.attempts.Finish(a)
 		for _, to := range c.mates(time.Now(), home) {
 			select {
 			case c.upkeep.finishes <- finish{to: to, attempt: a}:
@@ -197,7 +197,7 @@
 		cancel()
 		if err == nil {
 			c.post(func() {
-				c.book.Merge(recalled.Attempts)
+				c.attempts.Merge(recalled.Attempts)
 				c.memory.complete = true
 			})
 			return
--- a/entry/service.go
+++ b/entry/service.go
@@ -44,7 +44,7 @@
 
 // TakeFinish records what an attempt has come to.
 func (c *Control) TakeFinish(ctx context.Context, m peer.Finish) error {
-	return errors.Trace(c.do(ctx, func() { c.book.Finish(m.Attempt) }))
+	return errors.Trace(c.do(ctx, func() { c.attempts.Finish(m.Attempt) }))
 }
 
 // TakeRecall answers with every attempt that this instance remembers.
@@ -53,7 +53,7 @@
 	complete := false
 	err := c.do(ctx, func() {
 		complete = c.memory.complete
-		answer.Attempts = c.book.All()
+		answer.Attempts = c.attempts.All()
 	})
 	if err == nil && !complete {
 		err = errors.New("this instance has not learnt the used keys yet")
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -100,7 +100,7 @@
 	t.Ledger.Move(t.known(r.Moved))
 	t.Ledger.Reclaim(r.Member)
 	delete(t.Members, r.Member)
-	t.bequeath(r.Member)
+	t.assignSuccessor(r.Member)
 	return nil
 }
 
@@ -191,7 +191,7 @@
 		for _, name := range lapsed {
 			t.Ledger.Reclaim(name)
 			delete(t.Members, name)
-			t.bequeath(name)
+			t.assignSuccessor(name)
 		}
 	}
 	for _, team := range t.rules.Teams {
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -19,17 +19,17 @@
 
 // Tables is the control state after every record up to an offset.
 type Tables struct {
-	Offset    int64                     `json:"offset"` // offset of the next record to apply
-	Clock     time.Time                 `json:"clock"`  // newest time that a record carried
-	Version   int                       `json:"version"`
-	Text      string                    `json:"text"`
-	Digest    uint64                    `json:"digest"`
-	Instances map[id.Instance]*Instance `json:"instances"`
-	Members   map[id.Member]*Member     `json:"members"`
-	Ledger    quota.Ledger              `json:"ledger"`
-	Outcomes  []Outcome                 `json:"outcomes"`
-	Past      map[id.DataCentre]bool    `json:"past"` // data centres that ever had a member
-	Heirs     []Heir                    `json:"heirs,omitempty"`
+	Offset     int64                     `json:"offset"` // offset of the next record to apply
+	Clock      time.Time                 `json:"clock"`  // newest time that a record carried
+	Version    int                       `json:"version"`
+	Text       string                    `json:"text"`
+	Digest     uint64                    `json:"digest"`
+	Instances  map[id.Instance]*Instance `json:"instances"`
+	Members    map[id.Member]*Member     `json:"members"`
+	Ledger     quota.Ledger              `json:"ledger"`
+	Outcomes   []Outcome                 `json:"outcomes"`
+	Past       map[id.DataCentre]bool    `json:"past"` // data centres that ever had a member
+	Successors []Successor               `json:"successors,omitempty"`
 
 	// Unbudgeted grants planned stops whether or not the budget holds, so that tests can show that
 	// their check fails then. It is false outside tests.
@@ -101,7 +101,7 @@
 	}
 	if _, ok := record.(Renew); !ok {
 		t.settleAccounts()
-		t.settleHeirs()
+		t.settleSuccessors()
 		t.finishDrains()
 	}
 	outcome.Version = t.Version
