--- a/commands/submit.go
+++ b/commands/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
@@ -9,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"marigoldshed.example/marigoldshed/caller"
 	"marigoldshed.example/marigoldshed/operator"
 )
 
@@ -17,21 +19,71 @@
 	Queue          string `long:"queue" required:"true" description:"queue"`
 	Key            string `long:"key" env:"MARIGOLDSHED_KEY" description:"secret of the team's key"`
 	Class          string `long:"class" default:"urgent" description:"urgent or overnight"`
-	Deadline       string `long:"deadline" default:"30s" description:"how long to wait for a slot"`
+	Deadline       string `long:"deadline" description:"how long to wait for a slot (default: 30s, and 24h for a task)"`
 	IdempotencyKey string `long:"idempotency-key" description:"a repeat under the same key does not run twice"`
 	Body           string `long:"body" description:"body of the request"`
+	Task           bool   `long:"task" description:"submit a task, watch it to its end and collect its answer"`
 	output
 }
 
-// Execute sends one request and prints its answer.
+// Execute sends one request, or submits a task and waits for its end, and prints the answer.
 func (c *submitCommand) Execute([]string) error {
-	target := "http://" + c.Via + "/v1/queues/" + url.PathEscape(c.Queue)
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, target, strings.NewReader(c.Body))
+	path := "/v1/queues/" + url.PathEscape(c.Queue)
+	if c.Task {
+		return c.submit(path + "/tasks")
+	}
+	answer, err := c.call(http.MethodPost, path, c.Body)
+	if err != nil {
+		return err
+	}
+	_, err = c.out.Write(answer.body)
+	return errors.Annotate(err, "printing the answer")
+}
+
+// submit submits a task, watches it and collects its answer.
+func (c *submitCommand) submit(path string) error {
+	answer, err := c.call(http.MethodPost, path, c.Body)
+	if err != nil {
+		return err
+	}
+	var shown caller.Status
+	if err := json.Unmarshal(answer.body, &shown); err != nil {
+		return errors.Annotate(err, "reading the task's state")
+	}
+	place := answer.header.Get("Location")
+	for !shown.State.Ended() {
+		c.printf("%s is %s\n", shown.ID, shown.State)
+		if answer, err = c.call(http.MethodGet, place+"?wait=10s", ""); err != nil {
+			return err
+		}
+		if err := json.Unmarshal(answer.body, &shown); err != nil {
+			return errors.Annotate(err, "reading the task's state")
+		}
+	}
+	c.printf("%s is %s\n", shown.ID, shown.State)
+	if answer, err = c.call(http.MethodGet, place+"/answer", ""); err != nil {
+		return err
+	}
+	_, err = c.out.Write(answer.body)
+	return errors.Annotate(err, "printing the answer")
+}
+
+// callAnswer is a whole answer to a caller.
+type callAnswer struct {
+	header http.Header
+	body   []byte
+}
+
+// call makes one call; it fails with operator.RefusedError when the answer is a problem.
+func (c *submitCommand) call(method, path, body string) (callAnswer, error) {
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+c.Via+path, strings.NewReader(body))
 	if err != nil {
-		return errors.Annotate(err, "building the request")
+		return callAnswer{}, errors.Annotate(err, "building the request")
 	}
 	request.Header.Set("Class", c.Class)
-	request.Header.Set("Deadline", c.Deadline)
+	if c.Deadline != "" {
+		request.Header.Set("Deadline", c.Deadline)
+	}
 	if c.Key != "" {
 		request.Header.Set("Authorization", "Bearer "+c.Key)
 	}
@@ -40,16 +92,15 @@
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return errors.Annotate(err, "sending the request")
+		return callAnswer{}, errors.Annotate(err, "sending the request")
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	answer, err := io.ReadAll(response.Body)
 	if err != nil {
-		return errors.Annotate(err, "the answer did not arrive whole")
+		return callAnswer{}, errors.Annotate(err, "the answer did not arrive whole")
 	}
 	if response.Header.Get("Content-Type") == "application/problem+json" {
-		return operator.RefusedError{Reason: strings.TrimSpace(string(body))}
+		return callAnswer{}, operator.RefusedError{Reason: strings.TrimSpace(string(answer))}
 	}
-	_, err = c.out.Write(body)
-	return errors.Annotate(err, "printing the answer")
+	return callAnswer{header: response.Header, body: answer}, nil
 }
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/endpoint"
 )
@@ -138,6 +140,10 @@
 
 // ServeHTTP serves one call of an entry instance.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/fault" {
+		e.takeFault(w, r)
+		return
+	}
 	e.mu.Lock()
 	down, fault := e.down, e.fault
 	e.mu.Unlock()
@@ -156,6 +162,25 @@
 	}
 }
 
+// takeFault sets the fault that a body names; an empty one makes the worker healthy again.
+func (e *Endpoint) takeFault(w http.ResponseWriter, r *http.Request) {
+	name, err := io.ReadAll(io.LimitReader(r.Body, maxFaultName))
+	f := EndpointFault(strings.TrimSpace(string(name)))
+	switch f {
+	case Healthy, Refuses, DiesEarly, DiesLate, Truncates, Crosses, Fails, Hangs, Delays:
+	default:
+		err = errors.NotValidf("fault %q", f)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFault(f)
+}
+
+// maxFaultName bounds the name of a fault, in bytes.
+const maxFaultName = 64
+
 func (e *Endpoint) renew(request string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
