trial: Count a data centre as back from when that was asked for

The trial asks for it back 3.40 s after (0.52 less 0.35 of 20 s), the record took effect a millisecond later, and the check counted it as back only when the operator's call had returned. What gives may show from when it is asked for; what takes away must hold from when the operator was told. The matrix had the same race and is mended alike; no bound changes.

--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -57,10 +57,12 @@
 	})
 }
 
-func (c *cell) note(name string) {
+func (c *cell) note(name string) { c.noteAt(name, time.Now()) }
+
+func (c *cell) noteAt(name string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.events = append(c.events, trial.Event{Name: name, At: time.Now()})
+	c.events = append(c.events, trial.Event{Name: name, At: at})
 }
 
 func (c *cell) noted(name string) bool {
--- a/matrix/steps_test.go
+++ b/matrix/steps_test.go
@@ -207,11 +207,12 @@
 	until := time.Now().Add(operatorPatience)
 	for time.Now().Before(until) {
 		i := c.operated()
+		asked := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), callPatience)
 		outcome, err := i.control.Propose(ctx, "matrix", fleet.Edit{Set: set, Remove: remove})
 		cancel()
 		if err == nil && outcome.Refused == "" || pendingRestriction(name, err) {
-			c.note(name)
+			c.noteAt(name, trial.Effective(name, asked))
 			c.rollout(outcome.Version)
 			return
 		}
--- a/trial/run.go
+++ b/trial/run.go
@@ -123,10 +123,12 @@
 	}
 }
 
-func (t *Trial) note(name string) {
+func (t *Trial) note(name string) { t.noteAt(name, time.Now()) }
+
+func (t *Trial) noteAt(name string, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.events = append(t.events, Event{Name: name, At: time.Now()})
+	t.events = append(t.events, Event{Name: name, At: at})
 }
 
 // step is one event of a trial at a part of its length.
@@ -171,6 +173,15 @@
 	}
 }
 
+// Effective returns from when an operator's change may show: what gives may take effect as soon as it
+// was asked for, what takes away must only once the operator was told so.
+func Effective(name string, asked time.Time) time.Time {
+	if name == "back" {
+		return asked
+	}
+	return time.Now()
+}
+
 // edit changes single rules through an entry instance and waits until all have them in force.
 func (t *Trial) edit(ctx context.Context, name string, set []string, remove []rules.Ref) error {
 	asked := time.Now()
@@ -186,7 +197,7 @@
 			break
 		}
 	}
-	t.note(name)
+	t.noteAt(name, Effective(name, asked))
 	t.progress("%s: version %d after %s", name, version, time.Since(asked).Round(time.Millisecond))
 	var pending operator.PendingError
 	if errors.As(err, &pending) {
