testscripts: Give each listener a loopback number of its own

Cause: a fresh clone's run failed fleet.txtar: instance b could not bind its peers' address, since the port that the kernel had found free went to an outgoing connection or a worker before b started (bind: address already in use, in the script's log).

--- a/testscripts/script_test.go
+++ b/testscripts/script_test.go
@@ -1,6 +1,7 @@
 package testscripts
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"testing"
@@ -20,18 +21,19 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "scripts",
 		Setup: func(env *testscript.Env) error {
-			for _, name := range []string{"PLATFORM", "A_CALLERS", "A_OPERATORS", "A_PEERS", "B_CALLERS", "B_OPERATORS", "B_PEERS"} {
-				env.Setenv(name, freeAddress(t))
+			for n, name := range []string{"PLATFORM", "A_CALLERS", "A_OPERATORS", "A_PEERS", "B_CALLERS", "B_OPERATORS", "B_PEERS"} {
+				env.Setenv(name, freeAddress(t, n+1))
 			}
 			return nil
 		},
 	})
 }
 
-// freeAddress returns an address that the kernel found free.
-func freeAddress(t *testing.T) string {
+// freeAddress returns an address that the kernel found free, on a loopback number of its own: on the
+// usual one, an outgoing connection could take the port before the script binds it.
+func freeAddress(t *testing.T, n int) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.77.0.%d:0", n))
 	if err != nil {
 		t.Fatal(err)
 	}
