entry: Say once what stood twice

Cause: a read of the whole change found the same condition written out in two places each: whether a pool would do without an instance (giveBack, pickSurplus), whether this instance may hand out slots (give, yield), the work that runs did in a window (inUse, workDone), and two listeners in measure that differed only in HTTP/2. Left as they are: rows of duplicates that share only imports or table shapes.

--- a/entry/beat.go
+++ b/entry/beat.go
@@ -277,7 +277,7 @@
 // give hands idle slots to a member that wants some. A member that has not joined yet gives nothing,
 // and one that is leaving gives everything back to the ledger instead.
 func (c *Control) give(beat peer.Beat) {
-	if !c.lease.joined || c.lease.lapsed || c.stage == stopping {
+	if !c.lends() {
 		return
 	}
 	for _, want := range beat.Wants {
@@ -290,7 +290,7 @@
 // yield hands an idle slot of a team to the member whose request has waited longest for one, if it has
 // waited longer than any here: without it, slots would stay where work never ceases.
 func (c *Control) yield(now time.Time, team id.Team) {
-	if !c.lease.joined || c.lease.lapsed || c.stage == stopping || c.holder.Idle(team) == 0 {
+	if !c.lends() || c.holder.Idle(team) == 0 {
 		return
 	}
 	longest := c.oldest(now, team)
@@ -313,6 +313,11 @@
 	}
 }
 
+// lends reports whether this instance may hand slots to others.
+func (c *Control) lends() bool {
+	return c.lease.joined && !c.lease.lapsed && c.stage != stopping
+}
+
 // mayLend reports whether slots may be handed to a member: one that is live, or that the log does not
 // know yet. What is handed to one that has lapsed or ended would be lost, since its account is closed.
 func (c *Control) mayLend(member id.Member) bool {
--- a/entry/spare.go
+++ b/entry/spare.go
@@ -97,13 +97,18 @@
 			continue
 		}
 		name, ok := c.pick(rule.Name, 0)
-		if ok && demand[rule.Name]*100 <= (c.pool(rule.Name).slots-c.tables.Instances[name].Slots)*returnBelow {
+		if ok && c.pool(rule.Name).wouldDoWithout(c.tables.Instances[name].Slots, demand[rule.Name]) {
 			return name, true
 		}
 	}
 	return "", false
 }
 
+// wouldDoWithout reports whether a pool's demand would leave some of its slots free if it had fewer.
+func (p *pool) wouldDoWithout(slots, demand int) bool {
+	return demand*100 <= (p.slots-slots)*returnBelow
+}
+
 func (c *Control) pinned(name id.Instance) bool {
 	for _, move := range c.tables.Rules().Moves {
 		if move.Instance == name {
@@ -124,7 +129,7 @@
 		if instance.Pool != rule.Name || instance.State != fleet.Up || c.pinned(name) {
 			continue
 		}
-		if now.Sub(instance.Moved) < c.timing.SpareHold || demand*100 > (p.slots-instance.Slots)*returnBelow {
+		if now.Sub(instance.Moved) < c.timing.SpareHold || !p.wouldDoWithout(instance.Slots, demand) {
 			continue
 		}
 		if best == "" || c.later(name, best) {
--- a/measure/control.go
+++ b/measure/control.go
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	for range o.Entries {
-		address, err := g.bench.listen2(ctx, peer.NewHandler(peer.HandlerConfig{Secret: rigSecret, Service: nullService{}}))
+		address, err := g.bench.listen(ctx, peer.NewHandler(peer.HandlerConfig{Secret: rigSecret, Service: nullService{}}))
 		if err != nil {
 			return nil, err
 		}
@@ -141,24 +141,9 @@
 	return g, g.fill()
 }
 
+// rigSecret is the secret that all members of a rig share.
 const rigSecret = "secret-of-the-peers"
 
-// listen2 serves a handler over HTTP/2 without TLS too, as members do.
-func (b *bench) listen2(ctx context.Context, handler http.Handler) (netip.AddrPort, error) {
-	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, errors.Annotate(err, "listening")
-	}
-	s := &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: time.Minute}
-	b.group.Go(func() { _ = s.Serve(listener) })
-	context.AfterFunc(ctx, func() { _ = s.Close() })
-	address, err := netip.ParseAddrPort(listener.Addr().String())
-	return address, errors.Annotate(err, "reading an address")
-}
-
 // fill puts the rules, workers and fake members of the size asked for into the log.
 func (g *rig) fill() error {
 	o := g.options
--- a/measure/entry.go
+++ b/measure/entry.go
@@ -129,12 +129,16 @@
 	}
 }
 
+// listen serves a handler on loopback, over HTTP/2 without TLS too, as members do.
 func (b *bench) listen(ctx context.Context, handler http.Handler) (netip.AddrPort, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return netip.AddrPort{}, errors.Annotate(err, "listening")
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: time.Minute}
 	b.group.Go(func() { _ = s.Serve(listener) })
 	context.AfterFunc(ctx, func() { _ = s.Close() })
 	address, err := netip.ParseAddrPort(listener.Addr().String())
--- a/trial/report.go
+++ b/trial/report.go
@@ -172,12 +172,8 @@
 
 // inUse returns the part of all slots that was in use in a window.
 func (t *Trial) inUse(runs []standin.Run, from, to time.Time) float64 {
-	used := 0.0
-	for _, run := range runs {
-		used += overlap(run.Started, run.Ended, from, to)
-	}
 	slots := len(t.fleet.Endpoints) * t.fleet.Deployment.Slots
-	return used / (float64(slots) * to.Sub(from).Seconds())
+	return workDone(runs, from, to) / (float64(slots) * to.Sub(from).Seconds())
 }
 
 func overlap(from, to, start, end time.Time) float64 {
