store: Move the log and list interface under internal/control

Cause: platform/ at the root is to hold only the adapter for the users' new machines; the product's own log and list interface with its HTTP form stood there. Conclusion: platform/ is free for the adapter.

--- a/commands/standin.go
+++ b/commands/standin.go
@@ -16,7 +16,7 @@
 	"github.com/juju/errors"
 
 	"marigoldshed.example/marigoldshed/common/id"
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/standin"
 )
 
@@ -74,7 +74,7 @@
 }
 
 func (c *endpointCommand) enlist(address netip.AddrPort) error {
-	listed := platform.Listed{
+	listed := store.Listed{
 		Instance: id.Instance(c.Name), Address: address, DataCentre: id.DataCentre(c.DataCentre),
 		Rack: id.Rack(c.Rack), Pool: id.Pool(c.Pool), Slots: c.Slots,
 	}
--- a/entry/config.go
+++ b/entry/config.go
@@ -8,8 +8,8 @@
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/endpoint"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/peer"
-	"marigoldshed.example/marigoldshed/platform"
 	"marigoldshed.example/marigoldshed/queue"
 )
 
@@ -20,8 +20,8 @@
 	Peer       netip.AddrPort   // where other members reach this one
 	Seeds      []netip.AddrPort // members to ask when the log is out at the start
 
-	Log       platform.Log
-	Fleet     platform.Fleet
+	Log       store.Log
+	Fleet     store.Fleet
 	Endpoints endpoint.Runner
 	Peers     peer.Network
 
--- a/entry/propose.go
+++ b/entry/propose.go
@@ -8,8 +8,8 @@
 	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/peer"
-	"marigoldshed.example/marigoldshed/platform"
 )
 
 // appenders is how many records can be on their way to the log at once.
@@ -141,7 +141,7 @@
 func (c *Control) appendDirect(ctx context.Context, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timing.LogTimeout)
 	defer cancel()
-	return errors.Trace(c.config.Log.Append(ctx, platform.ControlStream, data))
+	return errors.Trace(c.config.Log.Append(ctx, store.ControlStream, data))
 }
 
 // PendingError reports a proposal whose outcome is not known yet; a restriction among them is in
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/fleet"
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 )
 
 // maxRecent bounds the records that a member keeps for others that cannot reach the log.
@@ -56,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timing.LogWait+c.timing.LogTimeout)
 	defer cancel()
 	asked := time.Now()
-	batch, err := c.config.Log.Read(ctx, platform.ControlStream, t.offset, c.timing.LogWait)
+	batch, err := c.config.Log.Read(ctx, store.ControlStream, t.offset, c.timing.LogWait)
 	if err != nil {
 		return errors.Annotate(err, "reading the control stream")
 	}
@@ -69,7 +69,7 @@
 
 // take applies records on the control thread. What was read is as fresh as the answer when it holds
 // the newest record; the time of asking is the safe one.
-func (t *tail) take(batch platform.Batch, asked time.Time) {
+func (t *tail) take(batch store.Batch, asked time.Time) {
 	c := t.control
 	for _, stored := range batch.Records {
 		if !c.apply(stored.Offset, stored.Data) {
@@ -96,7 +96,7 @@
 	c := t.control
 	ctx, cancel := context.WithTimeout(ctx, c.timing.LogTimeout)
 	defer cancel()
-	batch, err := c.config.Log.Read(ctx, platform.SnapshotStream, -1, 0)
+	batch, err := c.config.Log.Read(ctx, store.SnapshotStream, -1, 0)
 	if err != nil {
 		return errors.Annotate(err, "reading the snapshots")
 	}
--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -14,7 +14,7 @@
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/fleet"
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 )
 
 // Bounds of the retry budget and of the queues to the loops.
@@ -117,7 +117,7 @@
 // maxEnroll bounds the instances of one record.
 const maxEnroll = 100
 
-func (c *Control) compare(now time.Time, list []platform.Listed) {
+func (c *Control) compare(now time.Time, list []store.Listed) {
 	listed := id.Set[id.Instance]{}
 	var enroll fleet.Enroll
 	for _, l := range list {
@@ -182,7 +182,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timing.LogTimeout)
 	defer cancel()
-	if err := c.config.Log.Append(ctx, platform.SnapshotStream, data); err != nil {
+	if err := c.config.Log.Append(ctx, store.SnapshotStream, data); err != nil {
 		c.log.Warn("a snapshot did not reach the log", zap.Error(errors.Trace(err)))
 		c.post(func() { c.upkeep.snapshots = 0 })
 	}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"marigoldshed.example/marigoldshed/common/id"
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 )
 
 // State is where an instance stands between service and reboot.
@@ -114,7 +114,7 @@
 	return nil
 }
 
-func (i *Instance) describe(listed platform.Listed) {
+func (i *Instance) describe(listed store.Listed) {
 	i.Address = listed.Address
 	i.DataCentre = listed.DataCentre
 	i.Rack = listed.Rack
@@ -125,7 +125,7 @@
 }
 
 // Described reports whether the tables hold an instance just as the platform lists it.
-func (t *Tables) Described(listed platform.Listed) bool {
+func (t *Tables) Described(listed store.Listed) bool {
 	instance, ok := t.Instances[listed.Instance]
 	if !ok {
 		return false
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 
 	"marigoldshed.example/marigoldshed/common/id"
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/quota"
 	"marigoldshed.example/marigoldshed/rules"
 )
@@ -86,7 +86,7 @@
 
 // Enroll adds instances that the platform lists.
 type Enroll struct {
-	Listed []platform.Listed `json:"listed"`
+	Listed []store.Listed `json:"listed"`
 }
 
 // Gone removes instances that the platform no longer lists.
--- a/platform/client.go
+++ b/internal/control/store/client.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
--- a/platform/doc.go
+++ b/internal/control/store/doc.go
@@ -1,4 +1,4 @@
-// Package platform speaks to the users' platform: its append-only log, its list of instances and
+// Package store speaks to the users' platform: its append-only log, its list of instances and
 // its reboots. Log and Fleet are the two interfaces that another platform would implement; Client
 // is the adapter for the HTTP form that this project's stand-in offers.
-package platform
+package store
--- a/platform/platform.go
+++ b/internal/control/store/platform.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -66,5 +66,5 @@
 
 // Error returns the operation and the status.
 func (e StatusError) Error() string {
-	return fmt.Sprintf("platform: %s answered %d", e.Operation, e.Status)
+	return fmt.Sprintf("store: %s answered %d", e.Operation, e.Status)
 }
--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -7,7 +7,7 @@
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/entry"
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/standin"
 )
 
@@ -114,7 +114,7 @@
 
 func freshList(c *cell) { c.setList(nil) }
 
-func (c *cell) setList(list []platform.Listed) {
+func (c *cell) setList(list []store.Listed) {
 	c.w.mu.Lock()
 	defer c.w.mu.Unlock()
 	c.w.stale = list
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -16,7 +16,7 @@
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/entry"
 	"marigoldshed.example/marigoldshed/fleet"
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/queue"
 	"marigoldshed.example/marigoldshed/trial"
 )
@@ -80,16 +80,16 @@
 func (c *cell) expire() {
 	tables := c.snapshotNow()
 	if tables != nil {
-		_ = c.w.platform.Log.Append(context.Background(), platform.SnapshotStream, tables)
+		_ = c.w.platform.Log.Append(context.Background(), store.SnapshotStream, tables)
 	}
-	c.w.platform.Log.Expire(platform.ControlStream, 3)
+	c.w.platform.Log.Expire(store.ControlStream, 3)
 }
 
 // snapshotNow returns the tables after every record of the log, as a keeper of snapshots would have
 // written before retention passed.
 func (c *cell) snapshotNow() []byte {
 	tables := fleet.NewTables()
-	batch, err := c.w.platform.Log.Read(context.Background(), platform.ControlStream, 0, 0)
+	batch, err := c.w.platform.Log.Read(context.Background(), store.ControlStream, 0, 0)
 	if err != nil {
 		return nil
 	}
--- a/matrix/net_test.go
+++ b/matrix/net_test.go
@@ -14,8 +14,8 @@
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/endpoint"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/peer"
-	"marigoldshed.example/marigoldshed/platform"
 )
 
 // latency is the time that a message takes one way.
@@ -258,13 +258,13 @@
 	return to.control.TakeAsk(ctx, ask)
 }
 
-// store is one entry instance's way to the platform.
-type store struct {
+// link is one entry instance's way to the platform.
+type link struct {
 	w     *world
 	entry *instance
 }
 
-func (s store) pass(ctx context.Context) error {
+func (s link) pass(ctx context.Context) error {
 	time.Sleep(latency)
 	if s.w.blocked(s.entry.dc, platformSite) || s.w.blocked(platformSite, s.entry.dc) || s.entry.isPaused() {
 		<-ctx.Done()
@@ -274,7 +274,7 @@
 }
 
 // Append adds a record.
-func (s store) Append(ctx context.Context, stream string, data []byte) error {
+func (s link) Append(ctx context.Context, stream string, data []byte) error {
 	if err := s.pass(ctx); err != nil {
 		return err
 	}
@@ -284,19 +284,19 @@
 }
 
 // Read returns records.
-func (s store) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error) {
+func (s link) Read(ctx context.Context, stream string, from int64, wait time.Duration) (store.Batch, error) {
 	if err := s.pass(ctx); err != nil {
-		return platform.Batch{}, err
+		return store.Batch{}, err
 	}
 	batch, err := s.w.platform.Log.Read(ctx, stream, from, wait)
 	if err != nil || s.w.blocked(platformSite, s.entry.dc) {
-		return platform.Batch{}, context.DeadlineExceeded
+		return store.Batch{}, context.DeadlineExceeded
 	}
 	return batch, nil
 }
 
 // List returns the platform's list, which may be stale or wrong.
-func (s store) List(ctx context.Context) ([]platform.Listed, error) {
+func (s link) List(ctx context.Context) ([]store.Listed, error) {
 	if err := s.pass(ctx); err != nil {
 		return nil, err
 	}
@@ -305,7 +305,7 @@
 }
 
 // Reboot restarts an instance.
-func (s store) Reboot(ctx context.Context, instance id.Instance, token string) error {
+func (s link) Reboot(ctx context.Context, instance id.Instance, token string) error {
 	if err := s.pass(ctx); err != nil {
 		return err
 	}
--- a/matrix/world_test.go
+++ b/matrix/world_test.go
@@ -11,7 +11,7 @@
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/entry"
 	"marigoldshed.example/marigoldshed/fleet"
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/standin"
 )
 
@@ -118,8 +118,8 @@
 	cuts      map[way]bool
 	changed   chan struct{}
 	instances []*instance
-	first     []platform.Listed // the list at the start
-	stale     []platform.Listed // what the list shows instead, if anything
+	first     []store.Listed // the list at the start
+	stale     []store.Listed // what the list shows instead, if anything
 	armed     step
 	fire      func(*instance) // runs once when the armed step is reached
 	group     sync.WaitGroup
@@ -156,7 +156,7 @@
 	found := &worker{name: name, dc: dc, endpoint: e}
 	w.workers[address] = found
 	w.names = append(w.names, found)
-	w.platform.Add(platform.Listed{
+	w.platform.Add(store.Listed{
 		Instance: name, Address: address, DataCentre: dc, Rack: id.Rack(string(dc) + "-r1"), Pool: pool, Slots: slotsEach,
 	}, e)
 }
@@ -187,7 +187,7 @@
 	i.planted.Pause = i.wait
 	i.control = entry.New(entry.Config{
 		Entry: i.name, DataCentre: i.dc, Peer: i.address, Seeds: seeds,
-		Log: store{w, i}, Fleet: store{w, i}, Endpoints: runner{w, i}, Peers: peers{w, i},
+		Log: link{w, i}, Fleet: link{w, i}, Endpoints: runner{w, i}, Peers: peers{w, i},
 		Planted: i.planted,
 		Timing: entry.Timing{
 			Tick: 50 * time.Millisecond, Renew: 4 * time.Second, TaskLease: 4 * time.Second,
@@ -269,7 +269,7 @@
 
 // appended reaches the steps that show in the log.
 func (w *world) appended(stream string, data []byte, i *instance) {
-	if stream == platform.SnapshotStream {
+	if stream == store.SnapshotStream {
 		w.reach(stepSnapshot, i, "")
 		return
 	}
@@ -301,7 +301,7 @@
 func (w *world) kept() *standin.Log { return w.platform.Log.Kept() }
 
 // distort returns the list as the platform shows it.
-func (w *world) distort(list []platform.Listed) []platform.Listed {
+func (w *world) distort(list []store.Listed) []store.Listed {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stale != nil {
--- a/measure/control.go
+++ b/measure/control.go
@@ -15,8 +15,8 @@
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/entry"
 	"marigoldshed.example/marigoldshed/fleet"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/peer"
-	"marigoldshed.example/marigoldshed/platform"
 	"marigoldshed.example/marigoldshed/server"
 	"marigoldshed.example/marigoldshed/settings"
 	"marigoldshed.example/marigoldshed/standin"
@@ -162,12 +162,12 @@
 		records = append(records, fleet.Join{Member: fakeMember(n), Entry: "fake", DataCentre: dcOf(n), Peer: address})
 	}
 	for n := range o.Workers {
-		listed := platform.Listed{
+		listed := store.Listed{
 			Instance: worker(n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(1 + n/250), byte(1 + n%250)}), 9),
 			DataCentre: dcOf(n), Rack: id.Rack(fmt.Sprintf("r%d", n/8)), Pool: id.Pool(fmt.Sprintf("p%d", n%o.Pools)), Slots: 8,
 		}
 		g.store.Add(listed, nil)
-		records = append(records, fleet.Enroll{Listed: []platform.Listed{listed}})
+		records = append(records, fleet.Enroll{Listed: []store.Listed{listed}})
 	}
 	for _, record := range records {
 		if err := g.append(record); err != nil {
@@ -190,7 +190,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return errors.Trace(g.store.Log.Append(g.ctx, platform.ControlStream, data))
+	return errors.Trace(g.store.Log.Append(g.ctx, store.ControlStream, data))
 }
 
 // start runs the real instance and waits until it has joined and knows every worker.
@@ -328,7 +328,7 @@
 
 func (f *fake) beat(now time.Time) peer.Beat {
 	b := peer.Beat{Member: fakeMember(f.number), DataCentre: dcOf(f.number), Address: f.rig.fakes[f.number], Version: 1}
-	b.Offset = f.rig.store.Log.Next(platform.ControlStream)
+	b.Offset = f.rig.store.Log.Next(store.ControlStream)
 	for p := range f.rig.options.Pools {
 		for k := range claimsPerPool {
 			if f.rig.options.Busy {
--- a/measure/entry.go
+++ b/measure/entry.go
@@ -18,7 +18,7 @@
 	"marigoldshed.example/marigoldshed/endpoint"
 	"marigoldshed.example/marigoldshed/entry"
 	"marigoldshed.example/marigoldshed/fleet"
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/server"
 	"marigoldshed.example/marigoldshed/settings"
 	"marigoldshed.example/marigoldshed/standin"
@@ -68,7 +68,7 @@
 func newBench(ctx context.Context) (*bench, error) {
 	ctx, stop := context.WithCancel(ctx)
 	b := &bench{stop: stop, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048, MaxIdleConns: 8192}}}
-	store := standin.NewPlatform(time.Second)
+	fake := standin.NewPlatform(time.Second)
 	worker, err := b.listen(ctx, http.HandlerFunc(echo))
 	if err != nil {
 		return nil, err
@@ -77,11 +77,11 @@
 	if err != nil {
 		return nil, err
 	}
-	address, err := b.listen(ctx, store.Handler())
+	address, err := b.listen(ctx, fake.Handler())
 	if err != nil {
 		return nil, err
 	}
-	store.Add(platform.Listed{Instance: "w", Address: worker, DataCentre: "dc1", Rack: "r", Pool: "p", Slots: 2000}, nil)
+	fake.Add(store.Listed{Instance: "w", Address: worker, DataCentre: "dc1", Rack: "r", Pool: "p", Slots: 2000}, nil)
 	s, err := b.serve(ctx, address)
 	if err != nil {
 		return nil, err
--- a/server/server.go
+++ b/server/server.go
@@ -16,9 +16,9 @@
 	"marigoldshed.example/marigoldshed/caller"
 	"marigoldshed.example/marigoldshed/endpoint"
 	"marigoldshed.example/marigoldshed/entry"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/operator"
 	"marigoldshed.example/marigoldshed/peer"
-	"marigoldshed.example/marigoldshed/platform"
 	"marigoldshed.example/marigoldshed/queue"
 	"marigoldshed.example/marigoldshed/settings"
 )
@@ -100,7 +100,7 @@
 
 func (s *Server) entryConfig(self netip.AddrPort) entry.Config {
 	set := s.config.Settings
-	store := platform.NewClient(platform.Config{Address: set.Platform, Transport: s.transport(0)})
+	store := store.NewClient(store.Config{Address: set.Platform, Transport: s.transport(0)})
 	return entry.Config{
 		Entry: set.Entry, DataCentre: set.DataCentre, Peer: self, Seeds: set.Seeds,
 		Log: store, Fleet: store,
--- a/standin/log.go
+++ b/standin/log.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 )
 
 // Errors of a platform that is told to fail.
@@ -24,7 +24,7 @@
 	Slow   time.Duration // every call takes so much longer
 }
 
-// Log is an in-memory append-only log; it implements platform.Log.
+// Log is an in-memory append-only log; it implements store.Log.
 type Log struct {
 	mu      sync.Mutex
 	streams map[string]*stream
@@ -157,9 +157,9 @@
 const maxBatch = 512
 
 // Read returns the records of a stream from an offset on, or the newest one for a negative offset.
-func (l *Log) Read(ctx context.Context, name string, from int64, wait time.Duration) (platform.Batch, error) {
+func (l *Log) Read(ctx context.Context, name string, from int64, wait time.Duration) (store.Batch, error) {
 	if _, err := l.faults(ctx); err != nil {
-		return platform.Batch{}, err
+		return store.Batch{}, err
 	}
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
@@ -170,7 +170,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Batch{}, ctx.Err()
+			return store.Batch{}, ctx.Err()
 		case <-deadline.C:
 			_, err := l.faults(ctx)
 			return batch, err
@@ -179,17 +179,17 @@
 	}
 }
 
-func (l *Log) batch(name string, from int64) (platform.Batch, <-chan struct{}) {
+func (l *Log) batch(name string, from int64) (store.Batch, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	next := int64(len(s.records))
-	batch := platform.Batch{First: s.first, Next: next}
+	batch := store.Batch{First: s.first, Next: next}
 	if from < 0 {
 		from = max(s.first, next-1)
 	}
 	for offset := max(from, s.first); offset < next && len(batch.Records) < maxBatch; offset++ {
-		batch.Records = append(batch.Records, platform.Stored{Offset: offset, Data: s.records[offset]})
+		batch.Records = append(batch.Records, store.Stored{Offset: offset, Data: s.records[offset]})
 	}
 	if from < s.first {
 		batch.Records = nil
--- a/trial/evidence.go
+++ b/trial/evidence.go
@@ -8,7 +8,7 @@
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/fleet"
-	"marigoldshed.example/marigoldshed/platform"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/rules"
 	"marigoldshed.example/marigoldshed/standin"
 )
@@ -45,12 +45,12 @@
 
 // ReplayFrom reads the control stream and returns every drain that was granted.
 func ReplayFrom(ctx context.Context, log *standin.Log) ([]Granted, error) {
-	arrived := log.Arrived(platform.ControlStream)
+	arrived := log.Arrived(store.ControlStream)
 	tables := fleet.NewTables()
 	var granted []Granted
 	open := map[id.Instance]int{}
 	for {
-		batch, err := log.Read(ctx, platform.ControlStream, tables.Offset, 0)
+		batch, err := log.Read(ctx, store.ControlStream, tables.Offset, 0)
 		if err != nil {
 			return nil, errors.Annotate(err, "reading the log for the checks")
 		}
@@ -67,7 +67,7 @@
 }
 
 // follow notes drains that one record granted and those that it ended.
-func follow(tables *fleet.Tables, stored platform.Stored, at time.Time, granted []Granted, open map[id.Instance]int) []Granted {
+func follow(tables *fleet.Tables, stored store.Stored, at time.Time, granted []Granted, open map[id.Instance]int) []Granted {
 	envelope, err := fleet.Decode(stored.Data)
 	if err != nil {
 		return granted
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -17,8 +17,8 @@
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/entry"
+	"marigoldshed.example/marigoldshed/internal/control/store"
 	"marigoldshed.example/marigoldshed/operator"
-	"marigoldshed.example/marigoldshed/platform"
 	"marigoldshed.example/marigoldshed/queue"
 	"marigoldshed.example/marigoldshed/server"
 	"marigoldshed.example/marigoldshed/settings"
@@ -145,7 +145,7 @@
 	}
 	rack := id.Rack(fmt.Sprintf("%s-r%d", dc, n/len(d.DataCentres)/d.PerRack))
 	f.Endpoints[name] = e
-	f.Platform.Add(platform.Listed{
+	f.Platform.Add(store.Listed{
 		Instance: name, Address: address, DataCentre: dc, Rack: rack, Pool: pool, Slots: d.Slots,
 	}, e)
 	return nil
