--- a/commands/commands.go
+++ b/commands/commands.go
@@ -71,6 +71,7 @@
 	}{
 		{"try", "Run a whole fleet in this process and check every promise.", &tryCommand{output: o}},
 		{"serve", "Run one entry instance.", &serveCommand{}},
+		{"run", "Run one instance on the platform's machines.", &runCommand{}},
 		{"standin", "Run a small fake of the platform or of an endpoint.", &standinCommand{Platform: platformCommand{output: o}, Endpoint: endpointCommand{output: o}}},
 		{"check", "Check a rules file.", &checkCommand{output: o}},
 		{"plan", "Show what a rules file would change.", &planCommand{output: o}},
--- /dev/null
+++ b/commands/run.go
@@ -0,0 +1,186 @@
+package commands
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/sync/errgroup"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/instance"
+	"marigoldshed.example/marigoldshed/internal/jobs/relay"
+	"marigoldshed.example/marigoldshed/internal/observe/stdout"
+	"marigoldshed.example/marigoldshed/internal/observe/steady"
+	"marigoldshed.example/marigoldshed/platform"
+)
+
+type runCommand struct {
+	Settings string `long:"settings" value-name:"FILE" description:"settings file of the platform; the environment names it otherwise"`
+	Debug    bool   `long:"debug" description:"log every task"`
+}
+
+// Bounds on connections.
+const (
+	runDialTimeout   = 600 * time.Millisecond
+	runHeaderTimeout = 3 * time.Second
+	runIdleTimeout   = 15 * time.Second
+	runHeaderBytes   = 16 << 10
+	runWorkerConns   = 6   // connections to one worker
+	runIdleConns     = 600 // connections kept open
+	memoryShare      = 0.7 // part of the allowed memory at which garbage is collected harder
+)
+
+// Times of a graceful stop, as parts of the time until the kill.
+const (
+	lingerShare   = 0.55 // callers on open connections are still served
+	shutdownShare = 0.25 // the last answers are delivered
+)
+
+// Execute runs an instance on the platform until it is told to stop.
+func (c *runCommand) Execute([]string) error {
+	path := c.Settings
+	if path == "" {
+		var err error
+		if path, err = platform.SettingsPath(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	set, err := platform.LoadSettings(path)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if set.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(set.Memory)))
+	}
+	level := zapcore.InfoLevel
+	if c.Debug {
+		level = zapcore.DebugLevel
+	}
+	logger := stdout.NewLogger(stdout.NewWriter(os.Stdout), level).With(zap.String("instance", set.Name))
+	p := &process{settings: set, logger: logger, metrics: instance.NewMetrics()}
+	return errors.Trace(p.run())
+}
+
+// process wires one instance to the network.
+type process struct {
+	settings instance.Settings
+	logger   *zap.Logger
+	metrics  *instance.Metrics
+	instance *instance.Instance
+}
+
+func (p *process) run() error {
+	set := p.settings
+	store := platform.NewStore(set.Store, transport(0))
+	p.instance = instance.New(instance.Config{
+		Settings: set, Codec: platform.Codec{}, Log: store, Groups: store, Workers: platform.NewWorkers(transport(runWorkerConns)),
+		Tables:   instance.Tables{Operators: platform.OperatorTable, Workers: platform.WorkerTable, Status: platform.StatusTable},
+		Machines: platform.NewMachines(set.Machines, transport(0)), Advisor: platform.NewAdvisor(set.Advice, transport(1)),
+		Peers: relay.NewClient(transport(0)), Clock: steady.Clock{}, Logger: p.logger, Metrics: p.metrics,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	servers := []*http.Server{
+		p.server(set.Callers, &platform.Front{Instance: p.instance, Metrics: p.metrics, Logger: p.logger}),
+		p.server(set.Ready, p.ready()),
+		p.server(set.Peers, relay.NewHandler(p.instance)),
+		p.server(set.Metrics, promhttp.HandlerFor(p.metrics.Registry, promhttp.HandlerOpts{})),
+	}
+	for _, s := range servers {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Addr)
+		if err != nil {
+			return errors.Annotatef(err, "listening on %s", s.Addr)
+		}
+		group.Go(func() error {
+			if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Annotatef(err, "serving on %s", s.Addr)
+			}
+			return nil
+		})
+	}
+	p.logger.Info("started", zap.String("dc", string(set.DataCentre)), zap.Stringer("callers", set.Callers), zap.Stringer("peers", set.Peers))
+	group.Go(func() error { return p.instance.Run(ctx) })
+	group.Go(func() error { return p.loopSignals(ctx, cancel, servers) })
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return errors.Trace(err)
+}
+
+func (p *process) server(address netip.AddrPort, handler http.Handler) *http.Server {
+	return &http.Server{
+		Addr: address.String(), Handler: handler, ReadHeaderTimeout: runHeaderTimeout, IdleTimeout: runIdleTimeout,
+		MaxHeaderBytes: runHeaderBytes, ErrorLog: zap.NewStdLog(p.logger),
+	}
+}
+
+func (p *process) ready() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !p.instance.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// loopSignals ends the process gracefully when it is told to.
+func (p *process) loopSignals(ctx context.Context, cancel context.CancelFunc, servers []*http.Server) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				p.logger.Info("settings may have changed; what this process uses of them holds until its end")
+				continue
+			}
+			p.stop(ctx, servers)
+			cancel()
+			return nil
+		}
+	}
+}
+
+// stop hands the pools over, serves callers on open connections for a while and delivers the last answers.
+func (p *process) stop(ctx context.Context, servers []*http.Server) {
+	p.logger.Info("stopping")
+	grace := p.settings.Grace
+	linger := time.After(time.Duration(lingerShare * float64(grace)))
+	handover, done := context.WithTimeout(ctx, time.Duration(lingerShare*float64(grace)))
+	p.instance.Stop(handover)
+	done()
+	for _, s := range servers {
+		s.SetKeepAlivesEnabled(false)
+	}
+	<-linger
+	shutdown, end := context.WithTimeout(ctx, time.Duration(shutdownShare*float64(grace)))
+	defer end()
+	if err := servers[0].Shutdown(shutdown); err != nil {
+		p.logger.Warn("some callers were still waiting", zap.Error(err))
+	}
+	p.logger.Info("stopped")
+}
+
+func transport(perHost int) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: runDialTimeout}).DialContext,
+		IdleConnTimeout:     time.Minute,
+		MaxConnsPerHost:     perHost,
+		MaxIdleConns:        runIdleConns,
+		MaxIdleConnsPerHost: runIdleConns,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/internal/jobs/catalog/catalog.go
@@ -0,0 +1,171 @@
+package catalog
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"marigoldshed.example/marigoldshed/common/id"
+)
+
+// Queue is a route that callers hand jobs in by.
+type Queue struct {
+	Name    string
+	Host    string
+	Prefix  string // the longest one that a path begins with wins
+	Pool    string
+	Public  bool // no key is needed
+	Timeout time.Duration
+	Advised bool // starts need a ticket of the advice service
+
+	Priority int
+	Attempts int
+	Stretch  float64
+	Target   time.Duration
+}
+
+// Pool is a set of workers that serve the same queues.
+type Pool struct {
+	Name   string
+	Guards bool // its workers refuse what does not fit
+	Spare  bool // its instances are off
+}
+
+// Amount is a quantity of the three resources.
+type Amount struct {
+	CPU          int // thousandths of a core
+	MemoryMB     int
+	Accelerators int
+}
+
+// Plus returns the sum of two amounts.
+func (a Amount) Plus(b Amount) Amount {
+	return Amount{CPU: a.CPU + b.CPU, MemoryMB: a.MemoryMB + b.MemoryMB, Accelerators: a.Accelerators + b.Accelerators}
+}
+
+// Minus returns the difference of two amounts.
+func (a Amount) Minus(b Amount) Amount {
+	return Amount{CPU: a.CPU - b.CPU, MemoryMB: a.MemoryMB - b.MemoryMB, Accelerators: a.Accelerators - b.Accelerators}
+}
+
+// Holds reports whether an amount covers another.
+func (a Amount) Holds(b Amount) bool {
+	return a.CPU >= b.CPU && a.MemoryMB >= b.MemoryMB && a.Accelerators >= b.Accelerators
+}
+
+// Team is a team with its keys, its share and its upper limit.
+type Team struct {
+	Name     string
+	Keys     []string
+	Weight   int
+	Cap      Amount // a zero field is no limit
+	Priority int
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version      int64
+	Queues       []Queue
+	Pools        []Pool
+	Teams        []Team
+	MaxBodyBytes int64
+}
+
+// Queue returns the queue that a host and a path select, or nil.
+func (c *Config) Queue(host, path string) *Queue {
+	var best *Queue
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if !strings.EqualFold(q.Host, host) || !strings.HasPrefix(path, q.Prefix) {
+			continue
+		}
+		if best == nil || len(q.Prefix) > len(best.Prefix) {
+			best = q
+		}
+	}
+	return best
+}
+
+// ByKey returns the team that a key belongs to, or nil.
+func (c *Config) ByKey(key string) *Team {
+	if key == "" {
+		return nil
+	}
+	for i := range c.Teams {
+		if slices.Contains(c.Teams[i].Keys, key) {
+			return &c.Teams[i]
+		}
+	}
+	return nil
+}
+
+// Pool returns a pool by its name, or nil.
+func (c *Config) Pool(name string) *Pool {
+	for i := range c.Pools {
+		if c.Pools[i].Name == name {
+			return &c.Pools[i]
+		}
+	}
+	return nil
+}
+
+// Serving returns the names of the pools that run work, in order.
+func (c *Config) Serving() []string {
+	var names []string
+	for _, p := range c.Pools {
+		if !p.Spare {
+			names = append(names, p.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Worker is one life of an instance that runs tasks.
+type Worker struct {
+	ID         string
+	Pool       string
+	Instance   string
+	Address    netip.AddrPort
+	DataCentre id.DataCentre
+	Rack       string
+	Labels     []string
+	Capacity   Amount
+	Draining   bool
+	Born       time.Time
+	Clock      time.Duration // its steady clock when it wrote the entry
+	ColdLeft   time.Duration // how much longer it is slow after its start
+}
+
+// Has reports whether a worker carries a label.
+func (w *Worker) Has(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
+
+// Wave asks for the maintenance of instances.
+type Wave struct {
+	Number    int
+	Instances []string
+	Within    time.Duration // from the wave's announcement
+	AtOnce    int           // most instances down together
+}
+
+// Instance is an instance as the instance service lists it.
+type Instance struct {
+	Name     string
+	Pool     string
+	State    InstanceState
+	Worker   string // id of its worker, empty when none runs
+	Capacity Amount
+	Rack     string
+}
+
+// InstanceState is what an instance is doing.
+type InstanceState int
+
+// States of an instance.
+const (
+	Down InstanceState = iota
+	Up
+	Moving
+	InUpkeep
+)
--- /dev/null
+++ b/internal/jobs/instance/call.go
@@ -0,0 +1,288 @@
+package instance
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/relay"
+	"marigoldshed.example/marigoldshed/internal/jobs/shard"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+)
+
+// Times of callers' calls.
+const (
+	tryPause   = 60 * time.Millisecond // between two tries of one call
+	askTimeout = 800 * time.Millisecond
+	retryAfter = time.Second
+)
+
+// Admit returns the queue that a call goes to and the team that its key belongs to.
+func (n *Instance) Admit(host, path, key string) (catalog.Queue, string, error) {
+	n.mu.RLock()
+	c := n.catalog
+	n.mu.RUnlock()
+	if c == nil {
+		return catalog.Queue{}, "", NotReadyError{Reason: "no configuration yet", Retry: retryAfter}
+	}
+	q := c.Queue(host, path)
+	if q == nil {
+		return catalog.Queue{}, "", NoQueueError{Host: host, Path: path}
+	}
+	team := c.ByKey(key)
+	if team != nil {
+		return *q, team.Name, nil
+	}
+	if !q.Public {
+		return *q, "", KeyError{}
+	}
+	return *q, "", nil
+}
+
+// MaxBodyBytes returns how long a body may be.
+func (n *Instance) MaxBodyBytes() int64 {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if n.catalog == nil || n.catalog.MaxBodyBytes <= 0 {
+		return defaultBodyBytes
+	}
+	return n.catalog.MaxBodyBytes
+}
+
+const defaultBodyBytes = 256 << 10
+
+// Submit stores a job; it was accepted when no error is returned, and will not run unless the error is
+// an UnknownError.
+func (n *Instance) Submit(ctx context.Context, q catalog.Queue, spec job.Spec) error {
+	spec.Queue, spec.Pool = q.Name, q.Pool
+	spec.Policy = job.Policy{Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Target: q.Target, Advised: q.Advised}
+	spec.Accepted = n.config.Clock.Moment().Wall
+	if err := spec.Check(); err != nil {
+		return err
+	}
+	if known, err := n.inFormerPool(ctx, q, spec.ID); err != nil || known {
+		return err
+	}
+	record, err := shard.SpecRecord(&spec)
+	if err != nil {
+		return err
+	}
+	return n.store(ctx, shard.IntakeTable(q.Pool), record)
+}
+
+// inFormerPool reports whether a job came in while its queue belonged to another pool.
+func (n *Instance) inFormerPool(ctx context.Context, q catalog.Queue, name job.ID) (bool, error) {
+	n.mu.RLock()
+	former := slices.Clone(n.former[q.Name])
+	n.mu.RUnlock()
+	for _, pool := range former {
+		if pool == q.Pool {
+			continue
+		}
+		_, known, err := n.ask(ctx, pool, name)
+		if err != nil {
+			return false, NotReadyError{Reason: err.Error(), Retry: retryAfter}
+		}
+		if known {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// store appends a record that nothing fences, directly or by another instance.
+func (n *Instance) store(ctx context.Context, t stream.Table, r stream.Record) error {
+	unsure := false
+	var last error
+	for try := 0; ctx.Err() == nil; try++ {
+		_, err := n.config.Log.Append(ctx, t, []stream.Record{r}, nil)
+		if err == nil {
+			n.hear()
+			return nil
+		}
+		last = err
+		var none stream.NotDoneError
+		unsure = unsure || !errors.As(err, &none)
+		if done, maybe := n.storeElsewhere(ctx, try, t, r); done {
+			return nil
+		} else if maybe {
+			unsure = true
+		}
+		sleep(ctx, tryPause)
+	}
+	if unsure {
+		return UnknownError{Reason: errText(last)}
+	}
+	return NotReadyError{Reason: errText(last), Retry: retryAfter}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return "no time was left"
+	}
+	return err.Error()
+}
+
+// storeElsewhere has another instance append a record; maybe tells that it may yet be stored.
+func (n *Instance) storeElsewhere(ctx context.Context, try int, t stream.Table, r stream.Record) (done, maybe bool) {
+	others := n.others()
+	if len(others) == 0 {
+		return false, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	stored, err := n.config.Peers.Store(ctx, others[try%len(others)], relay.Store{Table: t, Records: []stream.Record{r}})
+	if err != nil {
+		return false, true
+	}
+	return stored.Done, stored.Unsure
+}
+
+// others returns the other instances that are known to own something.
+func (n *Instance) others() []netip.AddrPort {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	var list []netip.AddrPort
+	for _, member := range n.owners {
+		address, err := netip.ParseAddrPort(member)
+		if err != nil || address == n.config.Settings.Peers || slices.Contains(list, address) {
+			continue
+		}
+		list = append(list, address)
+	}
+	return list
+}
+
+// State returns how far a job is.
+func (n *Instance) State(ctx context.Context, q catalog.Queue, name job.ID) (job.State, error) {
+	state, _, err := n.locate(ctx, q, name)
+	return state, err
+}
+
+// locate finds a job in the pool of its queue, or in another that has it from an earlier configuration.
+func (n *Instance) locate(ctx context.Context, q catalog.Queue, name job.ID) (job.State, string, error) {
+	for _, pool := range n.poolsFrom(q.Pool) {
+		state, known, err := n.askUntil(ctx, pool, name)
+		if err != nil {
+			return 0, pool, NotReadyError{Reason: err.Error(), Retry: retryAfter}
+		}
+		if known {
+			return state, pool, nil
+		}
+	}
+	return 0, "", NoJobError{Job: name}
+}
+
+// poolsFrom returns all pools that run work, a given one first.
+func (n *Instance) poolsFrom(first string) []string {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	pools := []string{first}
+	for _, p := range n.catalog.Serving() {
+		if p != first {
+			pools = append(pools, p)
+		}
+	}
+	return pools
+}
+
+// askUntil asks the owner of a pool for a job until it answers or the time is over.
+func (n *Instance) askUntil(ctx context.Context, pool string, name job.ID) (job.State, bool, error) {
+	for {
+		state, known, err := n.ask(ctx, pool, name)
+		if err == nil {
+			return state, known, nil
+		}
+		sleep(ctx, tryPause)
+		if ctx.Err() != nil {
+			return 0, false, err
+		}
+	}
+}
+
+func (n *Instance) ask(ctx context.Context, pool string, name job.ID) (job.State, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	owner, here, err := n.owner(pool)
+	if err != nil {
+		return 0, false, err
+	}
+	if here != nil {
+		return here.State(ctx, name)
+	}
+	answer, err := n.config.Peers.State(ctx, owner, relay.Question{Pool: pool, Job: name})
+	return answer.State, answer.Known, err
+}
+
+// owner returns the instance that owns a pool, or the pool itself when it is run here.
+func (n *Instance) owner(pool string) (netip.AddrPort, *shard.Shard, error) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if o, ok := n.shards[pool]; ok {
+		return netip.AddrPort{}, o.shard, nil
+	}
+	part := partOf(n.catalog, pool, n.config.Settings.Parts)
+	if part < 0 || part >= len(n.owners) || n.owners[part] == "" {
+		return netip.AddrPort{}, nil, errors.Errorf("no owner of pool %s is known", pool)
+	}
+	address, err := netip.ParseAddrPort(n.owners[part])
+	if err == nil && address == n.config.Settings.Peers {
+		return address, nil, errors.Errorf("pool %s is being taken over here", pool)
+	}
+	return address, nil, errors.Annotatef(err, "reading the address of the owner of pool %s", pool)
+}
+
+// Cancel stores the wish to end a job.
+func (n *Instance) Cancel(ctx context.Context, q catalog.Queue, name job.ID) error {
+	asked, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	_, pool, err := n.locate(asked, q, name)
+	var none NoJobError
+	if errors.As(err, &none) {
+		return err
+	}
+	if err != nil {
+		// The owner cannot be asked; a wish for a job that is not there does no harm.
+		pool = q.Pool
+	}
+	if err := n.store(ctx, shard.IntakeTable(pool), shard.CancelRecord(name)); err != nil {
+		return err
+	}
+	n.config.Logger.Info("cancellation stored", zap.String("job", string(name)), zap.String("pool", pool))
+	return nil
+}
+
+// Pending returns how many jobs of a queue have not begun.
+func (n *Instance) Pending(ctx context.Context, q catalog.Queue) (int, error) {
+	for {
+		count, err := n.pending(ctx, q)
+		if err == nil {
+			return count, nil
+		}
+		sleep(ctx, tryPause)
+		if ctx.Err() != nil {
+			return 0, NotReadyError{Reason: err.Error(), Retry: retryAfter}
+		}
+	}
+}
+
+func (n *Instance) pending(ctx context.Context, q catalog.Queue) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	owner, here, err := n.owner(q.Pool)
+	if err != nil {
+		return 0, err
+	}
+	if here != nil {
+		counts, err := here.Pending(ctx)
+		return counts[q.Name], err
+	}
+	answer, err := n.config.Peers.Pending(ctx, owner, relay.Pool{Pool: q.Pool})
+	return answer.Queues[q.Name], err
+}
--- /dev/null
+++ b/internal/jobs/instance/instance.go
@@ -0,0 +1,181 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/relay"
+	"marigoldshed.example/marigoldshed/internal/jobs/shard"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+)
+
+// Tables names the tables that the platform keeps.
+type Tables struct{ Operators, Workers, Status stream.Table }
+
+// Config holds what an Instance needs.
+type Config struct {
+	Settings Settings
+	Tables   Tables
+	Codec    catalog.Codec
+	Log      stream.Log
+	Groups   stream.Groups
+	Workers  worker.Client
+	Machines worker.Machines
+	Advisor  worker.Advisor
+	Peers    *relay.Client
+	Clock    shard.Clock
+	Logger   *zap.Logger
+	Metrics  *Metrics
+}
+
+// Instance is one process of the program.
+type Instance struct {
+	config Config
+
+	mu        sync.RWMutex // guards everything below
+	catalog   *catalog.Config
+	evacuated id.Set[id.DataCentre]
+	waves     map[int]announced
+	workers   map[string]catalog.Worker
+	former    map[string][]string // pools that a queue had before, newest last
+	owners    []string            // member by part, empty where none is known
+	shards    map[string]*owned
+	heard     time.Duration // steady time of the newest answer of the store
+	stopping  bool
+	leave     chan struct{} // closed when the instance is to stop
+	left      chan struct{} // closed once it has given up its pools
+}
+
+// announced is a wave and when it was first seen.
+type announced struct {
+	wave catalog.Wave
+	at   time.Duration
+}
+
+// owned is a pool that this instance runs.
+type owned struct {
+	shard  *shard.Shard
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns an instance.
+func New(c Config) *Instance {
+	return &Instance{
+		config: c, evacuated: id.Set[id.DataCentre]{}, waves: map[int]announced{}, workers: map[string]catalog.Worker{},
+		former: map[string][]string{}, shards: map[string]*owned{}, leave: make(chan struct{}), left: make(chan struct{}),
+	}
+}
+
+// Run follows the platform until the context ends.
+func (n *Instance) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	operators := &feed{instance: n, table: n.config.Tables.Operators, wait: operatorWait, replace: n.replaceOperators, take: n.takeOperator}
+	workers := &feed{instance: n, table: n.config.Tables.Workers, gap: workerGap, replace: n.replaceWorkers, take: n.takeWorker}
+	members := &membership{instance: n}
+	group.Go(func() error { return operators.loop(ctx) })
+	group.Go(func() error { return workers.loop(ctx) })
+	group.Go(func() error { return members.loop(ctx) })
+	return errors.Trace(group.Wait())
+}
+
+// Stop hands the pools over and waits until that is done or the context ends.
+func (n *Instance) Stop(ctx context.Context) {
+	n.mu.Lock()
+	first := !n.stopping
+	n.stopping = true
+	n.mu.Unlock()
+	if first {
+		close(n.leave)
+	}
+	select {
+	case <-n.left:
+	case <-ctx.Done():
+	}
+}
+
+// storeSilence is how long the store may be silent before callers are better off elsewhere.
+const storeSilence = 2500 * time.Millisecond
+
+// Ready reports whether callers should be sent here.
+func (n *Instance) Ready() bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.catalog != nil && !n.stopping && n.config.Clock.Moment().Steady-n.heard < storeSilence
+}
+
+// hear notes that the store has answered.
+func (n *Instance) hear() {
+	n.mu.Lock()
+	n.heard = n.config.Clock.Moment().Steady
+	n.mu.Unlock()
+}
+
+// view returns what is published as far as it concerns a pool.
+func (n *Instance) view(pool string) shard.View {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	v := shard.View{Evacuated: id.Set[id.DataCentre]{}, Limits: map[string]catalog.Amount{}}
+	for dc := range n.evacuated {
+		v.Evacuated.Add(dc)
+	}
+	for _, w := range n.workers {
+		if w.Pool == pool {
+			v.Workers = append(v.Workers, w)
+		}
+	}
+	if n.catalog == nil {
+		return v
+	}
+	parts := max(1, len(n.catalog.Serving()))
+	for _, t := range n.catalog.Teams {
+		v.Limits[t.Name] = catalog.Amount{
+			CPU: part(t.Cap.CPU, parts), MemoryMB: part(t.Cap.MemoryMB, parts), Accelerators: part(t.Cap.Accelerators, parts),
+		}
+	}
+	return v
+}
+
+// part returns one pool's share of a limit; a limit that is set never turns into none.
+func part(limit, parts int) int {
+	if limit == 0 {
+		return 0
+	}
+	return max(1, limit/parts)
+}
+
+// refreshShards has the pools that run here look at what is published.
+func (n *Instance) refreshShards() {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	for _, o := range n.shards {
+		o.shard.Refresh()
+	}
+}
+
+// units returns the names of what instances own, each in its part of the group's topic.
+func units(c *catalog.Config) []string {
+	return append(c.Serving(), fleetUnit)
+}
+
+// fleetUnit is the unit whose owner moves and maintains instances.
+const fleetUnit = "fleet"
+
+// partOf returns the part of the group's topic that stands for a unit.
+func partOf(c *catalog.Config, unit string, parts int) int {
+	all := units(c)
+	i := slices.Index(all, unit)
+	if i < 0 {
+		return -1
+	}
+	return i * parts / max(len(all), 1) % parts
+}
--- /dev/null
+++ b/internal/jobs/instance/metrics.go
@@ -0,0 +1,81 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+)
+
+// Metrics holds the metrics of one instance.
+type Metrics struct {
+	Registry *prometheus.Registry
+	calls    *prometheus.HistogramVec // seconds of a caller's call, by queue, call and outcome
+	wait     *prometheus.HistogramVec // seconds from a job's acceptance to a start, by team and queue
+	jobs     *prometheus.HistogramVec // seconds of a job, by team, queue and outcome
+	runs     *prometheus.CounterVec   // ends of runs, by pool and way
+}
+
+// NewMetrics returns metrics in a registry of their own.
+func NewMetrics() *Metrics {
+	buckets := []float64{.002, .005, .01, .025, .05, .1, .25, .5, 1, 2, 3.2, 5, 10, 30}
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets}, labels)
+	}
+	m := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		calls:    histogram("marigoldshed_call_seconds", "Time of a caller's call.", "queue", "call", "outcome"),
+		wait:     histogram("marigoldshed_start_wait_seconds", "Time from a job's acceptance to the start of a task.", "team", "queue"),
+		jobs:     histogram("marigoldshed_job_seconds", "Time from a job's acceptance to its end.", "team", "queue", "outcome"),
+		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigoldshed_runs_total", Help: "Runs that have ended.",
+		}, []string{"pool", "end"}),
+	}
+	m.Registry.MustRegister(m.calls, m.wait, m.jobs, m.runs)
+	return m
+}
+
+// Call notes a caller's call.
+func (m *Metrics) Call(queue, call, outcome string, took time.Duration) {
+	m.calls.WithLabelValues(queue, call, outcome).Observe(took.Seconds())
+}
+
+// Observer returns what notes and logs the decisions of one pool.
+func (m *Metrics) Observer(name string, logger *zap.Logger) pool.Observer {
+	return &observer{metrics: m, pool: name, logger: logger.With(zap.String("pool", name))}
+}
+
+type observer struct {
+	metrics *Metrics
+	pool    string
+	logger  *zap.Logger
+}
+
+func (o *observer) Placed(spec *job.Spec, task job.Name, run int, worker string, waited time.Duration) {
+	o.metrics.wait.WithLabelValues(spec.Team, spec.Queue).Observe(waited.Seconds())
+	o.logger.Debug("task placed", zap.String("job", string(task.Job)), zap.Int("step", task.Step), zap.Int("index", task.Index),
+		zap.Int("run", run), zap.String("worker", worker), zap.Duration("waited", waited))
+}
+
+func (o *observer) Ended(_ *job.Spec, task job.Name, run int, worker, how string) {
+	o.metrics.runs.WithLabelValues(o.pool, how).Inc()
+	level := zap.DebugLevel
+	if how != "done" && how != "stopped" {
+		level = zap.InfoLevel
+	}
+	o.logger.Log(level, "run ended", zap.String("job", string(task.Job)), zap.Int("step", task.Step), zap.Int("index", task.Index),
+		zap.Int("run", run), zap.String("worker", worker), zap.String("how", how))
+}
+
+func (o *observer) JobEnded(spec *job.Spec, state job.State, took time.Duration) {
+	o.metrics.jobs.WithLabelValues(spec.Team, spec.Queue, state.String()).Observe(took.Seconds())
+	o.logger.Info("job ended", zap.String("job", string(spec.ID)), zap.String("queue", spec.Queue), zap.String("state", state.String()),
+		zap.Duration("took", took))
+}
+
+func (o *observer) WorkerChanged(worker, what string) {
+	o.logger.Info("worker changed", zap.String("worker", worker), zap.String("what", what))
+}
--- /dev/null
+++ b/internal/jobs/instance/settings.go
@@ -0,0 +1,45 @@
+package instance
+
+import (
+	"net/netip"
+	"time"
+
+	"marigoldshed.example/marigoldshed/common/id"
+)
+
+// Settings is what an instance learns about itself and its surroundings when it starts.
+type Settings struct {
+	Name       string
+	DataCentre id.DataCentre
+	Callers    netip.AddrPort // where callers are served
+	Ready      netip.AddrPort // where the balancer probes
+	Peers      netip.AddrPort // where other instances are served
+	Metrics    netip.AddrPort
+	Store      netip.AddrPort // the platform's log
+	Machines   netip.AddrPort // the platform's instance service
+	Advice     netip.AddrPort // zero where no queue is advised
+
+	Parts     int           // partitions of a topic
+	MinTTL    time.Duration // shortest time to live of a group's member
+	Memory    int64         // bytes that the process may use
+	Heartbeat time.Duration // interval of the workers' entries
+	Grace     time.Duration // from a request to stop to the kill
+	MaxLease  time.Duration // longest lease that a worker grants
+	StopTime  time.Duration // longest time that a stop takes on a worker
+	Retention time.Duration // how long an ended job can be asked for
+	Turn      time.Duration // quiet time before another holder orders the same instance about
+	Notice    time.Duration // time after which a task that is away counts as missing
+	Harm      time.Duration // longest time that a serving task may be over its target because of others
+	FarFactor float64       // how much longer a task takes away from its data
+}
+
+// usualLease bounds how long the tasks of a silent worker are given up for lost.
+const usualLease = 4 * time.Second
+
+// Lease returns the length of the workers' leases.
+func (s *Settings) Lease() time.Duration {
+	if s.MaxLease > 0 {
+		return min(usualLease, s.MaxLease)
+	}
+	return usualLease
+}
--- /dev/null
+++ b/internal/jobs/job/job.go
@@ -0,0 +1,218 @@
+package job
+
+import (
+	"time"
+)
+
+// State is how far a job has come.
+type State int
+
+// States of a job; the last three are final.
+const (
+	Queued State = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+// Ended reports whether a state is final.
+func (s State) Ended() bool { return s >= Completed }
+
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
+}
+
+// Task is one member of a step.
+type Task struct {
+	Name       Name
+	Done       bool
+	Failures   int    // runs that ended failed
+	Run        int    // number of the latest run, 0 before the first
+	Worker     string // where the latest run is or may be, empty when no run can exist
+	Checkpoint string // newest known progress to resume from
+}
+
+// Placed reports whether a run of the task exists or may exist.
+func (t *Task) Placed() bool { return t.Worker != "" }
+
+// Occurrence is one execution of all steps of a job.
+type Occurrence struct {
+	Number int
+	Steps  [][]Task
+	left   []int // tasks of each step that are not done
+}
+
+// Job is an accepted job.
+type Job struct {
+	Spec        Spec
+	State       State
+	Ended       time.Time
+	Begun       bool // a task has started
+	Occurrences []*Occurrence
+	finished    int // occurrences that are done
+	next        int // number of the next occurrence to become due
+}
+
+// New returns a job none of whose tasks has started.
+func New(spec Spec) *Job {
+	j := &Job{Spec: spec}
+	if spec.Times == 0 {
+		j.open(0)
+	}
+	return j
+}
+
+func (j *Job) open(number int) *Occurrence {
+	o := &Occurrence{Number: number, Steps: make([][]Task, len(j.Spec.Steps)), left: make([]int, len(j.Spec.Steps))}
+	for s, step := range j.Spec.Steps {
+		o.Steps[s] = make([]Task, step.Count)
+		o.left[s] = step.Count
+		for i := range o.Steps[s] {
+			o.Steps[s][i].Name = Name{Job: j.Spec.ID, Occurrence: number, Step: s, Index: i}
+		}
+	}
+	j.Occurrences = append(j.Occurrences, o)
+	j.next = max(j.next, number+1)
+	return o
+}
+
+// Advance opens the occurrences that are due and reports whether there were any.
+func (j *Job) Advance(now time.Time) bool {
+	opened := false
+	for !j.State.Ended() && j.next < j.Spec.Times && !now.Before(j.Spec.Due(j.next)) {
+		j.open(j.next)
+		opened = true
+	}
+	return opened
+}
+
+// Task returns a task by its name, or nil when the job has none of that name.
+func (j *Job) Task(n Name) *Task {
+	for _, o := range j.Occurrences {
+		if o.Number != n.Occurrence {
+			continue
+		}
+		if n.Step < 0 || n.Step >= len(o.Steps) || n.Index < 0 || n.Index >= len(o.Steps[n.Step]) {
+			return nil
+		}
+		return &o.Steps[n.Step][n.Index]
+	}
+	return nil
+}
+
+// Ready reports whether the steps before a step are done.
+func (j *Job) Ready(o *Occurrence, step int) bool {
+	for _, before := range j.Spec.Steps[step].After {
+		if o.left[before] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Finish marks a task done, all tasks of its step if that is a gang, and the job completed with the
+// last of them.
+func (j *Job) Finish(t *Task, now time.Time) {
+	for _, o := range j.Occurrences {
+		if o.Number == t.Name.Occurrence {
+			j.finish(o, t)
+			break
+		}
+	}
+	if j.finished >= max(1, j.Spec.Times) && !j.State.Ended() {
+		j.end(Completed, now)
+	}
+}
+
+func (j *Job) finish(o *Occurrence, t *Task) {
+	step := t.Name.Step
+	members := []*Task{t}
+	if j.Spec.Steps[step].Gang {
+		members = members[:0]
+		for i := range o.Steps[step] {
+			members = append(members, &o.Steps[step][i])
+		}
+	}
+	before := o.remaining()
+	for _, m := range members {
+		if m.Done {
+			continue
+		}
+		m.Done = true
+		m.Checkpoint = ""
+		o.left[step]--
+	}
+	if before > 0 && o.remaining() == 0 {
+		j.finished++
+	}
+}
+
+func (o *Occurrence) remaining() int {
+	sum := 0
+	for _, left := range o.left {
+		sum += left
+	}
+	return sum
+}
+
+// Fail counts a failed run of a task; the job fails with the last attempt that its queue allows.
+func (j *Job) Fail(t *Task, now time.Time) {
+	if j.Spec.Steps[t.Name.Step].Lasting {
+		return
+	}
+	t.Failures++
+	if j.Spec.Policy.Attempts > 0 && t.Failures >= j.Spec.Policy.Attempts && !j.State.Ended() {
+		j.end(Failed, now)
+	}
+}
+
+// Cancel ends the job at its caller's wish and reports whether that changed anything.
+func (j *Job) Cancel(now time.Time) bool {
+	if j.State.Ended() {
+		return false
+	}
+	j.end(Cancelled, now)
+	return true
+}
+
+func (j *Job) end(s State, now time.Time) {
+	j.State = s
+	j.Ended = now
+}
+
+// Start notes that a run of a task is about to exist on a worker and returns the run's number.
+func (j *Job) Start(t *Task, worker string) int {
+	t.Run++
+	t.Worker = worker
+	if !j.State.Ended() {
+		j.State = Running
+	}
+	return t.Run
+}
+
+// Remaining returns the length of the longest chain of steps that are not done, by their estimates.
+func (j *Job) Remaining(o *Occurrence) time.Duration {
+	var longest time.Duration
+	lengths := make([]time.Duration, len(j.Spec.Steps))
+	for i := range j.Spec.Steps {
+		step := &j.Spec.Steps[i]
+		for _, before := range step.After {
+			lengths[i] = max(lengths[i], lengths[before])
+		}
+		if o.left[i] > 0 {
+			lengths[i] += step.Estimate
+		}
+		longest = max(longest, lengths[i])
+	}
+	return longest
+}
+
+// Left returns how many tasks of a step are not done.
+func (o *Occurrence) Left(step int) int { return o.left[step] }
+
+// Due returns how long from now the occurrence is due, which is negative once it is.
+func (o *Occurrence) Due(j *Job, now time.Time) time.Duration {
+	return j.Spec.Due(o.Number).Sub(now)
+}
--- /dev/null
+++ b/internal/jobs/job/spec.go
@@ -0,0 +1,176 @@
+package job
+
+import (
+	"fmt"
+	"time"
+)
+
+// ID names a job; its caller chooses it.
+type ID string
+
+// Name names one task: the member Index of one step in one occurrence of a job.
+type Name struct {
+	_          struct{} `cbor:",toarray"`
+	Job        ID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// Step is a set of like tasks that may run once the steps before it are done.
+type Step struct {
+	Count          int           `cbor:"1,keyasint"`
+	CPU            int           `cbor:"2,keyasint,omitempty"` // thousandths of a core
+	MemoryMB       int           `cbor:"3,keyasint,omitempty"`
+	Accelerators   int           `cbor:"4,keyasint,omitempty"`
+	Estimate       time.Duration `cbor:"5,keyasint,omitempty"` // declared length of one task, often far off
+	After          []int         `cbor:"6,keyasint,omitempty"` // steps whose tasks must all be done first
+	Gang           bool          `cbor:"7,keyasint,omitempty"` // the tasks work only while all of them run
+	SameRack       bool          `cbor:"8,keyasint,omitempty"` // much slower when spread over racks
+	Label          string        `cbor:"9,keyasint,omitempty"` // a label that the worker must have
+	Rack           string        `cbor:"10,keyasint,omitempty"`
+	PerWorker      int           `cbor:"11,keyasint,omitempty"` // most tasks on one worker, 0 for no limit
+	Speculative    bool          `cbor:"12,keyasint,omitempty"`
+	Lasting        bool          `cbor:"13,keyasint,omitempty"` // runs until the job is cancelled
+	Image          string        `cbor:"14,keyasint,omitempty"`
+	Target         time.Duration `cbor:"15,keyasint,omitempty"` // tail latency that a serving task must keep
+	Fills          bool          `cbor:"16,keyasint,omitempty"` // takes only processor time that others leave
+	MaxUnavailable int           `cbor:"17,keyasint,omitempty"` // tasks that may be away by our doing, 0 for no limit
+}
+
+// Policy is what the queue asks of a job, as it stood when the job came in.
+type Policy struct {
+	Priority int           `cbor:"1,keyasint,omitempty"` // 0 comes first
+	Attempts int           `cbor:"2,keyasint,omitempty"` // failed runs of a task that fail the job
+	Stretch  float64       `cbor:"3,keyasint,omitempty"` // allowed length as a multiple of the longest chain of steps
+	Target   time.Duration `cbor:"4,keyasint,omitempty"` // allowed on top of the stretched chain
+	Advised  bool          `cbor:"5,keyasint,omitempty"` // starts need a ticket of the advice service
+}
+
+// Spec is a job as its caller handed it in.
+type Spec struct {
+	ID       ID            `cbor:"1,keyasint"`
+	Queue    string        `cbor:"2,keyasint"`
+	Pool     string        `cbor:"3,keyasint"`
+	Team     string        `cbor:"4,keyasint,omitempty"`
+	Text     string        `cbor:"5,keyasint,omitempty"` // passed to the workers unread
+	Steps    []Step        `cbor:"6,keyasint"`
+	Times    int           `cbor:"7,keyasint,omitempty"` // occurrences, 0 for a job that runs once at once
+	First    time.Time     `cbor:"8,keyasint,omitzero"`
+	Interval time.Duration `cbor:"9,keyasint,omitempty"`
+	Policy   Policy        `cbor:"10,keyasint"`
+	Accepted time.Time     `cbor:"11,keyasint"` // by the clock of the instance that took it
+}
+
+// Bounds on what a caller may ask for.
+const (
+	maxSteps     = 64
+	maxTasks     = 20_000
+	maxTextBytes = 4_000
+	idDigits     = 16
+)
+
+// SpecError reports a job that cannot be taken as it was written.
+type SpecError struct{ Field, Reason string }
+
+// Error returns the field and what is wrong with it.
+func (e SpecError) Error() string { return fmt.Sprintf("job: %s %s", e.Field, e.Reason) }
+
+// Check returns a SpecError when the job breaks a bound or its steps wait for each other in a circle.
+func (s *Spec) Check() error {
+	if !validID(s.ID) {
+		return SpecError{Field: "id", Reason: "is not 16 hexadecimal digits"}
+	}
+	if len(s.Text) > maxTextBytes {
+		return SpecError{Field: "spec", Reason: fmt.Sprintf("has %d bytes, %d at most", len(s.Text), maxTextBytes)}
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
+		return SpecError{Field: "steps", Reason: fmt.Sprintf("are %d, 1 to %d are taken", len(s.Steps), maxSteps)}
+	}
+	if s.Times < 0 || s.Interval < 0 {
+		return SpecError{Field: "times", Reason: "are negative"}
+	}
+	tasks := 0
+	for i, step := range s.Steps {
+		if err := step.check(i); err != nil {
+			return err
+		}
+		tasks += step.Count
+	}
+	if tasks > maxTasks {
+		return SpecError{Field: "tasks", Reason: fmt.Sprintf("are %d, %d at most", tasks, maxTasks)}
+	}
+	return nil
+}
+
+func (s *Step) check(number int) error {
+	field := fmt.Sprintf("step %d", number)
+	if s.Count < 1 || s.Count > maxTasks {
+		return SpecError{Field: field, Reason: fmt.Sprintf("has %d tasks", s.Count)}
+	}
+	if s.CPU < 0 || s.MemoryMB < 0 || s.Accelerators < 0 || s.Estimate < 0 || s.PerWorker < 0 || s.MaxUnavailable < 0 {
+		return SpecError{Field: field, Reason: "has a negative amount"}
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= number {
+			return SpecError{Field: field, Reason: fmt.Sprintf("waits for step %d, which is not an earlier one", before)}
+		}
+	}
+	return nil
+}
+
+func validID(id ID) bool {
+	if len(id) != idDigits {
+		return false
+	}
+	for _, r := range id {
+		if (r < '0' || r > '9') && (r < 'a' || r > 'f') && (r < 'A' || r > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// Chain returns the length of the longest chain of steps by their estimates.
+func (s *Spec) Chain() time.Duration {
+	longest := time.Duration(0)
+	for _, length := range s.chains() {
+		longest = max(longest, length)
+	}
+	return longest
+}
+
+// chains returns for each step the length of the longest chain that ends with it.
+func (s *Spec) chains() []time.Duration {
+	lengths := make([]time.Duration, len(s.Steps))
+	for i, step := range s.Steps {
+		for _, before := range step.After {
+			lengths[i] = max(lengths[i], lengths[before])
+		}
+		lengths[i] += step.Estimate
+	}
+	return lengths
+}
+
+// Objective returns the time that the job may take to be in time.
+func (s *Spec) Objective() time.Duration {
+	return time.Duration(s.Policy.Stretch*float64(s.Chain())) + s.Policy.Target
+}
+
+// Due returns when an occurrence may start.
+func (s *Spec) Due(occurrence int) time.Time {
+	if s.Times == 0 {
+		return s.Accepted
+	}
+	return s.First.Add(time.Duration(occurrence) * s.Interval)
+}
+
+// Lasting reports whether any step runs until the job is cancelled.
+func (s *Spec) Lasting() bool {
+	for _, step := range s.Steps {
+		if step.Lasting {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/jobs/pool/flush.go
@@ -0,0 +1,88 @@
+package pool
+
+import (
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+)
+
+// Batch is what is to be stored together, and what may happen once it is.
+type Batch struct {
+	Jobs    []StoredJob
+	Dropped []job.ID // jobs that the log need not keep any longer
+
+	runs []*run
+	ends map[string]int64 // newest end by worker that the batch covers
+}
+
+// StoredJob is the progress of one job.
+type StoredJob struct {
+	ID       job.ID
+	Progress job.Progress
+}
+
+// Empty reports whether there is nothing to store.
+func (b *Batch) Empty() bool { return len(b.Jobs) == 0 && len(b.Dropped) == 0 }
+
+// maxBatchJobs bounds the jobs of one batch.
+const maxBatchJobs = 400
+
+// Flush returns what has changed since the last call.
+func (p *Pool) Flush() *Batch {
+	b := &Batch{ends: map[string]int64{}}
+	for name := range p.changed {
+		e, ok := p.jobs[name]
+		if !ok {
+			continue
+		}
+		b.Jobs = append(b.Jobs, StoredJob{ID: name, Progress: e.job.Progress()})
+	}
+	clear(p.changed)
+	b.Dropped, p.dropped = p.dropped, nil
+	b.runs, p.held = p.held, nil
+	for name, h := range p.workers {
+		if h.seen > h.stored {
+			b.ends[name] = h.seen
+		}
+	}
+	return b
+}
+
+// Stored lets happen what waited for a batch: its runs are ordered and its ends acknowledged.
+func (p *Pool) Stored(at Moment, b *Batch) {
+	for _, s := range b.Jobs {
+		if e, ok := p.jobs[s.ID]; ok {
+			e.stored = s.Progress.State
+		}
+	}
+	for _, r := range b.runs {
+		p.send(at, r)
+	}
+	for name, end := range b.ends {
+		if h, ok := p.workers[name]; ok && h.seen >= end {
+			h.stored = max(h.stored, end)
+		}
+	}
+}
+
+// NothingToStore acknowledges ends that changed no job.
+func (p *Pool) NothingToStore(b *Batch) {
+	for name, end := range b.ends {
+		if h, ok := p.workers[name]; ok && h.seen >= end {
+			h.stored = max(h.stored, end)
+		}
+	}
+}
+
+// forget drops jobs whose time to be asked for is over.
+func (p *Pool) forget(at Moment) {
+	for name, until := range p.cancelled {
+		if at.Steady > until {
+			delete(p.cancelled, name)
+		}
+	}
+	for name, e := range p.jobs {
+		if e.gone > 0 && at.Steady > e.gone {
+			delete(p.jobs, name)
+			p.dropped = append(p.dropped, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/pool/host.go
@@ -0,0 +1,122 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+)
+
+// clockDrift is the most by which a worker's clock is slow, as a part of the time.
+const clockDrift = 0.02
+
+// leaseSlack covers rounding and the way of an order, on top of a lease.
+const leaseSlack = 150 * time.Millisecond
+
+// host is one life of a worker with what runs there.
+type host struct {
+	info     catalog.Worker
+	listed   bool // its entry stands in the workers' table
+	cordoned bool // is to be emptied
+	used     catalog.Amount
+	runs     map[worker.Run]*run
+
+	clock    time.Duration // its steady clock at clockAt
+	clockAt  time.Duration
+	leaseEnd time.Duration // when everything on it has surely lapsed unless renewed
+	seen     int64         // number of the newest end that was taken in
+	stored   int64         // ends up to this number are stored
+	acked    int64         // ends up to this number were acknowledged to it
+
+	answered  bool          // has answered a look of this owner
+	silent    bool          // its last order was not answered
+	looking   bool          // a look is on its way
+	urgent    bool          // an urgent look is on its way
+	nextLook  time.Duration // when to look again
+	avoid     time.Duration // gets nothing new before
+	failures  int           // runs that failed in a row
+	penalties int
+	slow      float64       // typical length of a run against its estimate, 0 when not known
+	paced     time.Duration // when its tasks that fill were last paced
+}
+
+func (h *host) target() worker.Target {
+	return worker.Target{ID: h.info.ID, Address: h.info.Address}
+}
+
+// until returns the end of a lease that starts now, on the worker's clock.
+func (h *host) until(now, lease time.Duration) time.Duration {
+	return h.clock + (now - h.clockAt) + lease
+}
+
+// extend notes that a lease may have been given now.
+func (h *host) extend(now, lease time.Duration) {
+	drift := time.Duration(clockDrift * float64(now-h.clockAt+lease) * 1.1)
+	h.leaseEnd = max(h.leaseEnd, now+lease+drift+leaseSlack)
+}
+
+func (h *host) free() catalog.Amount { return h.info.Capacity.Minus(h.used) }
+
+// SetWorkers replaces the list of the pool's workers.
+func (p *Pool) SetWorkers(at Moment, list []catalog.Worker) {
+	present := id.Set[string]{}
+	for _, info := range list {
+		present.Add(info.ID)
+		h, known := p.workers[info.ID]
+		if known && !info.Born.IsZero() && !h.info.Born.IsZero() && info.Born.After(h.info.Born) {
+			p.reborn(at, h, info.Born)
+		}
+		if !known {
+			h = &host{runs: map[worker.Run]*run{}, clock: info.Clock, clockAt: at.Steady}
+			p.workers[info.ID] = h
+			p.config.Observer.WorkerChanged(info.ID, "joined")
+		}
+		if known && h.info.Draining != info.Draining {
+			p.config.Observer.WorkerChanged(info.ID, "draining changed")
+		}
+		h.info = info
+		h.listed = true
+	}
+	for name, h := range p.workers {
+		if h.listed && !present.Has(name) {
+			h.listed = false
+			p.config.Observer.WorkerChanged(name, "left the list")
+		}
+	}
+}
+
+// SetCordoned replaces the workers that are to be emptied.
+func (p *Pool) SetCordoned(names []string) {
+	for name, h := range p.workers {
+		h.cordoned = slices.Contains(names, name)
+	}
+}
+
+// reborn ends everything that ran on an earlier life under the same id.
+func (p *Pool) reborn(at Moment, h *host, born time.Time) {
+	p.config.Observer.WorkerChanged(h.info.ID, "started again")
+	p.loseAll(at, h)
+	h.info.Born = born
+	h.seen, h.stored, h.acked = 0, 0, 0
+	h.leaseEnd = 0
+	h.clock, h.clockAt = 0, at.Steady
+	h.answered = false
+}
+
+// loseAll ends every run of a worker whose life or lease is over.
+func (p *Pool) loseAll(at Moment, h *host) {
+	for _, r := range h.runs {
+		p.ended(at, r, worker.End{Run: r.id, How: worker.Lost})
+	}
+}
+
+// usable reports whether a worker may get new work.
+func (p *Pool) usable(at Moment, h *host) bool {
+	return h.listed && h.answered && !h.silent && !h.cordoned && !h.info.Draining &&
+		at.Steady >= h.avoid && !p.evacuated.Has(h.info.DataCentre)
+}
+
+// leaves reports whether what lasts must move off a worker.
+func (p *Pool) leaves(h *host) bool { return h.cordoned || h.info.Draining }
--- /dev/null
+++ b/internal/jobs/pool/look.go
@@ -0,0 +1,218 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+)
+
+// Times between looks at a worker.
+const (
+	lookWait   = time.Second            // longest wait for an end, well inside a lease
+	lookGap    = 60 * time.Millisecond  // after a look that brought an end, so that several come at once
+	silentGap  = 250 * time.Millisecond // between looks at a worker that does not answer
+	fencedGap  = time.Second            // after a look that a higher fence refused
+	fullReport = 500                    // ends in one report; more may be waiting
+)
+
+// Tick decides what is due: looks, repeated stops, and runs whose lease has surely lapsed.
+func (p *Pool) Tick(at Moment) {
+	for name, h := range p.workers {
+		p.lapse(at, h)
+		if !h.listed && len(h.runs) == 0 && h.stored <= h.acked {
+			delete(p.workers, name)
+			continue
+		}
+		p.repeatStops(h)
+		p.look(at, h)
+	}
+	p.forget(at)
+}
+
+// lapse ends the runs of a worker whose lease has run out.
+func (p *Pool) lapse(at Moment, h *host) {
+	if len(h.runs) == 0 || at.Steady <= h.leaseEnd {
+		return
+	}
+	for _, r := range h.runs {
+		if r.phase != storing {
+			p.ended(at, r, worker.End{Run: r.id, How: worker.Lapsed})
+		}
+	}
+}
+
+func (p *Pool) repeatStops(h *host) {
+	if h.silent {
+		return
+	}
+	for _, r := range h.runs {
+		if r.phase == stopping {
+			p.sendStop(r)
+		}
+	}
+}
+
+func (p *Pool) look(at Moment, h *host) {
+	if !h.info.Address.IsValid() || at.Steady < h.nextLook {
+		return
+	}
+	unsure := h.unsure()
+	if h.looking && (h.urgent || !unsure || h.silent) {
+		return
+	}
+	busy := len(h.runs) > 0
+	if !busy && h.stored <= h.acked && (h.answered || !h.listed) && !(h.silent && h.listed) {
+		return
+	}
+	hold := worker.Hold{Fence: p.config.Fence, Acked: h.stored}
+	if busy && h.answered && !h.silent {
+		hold.Until = h.until(at.Steady, p.config.Lease)
+		h.extend(at.Steady, p.config.Lease)
+		if !unsure {
+			hold.Wait = lookWait
+		}
+	}
+	a := LookAction{To: h.target(), Hold: hold, Urgent: h.looking, Sent: at.Steady}
+	if h.looking {
+		h.urgent = true
+	} else {
+		h.looking = true
+	}
+	p.actions = append(p.actions, a)
+}
+
+// unsure reports whether a worker has runs that a look would settle.
+func (h *host) unsure() bool {
+	for _, r := range h.runs {
+		if r.phase == doubtful || r.phase == stopped {
+			return true
+		}
+	}
+	return false
+}
+
+// Looked takes in the outcome of a LookAction.
+func (p *Pool) Looked(at Moment, a LookAction, report worker.Report, err error) {
+	h, ok := p.workers[a.To.ID]
+	if !ok {
+		return
+	}
+	if a.Urgent {
+		h.urgent = false
+	} else {
+		h.looking = false
+	}
+	if err != nil {
+		p.unseen(at, h, err)
+		return
+	}
+	if !report.Born.IsZero() && !h.info.Born.IsZero() && !report.Born.Equal(h.info.Born) {
+		if report.Born.Before(h.info.Born) {
+			return
+		}
+		p.reborn(at, h, report.Born)
+	}
+	if h.info.Born.IsZero() {
+		h.info.Born = report.Born
+	}
+	p.tick(at, h, report.Answer)
+	h.silent = false
+	h.answered = true
+	h.acked = max(h.acked, a.Hold.Acked)
+	h.nextLook = at.Steady
+	if p.takeEnds(at, h, report.Ended) {
+		h.nextLook = at.Steady + lookGap
+	}
+	present := p.takeRunning(at, h, report.Running)
+	if len(report.Ended) < fullReport {
+		p.settle(at, h, a.Sent, present)
+	}
+}
+
+// unseen notes that a look was not answered, or was refused.
+func (p *Pool) unseen(at Moment, h *host, err error) {
+	var refused worker.RefusedError
+	var other worker.OtherLifeError
+	switch {
+	case errors.As(err, &other):
+		p.over(at, h)
+	case errors.As(err, &refused):
+		p.tick(at, h, refused.Answer)
+		h.silent = true
+		h.nextLook = at.Steady + fencedGap
+		p.config.Observer.WorkerChanged(h.info.ID, "refused a look")
+	default:
+		if !h.silent {
+			p.config.Observer.WorkerChanged(h.info.ID, "does not answer")
+		}
+		h.silent = true
+		h.nextLook = at.Steady + silentGap
+	}
+}
+
+// tick takes over the reading of a worker's clock.
+func (p *Pool) tick(at Moment, h *host, a worker.Answer) {
+	if a.Clock > 0 {
+		h.clock, h.clockAt = a.Clock, at.Steady
+	}
+}
+
+// takeEnds applies the ends that were not seen before and reports whether there were any.
+func (p *Pool) takeEnds(at Moment, h *host, ends []worker.End) bool {
+	fresh := false
+	for _, end := range ends {
+		if end.Number <= h.seen {
+			continue
+		}
+		h.seen = end.Number
+		fresh = true
+		if r := h.runs[end.Run]; r != nil {
+			p.ended(at, r, end)
+		}
+	}
+	return fresh
+}
+
+// takeRunning confirms what runs on a worker and stops what this owner does not know.
+func (p *Pool) takeRunning(at Moment, h *host, list []worker.Running) id.Set[worker.Run] {
+	present := id.Set[worker.Run]{}
+	for _, seen := range list {
+		present.Add(seen.Run)
+		r := h.runs[seen.Run]
+		if r == nil {
+			p.actions = append(p.actions, StopAction{To: h.target(), Run: seen.Run, Fence: p.config.Fence})
+			continue
+		}
+		p.confirm(at, r)
+		r.percent = seen.Percent
+		if seen.Checkpoint != "" {
+			p.save(r.job, r.task, seen.Checkpoint)
+		}
+		p.watch(at, r, seen)
+	}
+	return present
+}
+
+// settle resolves the runs that a look sent at a time should have shown and did not.
+func (p *Pool) settle(at Moment, h *host, sent time.Duration, present id.Set[worker.Run]) {
+	for _, r := range h.runs {
+		if present.Has(r.id) || r.settled > sent {
+			continue
+		}
+		switch r.phase {
+		case running, stopped:
+			p.ended(at, r, worker.End{Run: r.id, How: worker.Lost})
+		case doubtful:
+			if r.began == inherited {
+				// Its order carried a fence below the one that the worker has seen by now.
+				p.ended(at, r, worker.End{Run: r.id, How: worker.Lost})
+				continue
+			}
+			p.stop(at, r)
+		case storing, sending, stopping:
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/pool/pool.go
@@ -0,0 +1,200 @@
+package pool
+
+import (
+	"time"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+)
+
+// Moment is a point in time by both clocks: Steady goes on during a suspension and never jumps, Wall is
+// the time of day, which may jump.
+type Moment struct {
+	Steady time.Duration
+	Wall   time.Time
+}
+
+// Config holds what a Pool needs to know for good.
+type Config struct {
+	Name      string
+	Fence     int64         // carried by every order
+	Lease     time.Duration // how long a worker runs on without a renewal
+	Inherited time.Duration // after a change of owner, how long a run may go on that nobody has seen
+	Retention time.Duration // how long an ended job can be asked for
+	StopTime  time.Duration // longest time that a stop takes on a worker
+	Harm      time.Duration // longest time that a serving task may be over its target because of others
+	Observer  Observer      // nil observes nothing
+}
+
+// Observer is told of decisions, for logs and metrics.
+type Observer interface {
+	Placed(spec *job.Spec, task job.Name, run int, worker string, waited time.Duration)
+	Ended(spec *job.Spec, task job.Name, run int, worker, how string)
+	JobEnded(spec *job.Spec, state job.State, took time.Duration)
+	WorkerChanged(worker, what string)
+}
+
+// entry is a job with what its owner keeps of it beside its own state.
+type entry struct {
+	job     *job.Job
+	stored  job.State // newest state that the log holds
+	arrived time.Duration
+	due     time.Duration // steady time at which the job is late
+	gone    time.Duration // steady time at which it is forgotten, 0 while it goes on
+}
+
+// Pool is the state of one pool's jobs and workers.
+type Pool struct {
+	config    Config
+	jobs      map[job.ID]*entry
+	active    []*entry // not ended, in order of arrival
+	cancelled map[job.ID]time.Duration
+	workers   map[string]*host
+	teams     map[string]*team
+	evacuated id.Set[id.DataCentre]
+	changed   map[job.ID]struct{} // jobs whose progress is to be stored
+	held      []*run              // runs that may be started once they are stored
+	actions   []Action
+	dropped   []job.ID // jobs to be removed from the log
+	crowded   bool     // the last round left a task that fits nowhere
+}
+
+// New returns an empty pool.
+func New(c Config) *Pool {
+	if c.Observer == nil {
+		c.Observer = silent{}
+	}
+	return &Pool{
+		config: c, jobs: map[job.ID]*entry{}, cancelled: map[job.ID]time.Duration{}, workers: map[string]*host{},
+		teams: map[string]*team{}, changed: map[job.ID]struct{}{},
+	}
+}
+
+// team is the part of a team's upper limit that this pool may use.
+type team struct {
+	cap  catalog.Amount // a zero field is no limit
+	used catalog.Amount
+}
+
+func (t *team) admits(need catalog.Amount) bool {
+	if t.used == (catalog.Amount{}) {
+		return true
+	}
+	sum := t.used.Plus(need)
+	return within(sum.CPU, t.cap.CPU) && within(sum.MemoryMB, t.cap.MemoryMB) && within(sum.Accelerators, t.cap.Accelerators)
+}
+
+func within(amount, limit int) bool { return limit == 0 || amount <= limit }
+
+func (p *Pool) team(name string) *team {
+	t, ok := p.teams[name]
+	if !ok {
+		t = &team{}
+		p.teams[name] = t
+	}
+	return t
+}
+
+// SetLimits replaces the upper limits of the teams by this pool's parts of them.
+func (p *Pool) SetLimits(limits map[string]catalog.Amount) {
+	for name := range p.teams {
+		p.teams[name].cap = limits[name]
+	}
+	for name, limit := range limits {
+		p.team(name).cap = limit
+	}
+}
+
+// SetEvacuated replaces the data centres that get no new work.
+func (p *Pool) SetEvacuated(out id.Set[id.DataCentre]) { p.evacuated = out }
+
+// Submit takes a job; one that is known already changes nothing.
+func (p *Pool) Submit(at Moment, spec job.Spec) {
+	if _, known := p.jobs[spec.ID]; known {
+		return
+	}
+	e := p.add(at, job.New(spec))
+	if _, cancelled := p.cancelled[spec.ID]; cancelled {
+		p.Cancel(at, spec.ID)
+		return
+	}
+	if spec.Times > 0 {
+		e.job.Advance(at.Wall)
+	}
+}
+
+func (p *Pool) add(at Moment, j *job.Job) *entry {
+	e := &entry{job: j, arrived: at.Steady}
+	// The time since a job was taken is read off two clocks that may differ by seconds.
+	if age := at.Wall.Sub(j.Spec.Accepted); age > 0 && age < maxClockAge {
+		e.arrived -= age
+	}
+	e.due = e.arrived + j.Spec.Objective()
+	p.jobs[j.Spec.ID] = e
+	p.active = append(p.active, e)
+	return e
+}
+
+// maxClockAge is the most that the age of a job by the time of day counts for.
+const maxClockAge = 5 * time.Second
+
+// Cancel ends a job at its caller's wish; one that is not known yet is cancelled when it comes.
+func (p *Pool) Cancel(at Moment, name job.ID) {
+	p.cancelled[name] = at.Steady + p.config.Retention
+	e, known := p.jobs[name]
+	if !known || !e.job.Cancel(at.Wall) {
+		return
+	}
+	p.endJob(at, e)
+}
+
+// endJob stops what an ended job still runs.
+func (p *Pool) endJob(at Moment, e *entry) {
+	p.touch(e)
+	e.gone = at.Steady + p.config.Retention
+	p.config.Observer.JobEnded(&e.job.Spec, e.job.State, at.Steady-e.arrived)
+	p.stopRuns(at, e)
+}
+
+func (p *Pool) stopTask(at Moment, t *job.Task) {
+	if !t.Placed() {
+		return
+	}
+	if r := p.runOf(t); r != nil {
+		p.stop(at, r)
+	}
+}
+
+func (p *Pool) touch(e *entry) { p.changed[e.job.Spec.ID] = struct{}{} }
+
+// Known reports whether the pool holds a job, and its state as far as it is stored.
+func (p *Pool) Known(name job.ID) (job.State, bool) {
+	e, ok := p.jobs[name]
+	if !ok {
+		return 0, false
+	}
+	if e.job.State.Ended() && e.stored != e.job.State {
+		return job.Running, true
+	}
+	return e.job.State, true
+}
+
+// Pending returns for each queue how many jobs have not begun.
+func (p *Pool) Pending() map[string]int {
+	counts := map[string]int{}
+	for _, e := range p.active {
+		if !e.job.Begun && !e.job.State.Ended() {
+			counts[e.job.Spec.Queue]++
+		}
+	}
+	return counts
+}
+
+// silent observes nothing.
+type silent struct{}
+
+func (silent) Placed(*job.Spec, job.Name, int, string, time.Duration) {}
+func (silent) Ended(*job.Spec, job.Name, int, string, string)         {}
+func (silent) JobEnded(*job.Spec, job.State, time.Duration)           {}
+func (silent) WorkerChanged(string, string)                           {}
--- /dev/null
+++ b/internal/jobs/pool/run.go
@@ -0,0 +1,301 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+)
+
+// phase is what is known of a run.
+type phase int
+
+const (
+	storing  phase = iota // waits until the log holds it; no order was sent
+	sending               // the order is on its way
+	running               // the worker has confirmed it
+	doubtful              // it may run, or may yet start
+	stopping              // a stop is being sent until the worker answers
+	stopped               // the worker has confirmed the stop; its end is still to be seen
+)
+
+// run is one run of a task that exists or may exist.
+type run struct {
+	id      worker.Run
+	task    *job.Task
+	job     *entry
+	step    *job.Step
+	host    *host
+	phase   phase
+	need    catalog.Amount
+	settled time.Duration // steady time since which a look that does not show the run proves its absence
+	began   time.Duration // steady time of its confirmation
+	sent    bool          // a stop is on its way
+	percent int           // share at which it works, as last reported
+	paced   int           // share that was ordered
+	over    time.Duration // steady time since which it is over its target, 0 while it is not
+}
+
+func (p *Pool) runOf(t *job.Task) *run {
+	h, ok := p.workers[t.Worker]
+	if !ok {
+		return nil
+	}
+	return h.runs[worker.Run{Task: t.Name, Number: t.Run}]
+}
+
+func needOf(s *job.Step) catalog.Amount {
+	need := catalog.Amount{CPU: s.CPU, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators}
+	if s.Fills {
+		need.CPU = 0
+	}
+	return need
+}
+
+// place makes a run on a worker; its order goes out once the log holds it.
+func (p *Pool) place(at Moment, e *entry, t *job.Task, h *host) *run {
+	e.job.Start(t, h.info.ID)
+	r := p.attach(e, t, h)
+	r.phase = storing
+	p.held = append(p.held, r)
+	p.touch(e)
+	p.config.Observer.Placed(&e.job.Spec, t.Name, t.Run, h.info.ID, at.Steady-e.arrived)
+	return r
+}
+
+// attach enters the latest run of a task into a worker's table.
+func (p *Pool) attach(e *entry, t *job.Task, h *host) *run {
+	step := &e.job.Spec.Steps[t.Name.Step]
+	r := &run{
+		id: worker.Run{Task: t.Name, Number: t.Run}, task: t, job: e, step: step, host: h, need: needOf(step), paced: 100,
+	}
+	h.runs[r.id] = r
+	h.used = h.used.Plus(r.need)
+	tm := p.team(e.job.Spec.Team)
+	tm.used = tm.used.Plus(fullNeed(step))
+	return r
+}
+
+// fullNeed is what a task counts for against its team's limit.
+func fullNeed(s *job.Step) catalog.Amount {
+	return catalog.Amount{CPU: s.CPU, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators}
+}
+
+// release frees what a run held.
+func (p *Pool) release(r *run) {
+	delete(r.host.runs, r.id)
+	r.host.used = r.host.used.Minus(r.need)
+	tm := p.team(r.job.job.Spec.Team)
+	tm.used = tm.used.Minus(fullNeed(r.step))
+	if r.task.Run == r.id.Number {
+		r.task.Worker = ""
+	}
+}
+
+// send orders a run that is stored; a job that ended meanwhile gives it up.
+func (p *Pool) send(at Moment, r *run) {
+	if r.phase != storing || p.find(r.host.info.ID, r.id) != r {
+		return
+	}
+	if r.job.job.State.Ended() {
+		p.release(r)
+		p.touch(r.job)
+		return
+	}
+	h := r.host
+	h.extend(at.Steady, p.config.Lease)
+	r.phase = sending
+	p.actions = append(p.actions, StartAction{To: h.target(), Start: worker.Start{
+		Run: r.id, Text: r.job.job.Spec.Text, Until: h.until(at.Steady, p.config.Lease),
+		Fence: p.config.Fence, Checkpoint: r.task.Checkpoint,
+	}})
+}
+
+// find returns a run that is still in a worker's table.
+func (p *Pool) find(name string, id worker.Run) *run {
+	h, ok := p.workers[name]
+	if !ok {
+		return nil
+	}
+	return h.runs[id]
+}
+
+// Started takes in the outcome of a StartAction.
+func (p *Pool) Started(at Moment, a StartAction, answer worker.Answer, err error) {
+	r := p.find(a.To.ID, a.Start.Run)
+	if r == nil {
+		return
+	}
+	h := r.host
+	var refused worker.RefusedError
+	var other worker.OtherLifeError
+	switch {
+	case err == nil:
+		p.tick(at, h, answer)
+		h.silent = false
+		p.confirm(at, r)
+	case errors.As(err, &refused):
+		p.tick(at, h, refused.Answer)
+		p.refused(at, r, refused.Reason)
+	case errors.As(err, &other):
+		p.over(at, h)
+	default:
+		h.silent = true
+		r.settled = at.Steady
+		if r.phase == sending {
+			r.phase = doubtful
+		}
+		h.nextLook = at.Steady
+	}
+}
+
+// confirm notes that a worker has taken a run.
+func (p *Pool) confirm(at Moment, r *run) {
+	r.settled = at.Steady
+	if r.phase == sending || r.phase == doubtful {
+		r.phase = running
+		r.began = at.Steady
+		r.job.job.Begun = true
+	}
+}
+
+// refusalPause keeps new work off a worker that has refused some.
+const refusalPause = 400 * time.Millisecond
+
+// refused takes back a run that a worker has refused to start.
+func (p *Pool) refused(at Moment, r *run, reason worker.Reason) {
+	h := r.host
+	if reason == worker.Fenced {
+		// Another owner gives orders here; whether this one is still valid shows when it next stores something.
+		p.config.Observer.WorkerChanged(h.info.ID, "refused an order below its fence")
+	}
+	if reason != worker.Old {
+		h.avoid = at.Steady + refusalPause
+		h.nextLook = at.Steady
+	}
+	if reason == worker.Invalid {
+		r.job.job.Fail(r.task, at.Wall)
+	}
+	p.ended(at, r, worker.End{Run: r.id, How: worker.Lost, Checkpoint: r.task.Checkpoint})
+}
+
+// over ends a worker whose life is over.
+func (p *Pool) over(at Moment, h *host) {
+	p.config.Observer.WorkerChanged(h.info.ID, "is over")
+	p.loseAll(at, h)
+	h.listed = false
+	h.answered = false
+	h.leaseEnd = 0
+}
+
+// stop ends a run that may exist.
+func (p *Pool) stop(at Moment, r *run) {
+	switch r.phase {
+	case storing:
+		p.unhold(r)
+		p.release(r)
+		p.touch(r.job)
+	case sending, running, doubtful:
+		r.phase = stopping
+		p.sendStop(r)
+		r.host.nextLook = min(r.host.nextLook, at.Steady)
+	case stopping, stopped:
+	}
+}
+
+func (p *Pool) unhold(r *run) {
+	kept := p.held[:0]
+	for _, h := range p.held {
+		if h != r {
+			kept = append(kept, h)
+		}
+	}
+	p.held = kept
+}
+
+func (p *Pool) sendStop(r *run) {
+	if r.sent {
+		return
+	}
+	r.sent = true
+	p.actions = append(p.actions, StopAction{To: r.host.target(), Run: r.id, Fence: p.config.Fence})
+}
+
+// StopAnswered takes in the outcome of a StopAction.
+func (p *Pool) StopAnswered(at Moment, a StopAction, answer worker.Answer, err error) {
+	r := p.find(a.To.ID, a.Run)
+	if r == nil {
+		return
+	}
+	r.sent = false
+	var refused worker.RefusedError
+	var other worker.OtherLifeError
+	switch {
+	case err == nil:
+		p.tick(at, r.host, answer)
+		r.phase = stopped
+		r.settled = at.Steady
+		r.host.nextLook = min(r.host.nextLook, at.Steady)
+	case errors.As(err, &other):
+		p.over(at, r.host)
+	case errors.As(err, &refused):
+		p.tick(at, r.host, refused.Answer)
+	default:
+		r.host.silent = true
+	}
+}
+
+// ended takes in the end of a run.
+func (p *Pool) ended(at Moment, r *run, end worker.End) {
+	t, e := r.task, r.job
+	p.release(r)
+	p.touch(e)
+	p.config.Observer.Ended(&e.job.Spec, t.Name, r.id.Number, r.host.info.ID, end.How.String())
+	p.learn(at, r, end.How)
+	if t.Done || t.Run != r.id.Number {
+		return
+	}
+	if end.Checkpoint != "" {
+		p.save(e, t, end.Checkpoint)
+	}
+	switch end.How {
+	case worker.Done:
+		if !r.step.Lasting {
+			p.finish(at, e, t)
+		}
+	case worker.Failed:
+		wasOver := e.job.State.Ended()
+		e.job.Fail(t, at.Wall)
+		if e.job.State.Ended() && !wasOver {
+			p.endJob(at, e)
+		}
+	case worker.Lost, worker.Stopped, worker.Lapsed, worker.Broken, worker.Alone:
+	}
+}
+
+func (p *Pool) finish(at Moment, e *entry, t *job.Task) {
+	wasOver := e.job.State.Ended()
+	e.job.Finish(t, at.Wall)
+	if e.job.State.Ended() && !wasOver {
+		p.endJob(at, e)
+	}
+}
+
+// save keeps the newest checkpoint of a task, or of all members of a gang.
+func (p *Pool) save(e *entry, t *job.Task, checkpoint string) {
+	t.Checkpoint = checkpoint
+	if !e.job.Spec.Steps[t.Name.Step].Gang {
+		return
+	}
+	for _, o := range e.job.Occurrences {
+		if o.Number != t.Name.Occurrence {
+			continue
+		}
+		for i := range o.Steps[t.Name.Step] {
+			o.Steps[t.Name.Step][i].Checkpoint = checkpoint
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/pool/serve.go
@@ -0,0 +1,139 @@
+package pool
+
+import (
+	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+)
+
+// Bounds on how tasks that fill are held back for serving ones.
+const (
+	paceCut      = 3                      // divisor of the share when a serving task is over its target
+	paceRise     = 20                     // points that the share rises by
+	paceRiseGap  = 3 * time.Second        // between two rises
+	paceCutGap   = 700 * time.Millisecond // between two cuts, so that the first can show
+	targetMargin = 0.9                    // part of the target that counts as over it
+)
+
+// watch notes the latency of a serving task.
+func (p *Pool) watch(at Moment, r *run, seen worker.Running) {
+	if r.step.Target <= 0 || r.step.Fills || r.phase != running {
+		return
+	}
+	if float64(seen.Tail) < targetMargin*float64(r.step.Target) {
+		r.over = 0
+		return
+	}
+	if r.over == 0 {
+		r.over = at.Steady
+	}
+}
+
+// Pace holds back the tasks that fill beside a serving task that is over its target, and lets them
+// come back slowly.
+func (p *Pool) Pace(at Moment) {
+	for _, h := range p.workers {
+		if h.silent || !h.answered {
+			continue
+		}
+		over := false
+		for _, r := range h.runs {
+			over = over || r.over > 0
+		}
+		p.paceFillers(at, h, over)
+	}
+}
+
+func (p *Pool) paceFillers(at Moment, h *host, over bool) {
+	gap := paceRiseGap
+	if over {
+		gap = paceCutGap
+	}
+	if at.Steady-h.paced < gap {
+		return
+	}
+	for _, r := range h.runs {
+		if !r.step.Fills || r.phase != running {
+			continue
+		}
+		share := min(100, r.paced+paceRise)
+		if over {
+			share = r.paced / paceCut
+		}
+		if share == r.paced {
+			continue
+		}
+		r.paced = share
+		h.paced = at.Steady
+		p.actions = append(p.actions, PaceAction{To: h.target(), Run: r.id, Percent: share, Fence: p.config.Fence})
+	}
+}
+
+// Paced takes in the outcome of a PaceAction; one that failed is ordered again.
+func (p *Pool) Paced(at Moment, a PaceAction, answer worker.Answer, err error) {
+	r := p.find(a.To.ID, a.Run)
+	if r == nil {
+		return
+	}
+	if err != nil {
+		r.paced = r.percent
+		return
+	}
+	p.tick(at, r.host, answer)
+}
+
+// atWork reports whether a lasting task serves its users.
+func (p *Pool) atWork(t *job.Task) bool {
+	r := p.runOf(t)
+	return r != nil && r.phase == running && (r.percent >= fullShare || r.paced < fullShare)
+}
+
+// fullShare is the share of a task that is at work, in percent.
+const fullShare = 100
+
+// Clear moves what lasts off the workers that are to be emptied, as far as each step may miss tasks.
+func (p *Pool) Clear(at Moment) {
+	for _, h := range p.workers {
+		if !p.leaves(h) || h.silent {
+			continue
+		}
+		for _, r := range h.runs {
+			if r.step.Lasting && r.phase == running && (h.info.Draining || p.spareable(r)) {
+				p.stop(at, r)
+			}
+		}
+	}
+}
+
+// spareable reports whether a task of a lasting step can be away without breaking the step's limit.
+func (p *Pool) spareable(r *run) bool {
+	limit := r.step.MaxUnavailable
+	if limit == 0 {
+		return true
+	}
+	away := 0
+	for _, o := range r.job.job.Occurrences {
+		if o.Number != r.id.Task.Occurrence {
+			continue
+		}
+		tasks := o.Steps[r.id.Task.Step]
+		for i := range tasks {
+			if &tasks[i] != r.task && !p.atWork(&tasks[i]) {
+				away++
+			}
+		}
+	}
+	return away < limit
+}
+
+// Empty returns the workers to be emptied on which nothing is left.
+func (p *Pool) Empty() []string {
+	var names []string
+	for name, h := range p.workers {
+		if h.cordoned && len(h.runs) == 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/jobs/relay/relay.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/peer"
+)
+
+// Paths of the procedures.
+const (
+	statePath   = "/jobs.Relay/State"
+	pendingPath = "/jobs.Relay/Pending"
+	storePath   = "/jobs.Relay/Store"
+	emptyPath   = "/jobs.Relay/Empty"
+)
+
+// Question asks the owner of a pool for the state of a job.
+type Question struct {
+	Pool string `cbor:"1,keyasint"`
+	Job  job.ID `cbor:"2,keyasint"`
+}
+
+// State answers a Question.
+type State struct {
+	Known bool      `cbor:"1,keyasint,omitempty"`
+	State job.State `cbor:"2,keyasint,omitempty"`
+}
+
+// Pool asks the owner of a pool how its work stands.
+type Pool struct {
+	Pool string `cbor:"1,keyasint"`
+}
+
+// Pending tells how many jobs of each queue have not begun.
+type Pending struct {
+	Queues map[string]int `cbor:"1,keyasint,omitempty"`
+}
+
+// Store asks an instance to append records that nothing fences.
+type Store struct {
+	Table   stream.Table    `cbor:"1,keyasint"`
+	Records []stream.Record `cbor:"2,keyasint"`
+}
+
+// Stored answers a Store; Unsure tells that the records may yet be stored.
+type Stored struct {
+	Done   bool `cbor:"1,keyasint,omitempty"`
+	Unsure bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Cordon asks the owner of a pool to empty some workers and no others.
+type Cordon struct {
+	Pool    string   `cbor:"1,keyasint"`
+	Workers []string `cbor:"2,keyasint,omitempty"`
+}
+
+// Load tells how the work of a pool stands and which cordoned workers are empty.
+type Load struct {
+	Empty []string `cbor:"1,keyasint,omitempty"`
+}
+
+// Service answers the other instances.
+type Service interface {
+	TakeQuestion(ctx context.Context, q Question) (State, error)
+	TakePending(ctx context.Context, p Pool) (Pending, error)
+	TakeStore(ctx context.Context, s Store) (Stored, error)
+	TakeCordon(ctx context.Context, c Cordon) (Load, error)
+}
+
+// Client asks other instances.
+type Client struct{ peers *peer.Client }
+
+// NewClient returns a client over a transport.
+func NewClient(transport http.RoundTripper) *Client {
+	return &Client{peers: peer.NewClient(peer.ClientConfig{Transport: transport})}
+}
+
+// State asks for the state of a job.
+func (c *Client) State(ctx context.Context, to netip.AddrPort, q Question) (State, error) {
+	return peer.Call[Question, State](ctx, c.peers, to, statePath, &q)
+}
+
+// Pending asks how many jobs have not begun.
+func (c *Client) Pending(ctx context.Context, to netip.AddrPort, p Pool) (Pending, error) {
+	return peer.Call[Pool, Pending](ctx, c.peers, to, pendingPath, &p)
+}
+
+// Store has records appended.
+func (c *Client) Store(ctx context.Context, to netip.AddrPort, s Store) (Stored, error) {
+	return peer.Call[Store, Stored](ctx, c.peers, to, storePath, &s)
+}
+
+// Cordon has workers emptied.
+func (c *Client) Cordon(ctx context.Context, to netip.AddrPort, cordon Cordon) (Load, error) {
+	return peer.Call[Cordon, Load](ctx, c.peers, to, emptyPath, &cordon)
+}
+
+// NewHandler returns the handler for questions of other instances.
+func NewHandler(s Service) http.Handler {
+	mux := http.NewServeMux()
+	peer.Handle(mux, statePath, func(ctx context.Context, m *Question) (State, error) { return s.TakeQuestion(ctx, *m) })
+	peer.Handle(mux, pendingPath, func(ctx context.Context, m *Pool) (Pending, error) { return s.TakePending(ctx, *m) })
+	peer.Handle(mux, storePath, func(ctx context.Context, m *Store) (Stored, error) { return s.TakeStore(ctx, *m) })
+	peer.Handle(mux, emptyPath, func(ctx context.Context, m *Cordon) (Load, error) { return s.TakeCordon(ctx, *m) })
+	return mux
+}
--- /dev/null
+++ b/internal/jobs/shard/ask.go
@@ -0,0 +1,76 @@
+package shard
+
+import (
+	"context"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+)
+
+// State returns the stored state of a job and whether the pool holds it; that it does not is said only
+// after a look at the newest intake.
+func (s *Shard) State(ctx context.Context, name job.ID) (job.State, bool, error) {
+	if err := s.ready(ctx); err != nil {
+		return 0, false, err
+	}
+	var state job.State
+	var known bool
+	var tail int64
+	look := func(pool.Moment) {
+		state, known = s.pool.Known(name)
+		tail = s.tail
+	}
+	if err := s.do(ctx, look); err != nil || known {
+		return state, known, err
+	}
+	batch, err := s.config.Log.Read(ctx, s.intake, tail, 0)
+	if err != nil {
+		return 0, false, err
+	}
+	for _, kept := range batch.Records {
+		if kept.Key == specPrefix+string(name) && len(kept.Value) > 0 {
+			return job.Queued, true, nil
+		}
+	}
+	return 0, false, nil
+}
+
+// Pending returns for each queue how many jobs have not begun.
+func (s *Shard) Pending(ctx context.Context) (map[string]int, error) {
+	if err := s.ready(ctx); err != nil {
+		return nil, err
+	}
+	var counts map[string]int
+	err := s.do(ctx, func(pool.Moment) { counts = s.pool.Pending() })
+	return counts, err
+}
+
+// SetCordoned replaces the workers that are to be emptied and returns those that are empty.
+func (s *Shard) SetCordoned(ctx context.Context, names []string) ([]string, error) {
+	if err := s.ready(ctx); err != nil {
+		return nil, err
+	}
+	var empty []string
+	err := s.do(ctx, func(pool.Moment) {
+		s.pool.SetCordoned(names)
+		empty = s.pool.Empty()
+	})
+	return empty, err
+}
+
+func (s *Shard) ready(ctx context.Context) error {
+	select {
+	case <-s.started:
+		return nil
+	case <-s.ended:
+		return EndedError{Pool: s.config.Pool}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// EndedError reports that this instance no longer owns a pool.
+type EndedError struct{ Pool string }
+
+// Error returns the pool.
+func (e EndedError) Error() string { return "shard: pool " + e.Pool + " is owned here no longer" }
--- /dev/null
+++ b/internal/jobs/shard/loop.go
@@ -0,0 +1,280 @@
+package shard
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+)
+
+// run is the control thread.
+func (s *Shard) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	fatal := make(chan error, 1)
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case err := <-fatal:
+			return err
+		case event := <-s.events:
+			event(s.config.Clock.Moment())
+			s.drain()
+		case <-s.refresh:
+			s.applyView(s.config.Clock.Moment())
+		case <-ticker.C:
+		}
+		s.turn(ctx, fatal)
+	}
+}
+
+// drain takes in the events that are waiting, so that one round of decisions covers them all.
+func (s *Shard) drain() {
+	for {
+		select {
+		case event := <-s.events:
+			event(s.config.Clock.Moment())
+		default:
+			return
+		}
+	}
+}
+
+// turn decides and carries out one round.
+func (s *Shard) turn(ctx context.Context, fatal chan error) {
+	at := s.config.Clock.Moment()
+	if at.Steady-s.proven > renewInterval && !s.writing && !s.proving {
+		s.proving = true
+		p := &proof{shard: s, sent: at.Steady}
+		go p.run(ctx, fatal)
+	}
+	if at.Steady-s.proven > ownerTimeout {
+		// A successor may have claimed the pool unheard: nothing is ordered until the log says otherwise.
+		return
+	}
+	s.pool.Tick(at)
+	if at.Steady-s.paced > paceInterval {
+		s.paced = at.Steady
+		s.pool.Pace(at)
+		s.pool.Clear(at)
+		s.wantPlace = true
+	}
+	if s.wantPlace && !s.writing && at.Steady-s.placed >= placeInterval {
+		s.wantPlace = false
+		s.placed = at.Steady
+		s.pool.Place(at)
+	}
+	s.store(ctx, at, fatal)
+	s.carryOut(ctx)
+}
+
+// store writes what has changed, one batch at a time.
+func (s *Shard) store(ctx context.Context, at pool.Moment, fatal chan error) {
+	if s.writing {
+		return
+	}
+	batch := s.pool.Flush()
+	if batch.Empty() {
+		s.pool.NothingToStore(batch)
+		return
+	}
+	records, err := s.records(batch)
+	if err != nil {
+		s.fail(fatal, err)
+		return
+	}
+	s.writing = true
+	w := &write{shard: s, batch: batch, records: records, writer: s.writer, sent: at.Steady}
+	s.writer.Sequence++
+	go w.run(ctx, fatal)
+}
+
+func (s *Shard) records(batch *pool.Batch) ([]stream.Record, error) {
+	var records []stream.Record
+	for _, stored := range batch.Jobs {
+		r, err := progressRecord(stored)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, r)
+	}
+	for _, name := range batch.Dropped {
+		records = append(records, stream.Record{Key: progressPrefix + string(name)})
+	}
+	return records, nil
+}
+
+func (s *Shard) fail(fatal chan error, err error) {
+	select {
+	case fatal <- err:
+	default:
+	}
+}
+
+// write appends one batch until the log has it.
+type write struct {
+	shard   *Shard
+	batch   *pool.Batch
+	records []stream.Record
+	writer  stream.Writer
+	sent    time.Duration
+}
+
+func (w *write) run(ctx context.Context, fatal chan error) {
+	s := w.shard
+	for {
+		sent := s.config.Clock.Moment().Steady
+		_, err := s.config.Log.Append(ctx, s.output, w.records, &w.writer)
+		var sequence stream.SequenceError
+		if errors.As(err, &sequence) && sequence.Expected == w.writer.Sequence+1 {
+			// An earlier try of this batch has landed.
+			err = nil
+		}
+		if err == nil {
+			s.post(ctx, func(at pool.Moment) {
+				s.writing = false
+				s.proven = max(s.proven, sent)
+				s.wantPlace = true
+				s.pool.Stored(at, w.batch)
+			})
+			w.clean(ctx)
+			return
+		}
+		var fenced stream.FencedError
+		if errors.As(err, &fenced) || errors.As(err, &sequence) {
+			s.fail(fatal, errors.Annotatef(err, "storing progress of pool %s", s.config.Pool))
+			return
+		}
+		if s.pause(ctx, err) != nil {
+			return
+		}
+	}
+}
+
+// clean removes the jobs that need not be kept from the intake.
+func (w *write) clean(ctx context.Context) {
+	if len(w.batch.Dropped) == 0 {
+		return
+	}
+	var records []stream.Record
+	for _, name := range w.batch.Dropped {
+		records = append(records, stream.Record{Key: specPrefix + string(name)}, stream.Record{Key: cancelPrefix + string(name)})
+	}
+	if _, err := w.shard.config.Log.Append(ctx, w.shard.intake, records, nil); err != nil {
+		w.shard.config.Logger.Warn("ended jobs stay in the intake", zap.Int("jobs", len(w.batch.Dropped)), zap.Error(err))
+	}
+}
+
+// proof asks the log whether this owner is still the newest.
+type proof struct {
+	shard *Shard
+	sent  time.Duration
+}
+
+func (p *proof) run(ctx context.Context, fatal chan error) {
+	s := p.shard
+	err := s.config.Log.Fence(ctx, s.output, s.epoch)
+	var fenced stream.FencedError
+	if errors.As(err, &fenced) {
+		s.fail(fatal, errors.Annotatef(err, "proving the claim on pool %s", s.config.Pool))
+		return
+	}
+	s.post(ctx, func(pool.Moment) {
+		s.proving = false
+		if err == nil {
+			s.proven = max(s.proven, p.sent)
+		}
+	})
+}
+
+// loopIntake follows the jobs and cancellations that instances hand in.
+func (s *Shard) loopIntake(ctx context.Context) error {
+	next := s.tail
+	for ctx.Err() == nil {
+		batch, err := s.config.Log.Read(ctx, s.intake, next, intakeWait)
+		var trimmed stream.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			from, err := s.readAll(ctx, s.intake, func(r stream.Record) { s.take(ctx, r) })
+			if err != nil {
+				return err
+			}
+			next = from
+			continue
+		case err != nil:
+			if err := s.pause(ctx, err); err != nil {
+				return err
+			}
+			continue
+		}
+		for _, kept := range batch.Records {
+			s.take(ctx, kept.Record)
+		}
+		next = batch.Next
+		s.post(ctx, func(pool.Moment) { s.tail = batch.Next })
+	}
+	return errors.Trace(ctx.Err())
+}
+
+func (s *Shard) take(ctx context.Context, r stream.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	if name, ok := strings.CutPrefix(r.Key, cancelPrefix); ok {
+		s.post(ctx, func(at pool.Moment) {
+			s.pool.Cancel(at, job.ID(name))
+			s.wantPlace = true
+		})
+		return
+	}
+	if spec, ok := s.decodeSpec(r); ok {
+		s.post(ctx, func(at pool.Moment) {
+			s.pool.Submit(at, spec)
+			s.wantPlace = true
+		})
+	}
+}
+
+// carryOut sends the orders that were decided.
+func (s *Shard) carryOut(ctx context.Context) {
+	for _, a := range s.pool.Actions() {
+		o := &order{shard: s, action: a}
+		go o.run(ctx)
+	}
+}
+
+// order carries out one action and brings back its outcome.
+type order struct {
+	shard  *Shard
+	action pool.Action
+}
+
+func (o *order) run(ctx context.Context) {
+	s, w := o.shard, o.shard.config.Workers
+	var outcome func(at pool.Moment)
+	switch a := o.action.(type) {
+	case pool.StartAction:
+		answer, err := w.Start(ctx, a.To, a.Start)
+		outcome = func(at pool.Moment) { s.pool.Started(at, a, answer, err) }
+	case pool.StopAction:
+		answer, err := w.Stop(ctx, a.To, a.Run, a.Fence)
+		outcome = func(at pool.Moment) { s.pool.StopAnswered(at, a, answer, err) }
+	case pool.LookAction:
+		report, err := w.Hold(ctx, a.To, a.Hold)
+		outcome = func(at pool.Moment) { s.pool.Looked(at, a, report, err) }
+	case pool.PaceAction:
+		answer, err := w.Pace(ctx, a.To, a.Run, a.Percent, a.Fence)
+		outcome = func(at pool.Moment) { s.pool.Paced(at, a, answer, err) }
+	}
+	s.post(ctx, func(at pool.Moment) {
+		outcome(at)
+		s.wantPlace = true
+	})
+}
--- /dev/null
+++ b/internal/jobs/shard/record.go
@@ -0,0 +1,84 @@
+package shard
+
+import (
+	"strings"
+
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+)
+
+// Keys of the two tables of a pool.
+const (
+	ownerKey       = "owner"
+	specPrefix     = "job/"
+	cancelPrefix   = "cancel/"
+	progressPrefix = "progress/"
+)
+
+// SpecRecord returns the record that hands a job in.
+func SpecRecord(spec *job.Spec) (stream.Record, error) {
+	data, err := job.Encode(spec)
+	return stream.Record{Key: specPrefix + string(spec.ID), Value: data}, err
+}
+
+// CancelRecord returns the record that cancels a job.
+func CancelRecord(name job.ID) stream.Record {
+	return stream.Record{Key: cancelPrefix + string(name), Value: []byte{1}}
+}
+
+func progressRecord(s pool.StoredJob) (stream.Record, error) {
+	data, err := job.Encode(s.Progress)
+	return stream.Record{Key: progressPrefix + string(s.ID), Value: data}, err
+}
+
+// loadProgress takes in a record of the output table.
+func (s *Shard) loadProgress(jobs map[job.ID]*pool.Stored, r stream.Record) {
+	name, ok := strings.CutPrefix(r.Key, progressPrefix)
+	if !ok || len(r.Value) == 0 {
+		return
+	}
+	var progress job.Progress
+	if err := job.Decode(r.Value, &progress); err != nil {
+		s.config.Logger.Error("a stored progress cannot be read", zap.String("job", name), zap.Error(err))
+		return
+	}
+	stored(jobs, job.ID(name)).Progress = &progress
+}
+
+// loadIntake takes in a record of the intake table; the job that was cancelled may be one that is not there.
+func (s *Shard) loadIntake(jobs map[job.ID]*pool.Stored, cancelled *[]job.ID, r stream.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	if name, ok := strings.CutPrefix(r.Key, cancelPrefix); ok {
+		*cancelled = append(*cancelled, job.ID(name))
+		return
+	}
+	if spec, ok := s.decodeSpec(r); ok {
+		stored(jobs, spec.ID).Spec = spec
+	}
+}
+
+func (s *Shard) decodeSpec(r stream.Record) (job.Spec, bool) {
+	var spec job.Spec
+	if !strings.HasPrefix(r.Key, specPrefix) {
+		return spec, false
+	}
+	if err := job.Decode(r.Value, &spec); err != nil {
+		s.config.Logger.Error("a stored job cannot be read", zap.String("key", r.Key), zap.Error(err))
+		return spec, false
+	}
+	return spec, true
+}
+
+func stored(jobs map[job.ID]*pool.Stored, name job.ID) *pool.Stored {
+	found, ok := jobs[name]
+	if !ok {
+		found = &pool.Stored{}
+		jobs[name] = found
+	}
+	return found
+}
--- /dev/null
+++ b/internal/observe/stdout/writer.go
@@ -0,0 +1,67 @@
+package stdout
+
+import (
+	"bytes"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// bufferLines is how many lines may wait for a slow reader.
+const bufferLines = 4096
+
+// Writer hands lines to a goroutine that writes them; it implements zapcore.WriteSyncer.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	out     io.Writer
+}
+
+// NewWriter returns a writer whose lines go to out.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{lines: make(chan []byte, bufferLines), out: out}
+	go w.run()
+	return w
+}
+
+// Write queues a copy of a line, or drops it when the buffer is full; it never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- bytes.Clone(line):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync does nothing: waiting for a reader could block the program.
+func (w *Writer) Sync() error { return nil }
+
+// Dropped returns how many lines were dropped.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+func (w *Writer) run() {
+	for line := range w.lines {
+		if _, err := w.out.Write(line); err != nil {
+			w.dropped.Add(1)
+		}
+	}
+}
+
+// Sampling of repeated lines: of each message the first ones in a second are kept, then every n-th.
+const (
+	samplePeriod = time.Second
+	sampleFirst  = 300
+	sampleEvery  = 100
+)
+
+// NewLogger returns a logger that writes JSON lines to a writer and samples what repeats.
+func NewLogger(w *Writer, level zapcore.Level) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), w, level)
+	return zap.New(zapcore.NewSamplerWithOptions(core, samplePeriod, sampleFirst, sampleEvery))
+}
--- /dev/null
+++ b/internal/observe/steady/clock.go
@@ -0,0 +1,21 @@
+package steady
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+)
+
+// Clock reads the system's clocks; it implements shard.Clock.
+type Clock struct{}
+
+// Moment returns the present by both clocks.
+func (Clock) Moment() pool.Moment {
+	var since unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &since); err != nil {
+		panic(err) // the clock is part of every kernel that this program runs on
+	}
+	return pool.Moment{Steady: time.Duration(since.Nano()), Wall: time.Now()}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -34,43 +34,44 @@
 
 // Beat sends a beat.
 func (c *Client) Beat(ctx context.Context, to netip.AddrPort, beat Beat) error {
-	_, err := call[Beat, Ack](ctx, c, to, beatPath, &beat)
+	_, err := Call[Beat, Ack](ctx, c, to, beatPath, &beat)
 	return err
 }
 
 // Pull asks a member for records.
 func (c *Client) Pull(ctx context.Context, to netip.AddrPort, pull Pull) (Records, error) {
-	return call[Pull, Records](ctx, c, to, pullPath, &pull)
+	return Call[Pull, Records](ctx, c, to, pullPath, &pull)
 }
 
 // Relay asks a member to append a record.
 func (c *Client) Relay(ctx context.Context, to netip.AddrPort, relay Relay) error {
-	_, err := call[Relay, Ack](ctx, c, to, relayPath, &relay)
+	_, err := Call[Relay, Ack](ctx, c, to, relayPath, &relay)
 	return err
 }
 
 // Reserve asks a member to remember an attempt.
 func (c *Client) Reserve(ctx context.Context, to netip.AddrPort, reserve Reserve) (Reserved, error) {
-	return call[Reserve, Reserved](ctx, c, to, reservePath, &reserve)
+	return Call[Reserve, Reserved](ctx, c, to, reservePath, &reserve)
 }
 
 // Finish tells a member what an attempt has come to.
 func (c *Client) Finish(ctx context.Context, to netip.AddrPort, finish Finish) error {
-	_, err := call[Finish, Ack](ctx, c, to, finishPath, &finish)
+	_, err := Call[Finish, Ack](ctx, c, to, finishPath, &finish)
 	return err
 }
 
 // Recall asks a member for the attempts it remembers.
 func (c *Client) Recall(ctx context.Context, to netip.AddrPort) (Recalled, error) {
-	return call[Recall, Recalled](ctx, c, to, recallPath, &Recall{})
+	return Call[Recall, Recalled](ctx, c, to, recallPath, &Recall{})
 }
 
 // Ask asks a member about a task.
 func (c *Client) Ask(ctx context.Context, to netip.AddrPort, ask Ask) (Told, error) {
-	return call[Ask, Told](ctx, c, to, askPath, &ask)
+	return Call[Ask, Told](ctx, c, to, askPath, &ask)
 }
 
-func call[Q, A any](ctx context.Context, c *Client, to netip.AddrPort, path string, message *Q) (A, error) {
+// Call sends a message to a procedure of a member and returns its answer.
+func Call[Q, A any](ctx context.Context, c *Client, to netip.AddrPort, path string, message *Q) (A, error) {
 	var none A
 	request := connect.NewRequest(message)
 	request.Header().Set("Authorization", "Bearer "+c.secret)
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -18,17 +18,18 @@
 // is refused.
 func NewHandler(c HandlerConfig) http.Handler {
 	mux := http.NewServeMux()
-	handle(mux, beatPath, func(ctx context.Context, m *Beat) (Ack, error) { return Ack{}, c.Service.TakeBeat(ctx, *m) })
-	handle(mux, pullPath, func(ctx context.Context, m *Pull) (Records, error) { return c.Service.TakePull(ctx, *m) })
-	handle(mux, relayPath, func(ctx context.Context, m *Relay) (Ack, error) { return Ack{}, c.Service.TakeRelay(ctx, *m) })
-	handle(mux, reservePath, func(ctx context.Context, m *Reserve) (Reserved, error) { return c.Service.TakeReserve(ctx, *m) })
-	handle(mux, finishPath, func(ctx context.Context, m *Finish) (Ack, error) { return Ack{}, c.Service.TakeFinish(ctx, *m) })
-	handle(mux, recallPath, func(ctx context.Context, _ *Recall) (Recalled, error) { return c.Service.TakeRecall(ctx) })
-	handle(mux, askPath, func(ctx context.Context, m *Ask) (Told, error) { return c.Service.TakeAsk(ctx, *m) })
+	Handle(mux, beatPath, func(ctx context.Context, m *Beat) (Ack, error) { return Ack{}, c.Service.TakeBeat(ctx, *m) })
+	Handle(mux, pullPath, func(ctx context.Context, m *Pull) (Records, error) { return c.Service.TakePull(ctx, *m) })
+	Handle(mux, relayPath, func(ctx context.Context, m *Relay) (Ack, error) { return Ack{}, c.Service.TakeRelay(ctx, *m) })
+	Handle(mux, reservePath, func(ctx context.Context, m *Reserve) (Reserved, error) { return c.Service.TakeReserve(ctx, *m) })
+	Handle(mux, finishPath, func(ctx context.Context, m *Finish) (Ack, error) { return Ack{}, c.Service.TakeFinish(ctx, *m) })
+	Handle(mux, recallPath, func(ctx context.Context, _ *Recall) (Recalled, error) { return c.Service.TakeRecall(ctx) })
+	Handle(mux, askPath, func(ctx context.Context, m *Ask) (Told, error) { return c.Service.TakeAsk(ctx, *m) })
 	return guard(c.Secret, mux)
 }
 
-func handle[Q, A any](mux *http.ServeMux, path string, take func(context.Context, *Q) (A, error)) {
+// Handle answers the messages of one procedure.
+func Handle[Q, A any](mux *http.ServeMux, path string, take func(context.Context, *Q) (A, error)) {
 	serve := func(ctx context.Context, request *connect.Request[Q]) (*connect.Response[A], error) {
 		answer, err := take(ctx, request.Msg)
 		if err != nil {
