--- a/internal/jobs/catalog/catalog.go
+++ b/internal/jobs/catalog/catalog.go
@@ -151,12 +151,13 @@
 
 // Instance is an instance as the instance service lists it.
 type Instance struct {
-	Name     string
-	Pool     string
-	State    InstanceState
-	Worker   string // id of its worker, empty when none runs
-	Capacity Amount
-	Rack     string
+	Name       string
+	Pool       string
+	State      InstanceState
+	Worker     string // id of its worker, empty when none runs
+	DataCentre id.DataCentre
+	Capacity   Amount
+	Rack       string
 }
 
 // InstanceState is what an instance is doing.
--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -224,7 +224,7 @@
 func (n *Instance) owner(pool string) (netip.AddrPort, *shard.Shard, error) {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	if o, ok := n.shards[pool]; ok {
+	if o, ok := n.shards[pool]; ok && o.shard != nil {
 		return netip.AddrPort{}, o.shard, nil
 	}
 	part := partOf(n.catalog, pool, n.config.Settings.Parts)
--- a/internal/jobs/instance/feed.go
+++ b/internal/jobs/instance/feed.go
@@ -10,6 +10,7 @@
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
@@ -50,22 +51,9 @@
 
 func (f *feed) load(ctx context.Context) error {
 	var all []stream.Record
-	after, next := "", int64(-1)
-	for {
-		page, err := f.instance.config.Log.Newest(ctx, f.table, after)
-		if err != nil {
-			return err
-		}
-		if next < 0 {
-			next = page.End
-		}
-		for _, item := range page.Items {
-			all = append(all, item.Record)
-			after = item.Key
-		}
-		if !page.More || len(page.Items) == 0 {
-			break
-		}
+	next, err := claim.ReadAll(ctx, f.instance.config.Log, f.table, f.instance.config.Logger, func(r stream.Record) { all = append(all, r) })
+	if err != nil {
+		return err
 	}
 	f.next = next
 	f.instance.hear()
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -12,6 +12,7 @@
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
@@ -32,7 +33,7 @@
 	Machines worker.Machines
 	Advisor  worker.Advisor
 	Peers    *relay.Client
-	Clock    shard.Clock
+	Clock    claim.Clock
 	Logger   *zap.Logger
 	Metrics  *Metrics
 }
@@ -61,9 +62,9 @@
 	at   time.Duration
 }
 
-// owned is a pool that this instance runs.
+// owned is a unit that this instance runs.
 type owned struct {
-	shard  *shard.Shard
+	shard  *shard.Shard // nil for the keeper of the instances
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -158,7 +159,9 @@
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	for _, o := range n.shards {
-		o.shard.Refresh()
+		if o.shard != nil {
+			o.shard.Refresh()
+		}
 	}
 }
 
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -5,6 +5,8 @@
 
 	"github.com/juju/errors"
 
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
@@ -15,7 +17,7 @@
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	o, ok := n.shards[pool]
-	if !ok {
+	if !ok || o.shard == nil {
 		return nil, shard.EndedError{Pool: pool}
 	}
 	return o.shard, nil
@@ -51,12 +53,48 @@
 	return relay.Stored{Unsure: !errors.As(err, &none)}, nil
 }
 
-// TakeCordon empties workers of a pool that runs here.
-func (n *Instance) TakeCordon(ctx context.Context, c relay.Cordon) (relay.Load, error) {
+// TakeCordon takes the orders for the workers of a pool that runs here.
+func (n *Instance) TakeCordon(ctx context.Context, c relay.Cordon) (machines.Load, error) {
 	s, err := n.own(c.Pool)
 	if err != nil {
-		return relay.Load{}, err
+		return machines.Load{}, err
 	}
-	empty, err := s.SetCordoned(ctx, c.Workers)
-	return relay.Load{Empty: empty}, err
+	return s.Orders(ctx, c.Orders)
+}
+
+// giveOrders gives the owner of a pool its orders.
+func (n *Instance) giveOrders(ctx context.Context, pool string, o machines.Orders) (machines.Load, error) {
+	owner, here, err := n.owner(pool)
+	if err != nil {
+		return machines.Load{}, err
+	}
+	if here != nil {
+		return here.Orders(ctx, o)
+	}
+	return n.config.Peers.Cordon(ctx, owner, relay.Cordon{Pool: pool, Orders: o})
+}
+
+// published returns what operators have published about instances.
+func (n *Instance) published() machines.Published {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	v := machines.Published{Evacuated: id.Set[id.DataCentre]{}}
+	for dc := range n.evacuated {
+		v.Evacuated.Add(dc)
+	}
+	if n.catalog != nil {
+		v.Pools = n.catalog.Serving()
+		for _, p := range n.catalog.Pools {
+			if p.Spare {
+				v.Spare = p.Name
+			}
+		}
+	}
+	now := n.config.Clock.Moment().Steady
+	for _, w := range n.waves {
+		left := w.wave
+		left.Within -= now - w.at
+		v.Waves = append(v.Waves, left)
+	}
+	return v
 }
--- /dev/null
+++ b/internal/jobs/machines/keeper.go
@@ -0,0 +1,336 @@
+package machines
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/claim"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+)
+
+// Times of a keeper.
+const (
+	planInterval  = 200 * time.Millisecond
+	listInterval  = 400 * time.Millisecond
+	proveInterval = 600 * time.Millisecond // between two proofs that no successor has claimed the instances
+	proofLife     = 2200 * time.Millisecond
+	askTimeout    = 600 * time.Millisecond
+)
+
+// Published is what operators have published, as far as it concerns instances.
+type Published struct {
+	Pools     []string // that run work
+	Spare     string
+	Evacuated id.Set[id.DataCentre]
+	Waves     []catalog.Wave
+}
+
+// KeeperConfig holds what a Keeper needs.
+type KeeperConfig struct {
+	Holder   string
+	Log      stream.Log
+	Status   stream.Table
+	Codec    catalog.Codec
+	Machines worker.Machines
+	Clock    claim.Clock
+	Logger   *zap.Logger
+	Turn     time.Duration // quiet time after another holder's orders
+	View     func() Published
+	// Ask gives a pool its orders and returns how its work stands.
+	Ask func(ctx context.Context, pool string, o Orders) (Load, error)
+}
+
+// Table holds the claims on the instances and how far the waves are.
+func Table() stream.Table { return stream.Table{Name: "fleet"} }
+
+// Keeper moves and maintains all instances.
+type Keeper struct {
+	config  KeeperConfig
+	planner *Planner
+	claim   *claim.Claim
+	writer  stream.Writer
+
+	outcomes  chan func(now time.Duration) // run by loop
+	proven    time.Duration
+	quietTill time.Duration
+	listed    time.Duration
+	instances []catalog.Instance
+	loads     map[string]Load
+	orders    map[string]Orders
+	sizes     map[string]Size
+	done      map[int]int  // maintained instances by wave, as stored
+	finished  map[int]bool // waves whose end is published
+	stored    map[int][]string
+}
+
+// NewKeeper returns a keeper that is to be run.
+func NewKeeper(c KeeperConfig) *Keeper {
+	return &Keeper{
+		config: c, planner: NewPlanner(), outcomes: make(chan func(time.Duration), 256), loads: map[string]Load{},
+		orders: map[string]Orders{}, done: map[int]int{}, finished: map[int]bool{}, stored: map[int][]string{},
+	}
+}
+
+// Run claims the instances and keeps them until the context ends or a successor claims them.
+func (k *Keeper) Run(ctx context.Context) error {
+	claimed, proven, err := claim.Take(ctx, claim.Config{
+		Log: k.config.Log, Table: Table(), Holder: k.config.Holder, Clock: k.config.Clock, Logger: k.config.Logger,
+	})
+	if err != nil {
+		return errors.Annotate(err, "claiming the instances")
+	}
+	k.claim, k.proven, k.writer = claimed, proven, stream.Writer{Epoch: claimed.Epoch()}
+	if !claimed.First() {
+		k.quietTill = proven + k.config.Turn
+	}
+	if _, err := claim.ReadAll(ctx, k.config.Log, Table(), k.config.Logger, k.load); err != nil {
+		return errors.Annotate(err, "taking over the instances")
+	}
+	return errors.Trace(k.loop(ctx))
+}
+
+const wavePrefix = "wave/"
+
+// waveRecord is how far a wave is, as stored.
+type waveRecord struct {
+	Number   int      `cbor:"1,keyasint"`
+	Done     []string `cbor:"2,keyasint,omitempty"`
+	Finished bool     `cbor:"3,keyasint,omitempty"`
+}
+
+func (k *Keeper) load(r stream.Record) {
+	if !strings.HasPrefix(r.Key, wavePrefix) || len(r.Value) == 0 {
+		return
+	}
+	var w waveRecord
+	if err := cbor.Unmarshal(r.Value, &w); err != nil {
+		k.config.Logger.Error("a stored wave cannot be read", zap.String("key", r.Key), zap.Error(err))
+		return
+	}
+	k.stored[w.Number] = w.Done
+	k.done[w.Number] = len(w.Done)
+	k.finished[w.Number] = w.Finished
+}
+
+func (k *Keeper) loop(ctx context.Context) error {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case take := <-k.outcomes:
+			take(k.config.Clock.Moment().Steady)
+			continue
+		case <-ticker.C:
+		}
+		if err := k.turn(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// turn gathers what is known, decides and carries out one round.
+func (k *Keeper) turn(ctx context.Context) error {
+	if err := k.prove(ctx); err != nil {
+		return err
+	}
+	view := k.config.View()
+	k.list(ctx)
+	k.ask(ctx, view.Pools)
+	now := k.config.Clock.Moment().Steady
+	for _, w := range view.Waves {
+		k.announce(ctx, now, w)
+	}
+	if now-k.proven > proofLife || now < k.quietTill || len(k.instances) == 0 {
+		return nil
+	}
+	plan := k.planner.Tick(Input{
+		Now: now, Listed: k.listed, Instances: k.instances, Loads: k.loads, Spare: view.Spare, Evacuated: view.Evacuated,
+	})
+	k.orders = plan.Orders
+	k.logSizes(plan.Sizes)
+	for _, a := range plan.Actions {
+		o := &order{keeper: k, action: a}
+		go o.run(ctx)
+	}
+	return k.report(ctx)
+}
+
+// logSizes leaves a line for each pool whose wanted size has changed.
+func (k *Keeper) logSizes(sizes map[string]Size) {
+	for pool, size := range sizes {
+		if k.sizes[pool].Wanted != size.Wanted {
+			load := k.loads[pool]
+			k.config.Logger.Info("pool size decided", zap.String("pool", pool), zap.Int("wanted", size.Wanted),
+				zap.Int("present", size.Present), zap.Int("demand", load.Demand), zap.Int("lasting", load.Lasting))
+		}
+	}
+	k.sizes = sizes
+}
+
+func (k *Keeper) prove(ctx context.Context) error {
+	now := k.config.Clock.Moment().Steady
+	if now-k.proven < proveInterval {
+		return nil
+	}
+	err := k.claim.Prove(ctx)
+	var fenced stream.FencedError
+	if errors.As(err, &fenced) {
+		return errors.Annotate(err, "proving the claim on the instances")
+	}
+	if err == nil {
+		k.proven = now
+	}
+	return nil
+}
+
+func (k *Keeper) list(ctx context.Context) {
+	asked := k.config.Clock.Moment().Steady
+	if asked-k.listed < listInterval && k.listed > 0 {
+		return
+	}
+	instances, err := k.config.Machines.List(ctx)
+	if err != nil {
+		k.config.Logger.Warn("could not list the instances", zap.Error(err))
+		return
+	}
+	k.instances, k.listed = instances, asked
+}
+
+// ask gives every pool its orders and learns how its work stands.
+func (k *Keeper) ask(ctx context.Context, pools []string) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	loads := map[string]Load{}
+	for _, pool := range pools {
+		wait.Go(func() {
+			load, err := k.config.Ask(ctx, pool, k.orders[pool])
+			if err != nil {
+				k.config.Logger.Debug("a pool does not answer", zap.String("pool", pool), zap.Error(err))
+				return
+			}
+			mu.Lock()
+			loads[pool] = load
+			mu.Unlock()
+		})
+	}
+	wait.Wait()
+	k.loads = loads
+}
+
+// announce takes a wave in and publishes that it runs.
+func (k *Keeper) announce(ctx context.Context, now time.Duration, w catalog.Wave) {
+	if _, known := k.planner.waves[w.Number]; known || k.finished[w.Number] {
+		return
+	}
+	k.planner.AddWave(now, w, k.stored[w.Number])
+	k.publish(ctx, w.Number, false)
+}
+
+func (k *Keeper) publish(ctx context.Context, number int, done bool) bool {
+	r, err := k.config.Codec.WaveStatus(number, done)
+	if err == nil {
+		_, err = k.config.Log.Append(ctx, k.config.Status, []stream.Record{r}, nil)
+	}
+	if err != nil {
+		k.config.Logger.Warn("could not publish the status of a wave", zap.Int("wave", number), zap.Error(err))
+		return false
+	}
+	k.config.Logger.Info("wave status published", zap.Int("wave", number), zap.Bool("done", done))
+	return true
+}
+
+// report stores how far the waves are and publishes those that have ended.
+func (k *Keeper) report(ctx context.Context) error {
+	for _, number := range k.planner.Waves() {
+		done, all := k.planner.Done(number)
+		if len(done) > k.done[number] {
+			if err := k.store(ctx, waveRecord{Number: number, Done: done}); err != nil {
+				return err
+			}
+			k.done[number] = len(done)
+		}
+		if all && !k.finished[number] && k.publish(ctx, number, true) {
+			if err := k.store(ctx, waveRecord{Number: number, Done: done, Finished: true}); err != nil {
+				return err
+			}
+			k.finished[number] = true
+		}
+	}
+	return nil
+}
+
+// store writes how far a wave is; that the log did not take it is no fault, as the same is written again.
+func (k *Keeper) store(ctx context.Context, w waveRecord) error {
+	data, err := cbor.Marshal(w)
+	if err != nil {
+		return errors.Annotate(err, "encoding a wave")
+	}
+	records := []stream.Record{{Key: fmt.Sprintf("%s%d", wavePrefix, w.Number), Value: data}}
+	_, err = k.config.Log.Append(ctx, Table(), records, &k.writer)
+	var fenced stream.FencedError
+	var sequence stream.SequenceError
+	switch {
+	case err == nil:
+		k.writer.Sequence++
+	case errors.As(err, &fenced):
+		return errors.Annotate(err, "storing a wave")
+	case errors.As(err, &sequence):
+		k.writer.Sequence = sequence.Expected
+	default:
+		k.config.Logger.Warn("could not store how far a wave is", zap.Int("wave", w.Number), zap.Error(err))
+	}
+	return nil
+}
+
+// order carries out one action and brings back its outcome.
+type order struct {
+	keeper *Keeper
+	action Action
+}
+
+func (o *order) run(ctx context.Context) {
+	k := o.keeper
+	var take func(now time.Duration)
+	switch a := o.action.(type) {
+	case MoveAction:
+		outcome := o.outcome(k.config.Machines.Move(ctx, a.Instance, a.Pool, k.config.Holder, k.claim.Epoch()))
+		k.config.Logger.Info("instance moved", zap.String("machine", a.Instance), zap.String("pool", a.Pool), zap.Int("outcome", int(outcome)))
+		take = func(now time.Duration) { k.planner.Moved(now, a, outcome) }
+	case MaintainAction:
+		outcome := o.outcome(k.config.Machines.Maintain(ctx, a.Instance, a.Wave, k.config.Holder, k.claim.Epoch()))
+		k.config.Logger.Info("instance maintained", zap.String("machine", a.Instance), zap.Int("wave", a.Wave), zap.Int("outcome", int(outcome)))
+		take = func(now time.Duration) { k.planner.Maintained(now, a, outcome) }
+	}
+	select {
+	case k.outcomes <- take:
+	case <-ctx.Done():
+	}
+}
+
+func (o *order) outcome(err error) Outcome {
+	var refused worker.RefusedError
+	switch {
+	case err == nil:
+		return Carried
+	case !errors.As(err, &refused):
+		o.keeper.config.Logger.Warn("an order for an instance was not answered", zap.Error(err))
+		return Unanswered
+	case refused.Reason == worker.Invalid || refused.Reason == worker.NotInWave:
+		return Barred
+	}
+	return Refused
+}
--- /dev/null
+++ b/internal/jobs/machines/size.go
@@ -0,0 +1,154 @@
+package machines
+
+import (
+	"slices"
+	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+)
+
+// Bounds on the sizes of pools.
+const (
+	minInstances = 2               // in a pool that runs work
+	headroom     = 108             // percent of the demand that a pool has room for
+	shrinkAfter  = 2 * time.Second // time for which a pool keeps the room that it last needed
+)
+
+// demand remembers what a pool needed lately.
+type demand struct {
+	peak   time.Duration // when the size below was last needed
+	size   int
+	worked bool // tasks that do not last have asked for room
+}
+
+// planSizes brings instances to pools that ask for more than they have, and empties those that are left over.
+func (r *round) planSizes() {
+	if r.Spare == "" {
+		return
+	}
+	var short []string
+	missing := map[string]int{}
+	for pool, load := range r.Loads {
+		if pool == r.Spare {
+			continue
+		}
+		size := Size{Wanted: r.size(pool, load), Present: r.present(pool)}
+		r.plan.Sizes[pool] = size
+		gap := size.Wanted - size.Present
+		switch {
+		case gap > 0:
+			missing[pool] = gap - r.recall(pool, gap)
+			short = append(short, pool)
+		case gap < 0:
+			r.shed(pool, -gap)
+		}
+	}
+	slices.SortFunc(short, func(a, b string) int { return missing[b] - missing[a] })
+	for _, pool := range short {
+		r.fill(pool, missing[pool])
+	}
+}
+
+// size returns how many instances a pool should have: at once more when it asks for more, and fewer
+// only when it has asked for fewer for a while.
+func (r *round) size(pool string, load Load) int {
+	capacity := r.capacity()
+	if capacity == 0 {
+		return 0
+	}
+	now := max(minInstances, ceil((load.Demand+load.Lasting)*headroom/percent, capacity))
+	d, known := r.wanted[pool]
+	if !known {
+		d = &demand{size: max(now, r.present(pool)), peak: r.Now}
+		r.wanted[pool] = d
+	}
+	d.worked = d.worked || load.Demand > 0
+	switch {
+	case !d.worked:
+		// A pool that has had no work yet keeps what operators gave it.
+		d.size, d.peak = max(now, d.size, len(r.members[pool])), r.Now
+	case now >= d.size, r.Now-d.peak > shrinkAfter:
+		d.size, d.peak = now, r.Now
+	}
+	return d.size
+}
+
+func ceil(amount, unit int) int { return (amount + unit - 1) / unit }
+
+// capacity returns the processors of a typical instance, in thousandths of a core.
+func (r *round) capacity() int {
+	sum := 0
+	for _, m := range r.Instances {
+		sum += m.Capacity.CPU
+	}
+	return sum / max(1, len(r.Instances))
+}
+
+// present counts the instances that serve a pool or will shortly.
+func (r *round) present(pool string) int {
+	count := 0
+	for _, m := range r.members[pool] {
+		if r.usable(m) {
+			count++
+		}
+	}
+	return count
+}
+
+// recall keeps instances that were about to leave a pool, and returns how many.
+func (r *round) recall(pool string, most int) int {
+	kept := 0
+	for _, m := range r.members[pool] {
+		if g, leaves := r.leaving[m.Name]; kept < most && leaves && g.wave == 0 && !r.inTransit(m.Name) {
+			delete(r.leaving, m.Name)
+			kept++
+		}
+	}
+	return kept
+}
+
+// shed begins to empty the instances of a pool that have the least to do.
+func (r *round) shed(pool string, most int) {
+	var free []*catalog.Instance
+	for _, m := range r.members[pool] {
+		if _, leaves := r.leaving[m.Name]; !leaves && r.movable(m) && r.usable(m) && r.hosts[m.Worker].Lasting == 0 {
+			free = append(free, m)
+		}
+	}
+	slices.SortFunc(free, func(a, b *catalog.Instance) int { return r.hosts[a.Worker].Used - r.hosts[b.Worker].Used })
+	for _, m := range free[:min(most, len(free))] {
+		r.leaving[m.Name] = goal{pool: pool, since: r.Now}
+	}
+}
+
+// fill brings instances into a pool: those that are off, then those that another pool can spare.
+func (r *round) fill(pool string, missing int) {
+	for _, m := range r.Instances {
+		if missing <= 0 {
+			return
+		}
+		m := r.byName[m.Name]
+		g, leaves := r.leaving[m.Name]
+		spare := m.Pool == r.Spare && !leaves
+		surplus := m.Pool != pool && leaves && g.wave == 0 && r.empty(m)
+		if !spare && !surplus || !r.movable(m) || r.Evacuated.Has(m.DataCentre) || r.barred[MoveAction{Instance: m.Name, Pool: pool}] {
+			continue
+		}
+		r.move(m, pool)
+		missing--
+	}
+}
+
+// finishLeaving turns off the instances that no pool needs.
+func (r *round) finishLeaving() {
+	if r.Spare == "" {
+		return
+	}
+	for name, g := range r.leaving {
+		m := r.byName[name]
+		if g.wave != 0 || m == nil || !r.movable(m) || !r.empty(m) || r.barred[MoveAction{Instance: name, Pool: r.Spare}] {
+			continue
+		}
+		r.move(m, r.Spare)
+	}
+}
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -19,7 +19,8 @@
 type host struct {
 	info     catalog.Worker
 	listed   bool // its entry stands in the workers' table
-	cordoned bool // is to be emptied
+	cordoned bool // is to be emptied now
+	doomed   bool // is to be emptied soon
 	used     catalog.Amount
 	runs     map[worker.Run]*run
 
@@ -35,6 +36,7 @@
 	looking   bool          // a look is on its way
 	urgent    bool          // an urgent look is on its way
 	nextLook  time.Duration // when to look again
+	lookSent  time.Duration // when the newest answered look was sent
 	avoid     time.Duration // gets nothing new before
 	failures  int           // runs that failed in a row
 	penalties int
@@ -87,10 +89,25 @@
 	}
 }
 
-// SetCordoned replaces the workers that are to be emptied.
-func (p *Pool) SetCordoned(names []string) {
+// cordonLife is how long workers stay cordoned when nobody asks for it again.
+const cordonLife = 3 * time.Second
+
+// SetCordoned replaces the workers that are to be emptied now, and those that soon will be.
+func (p *Pool) SetCordoned(at Moment, now, soon []string) {
+	p.cordonedTill = at.Steady + cordonLife
 	for name, h := range p.workers {
-		h.cordoned = slices.Contains(names, name)
+		h.cordoned = slices.Contains(now, name)
+		h.doomed = slices.Contains(soon, name)
+	}
+}
+
+// expireCordons serves again on workers that nobody asks to be emptied any more.
+func (p *Pool) expireCordons(at Moment) {
+	if at.Steady <= p.cordonedTill {
+		return
+	}
+	for _, h := range p.workers {
+		h.cordoned, h.doomed = false, false
 	}
 }
 
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -20,6 +20,7 @@
 
 // Tick decides what is due: looks, repeated stops, and runs whose lease has surely lapsed.
 func (p *Pool) Tick(at Moment) {
+	p.expireCordons(at)
 	for name, h := range p.workers {
 		p.lapse(at, h)
 		if !h.listed && len(h.runs) == 0 && h.stored <= h.acked {
@@ -84,10 +85,11 @@
 	p.actions = append(p.actions, a)
 }
 
-// unsure reports whether a worker has runs that a look would settle.
+// unsure reports whether a worker has runs that a look at once would settle: none has come back yet
+// that was sent after their order was answered, or given up.
 func (h *host) unsure() bool {
 	for _, r := range h.runs {
-		if r.phase == doubtful || r.phase == stopped {
+		if (r.phase == doubtful || r.phase == stopped) && r.settled >= h.lookSent {
 			return true
 		}
 	}
@@ -122,6 +124,7 @@
 	h.silent = false
 	h.answered = true
 	h.acked = max(h.acked, a.Hold.Acked)
+	h.lookSent = max(h.lookSent, a.Sent)
 	h.nextLook = at.Steady
 	if p.takeEnds(at, h, report.Ended) {
 		h.nextLook = at.Steady + lookGap
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -204,10 +204,8 @@
 			return a > b
 		}
 	}
-	if step.Lasting {
-		if a, b := h.alike(it), best.alike(it); a != b {
-			return a < b
-		}
+	if step.Lasting && h.doomed != best.doomed {
+		return best.doomed
 	}
 	if step.Fills {
 		if a, b := h.serving(), best.serving(); a != b {
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -46,18 +46,20 @@
 
 // Pool is the state of one pool's jobs and workers.
 type Pool struct {
-	config    Config
-	jobs      map[job.ID]*entry
-	active    []*entry // not ended, in order of arrival
-	cancelled map[job.ID]time.Duration
-	workers   map[string]*host
-	teams     map[string]*team
-	evacuated id.Set[id.DataCentre]
-	changed   map[job.ID]struct{} // jobs whose progress is to be stored
-	held      []*run              // runs that may be started once they are stored
-	actions   []Action
-	dropped   []job.ID // jobs to be removed from the log
-	crowded   bool     // the last round left a task that fits nowhere
+	config       Config
+	jobs         map[job.ID]*entry
+	active       []*entry // not ended, in order of arrival
+	cancelled    map[job.ID]time.Duration
+	workers      map[string]*host
+	teams        map[string]*team
+	evacuated    id.Set[id.DataCentre]
+	changed      map[job.ID]struct{} // jobs whose progress is to be stored
+	held         []*run              // runs that may be started once they are stored
+	actions      []Action
+	dropped      []job.ID // jobs to be removed from the log
+	cordonedTill time.Duration
+	arrivals     arrivals
+	crowded      bool // the last round left a task that fits nowhere
 }
 
 // New returns an empty pool.
@@ -115,6 +117,7 @@
 		return
 	}
 	e := p.add(at, job.New(spec))
+	p.arrivals.add(at.Steady, &spec)
 	if _, cancelled := p.cancelled[spec.ID]; cancelled {
 		p.Cancel(at, spec.ID)
 		return
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -127,13 +127,51 @@
 	return away < limit
 }
 
-// Empty returns the workers to be emptied on which nothing is left.
-func (p *Pool) Empty() []string {
-	var names []string
+// Load tells how the work of the pool stands.
+type Load struct {
+	Hosts   []HostLoad
+	Demand  int // thousandths of a core that running and ready tasks ask for, or that new jobs will keep busy
+	Lasting int // the same for tasks that last
+}
+
+// HostLoad is a worker with what it carries.
+type HostLoad struct {
+	Worker  string
+	Used    int // thousandths of a core
+	Lasting int // tasks that last
+	Empty   bool
+	Usable  bool
+}
+
+// Load returns how the work of the pool stands.
+func (p *Pool) Load(at Moment) Load {
+	var l Load
+	for _, it := range p.waiting(at) {
+		step := &it.entry.job.Spec.Steps[it.step]
+		for i := range it.repeat.Steps[it.step] {
+			if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
+				l.add(step)
+			}
+		}
+	}
 	for name, h := range p.workers {
-		if h.cordoned && len(h.runs) == 0 {
-			names = append(names, name)
+		load := HostLoad{Worker: name, Used: h.used.CPU, Empty: h.cordoned && len(h.runs) == 0, Usable: p.usable(at, h)}
+		for _, r := range h.runs {
+			l.add(r.step)
+			if r.step.Lasting {
+				load.Lasting++
+			}
 		}
+		l.Hosts = append(l.Hosts, load)
+	}
+	l.Demand = max(l.Demand, p.arrivals.rate(at.Steady))
+	return l
+}
+
+func (l *Load) add(step *job.Step) {
+	if step.Lasting {
+		l.Lasting += needOf(step).CPU
+		return
 	}
-	return names
+	l.Demand += step.CPU
 }
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -6,6 +6,7 @@
 	"net/netip"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 	"marigoldshed.example/marigoldshed/peer"
 )
@@ -52,15 +53,10 @@
 	Unsure bool `cbor:"2,keyasint,omitempty"`
 }
 
-// Cordon asks the owner of a pool to empty some workers and no others.
+// Cordon gives the owner of a pool the orders for its workers; its answer is a machines.Load.
 type Cordon struct {
-	Pool    string   `cbor:"1,keyasint"`
-	Workers []string `cbor:"2,keyasint,omitempty"`
-}
-
-// Load tells how the work of a pool stands and which cordoned workers are empty.
-type Load struct {
-	Empty []string `cbor:"1,keyasint,omitempty"`
+	Pool   string          `cbor:"1,keyasint"`
+	Orders machines.Orders `cbor:"2,keyasint"`
 }
 
 // Service answers the other instances.
@@ -68,7 +64,7 @@
 	TakeQuestion(ctx context.Context, q Question) (State, error)
 	TakePending(ctx context.Context, p Pool) (Pending, error)
 	TakeStore(ctx context.Context, s Store) (Stored, error)
-	TakeCordon(ctx context.Context, c Cordon) (Load, error)
+	TakeCordon(ctx context.Context, c Cordon) (machines.Load, error)
 }
 
 // Client asks other instances.
@@ -94,9 +90,9 @@
 	return peer.Call[Store, Stored](ctx, c.peers, to, storePath, &s)
 }
 
-// Cordon has workers emptied.
-func (c *Client) Cordon(ctx context.Context, to netip.AddrPort, cordon Cordon) (Load, error) {
-	return peer.Call[Cordon, Load](ctx, c.peers, to, emptyPath, &cordon)
+// Cordon gives orders for workers and returns how the pool's work stands.
+func (c *Client) Cordon(ctx context.Context, to netip.AddrPort, cordon Cordon) (machines.Load, error) {
+	return peer.Call[Cordon, machines.Load](ctx, c.peers, to, emptyPath, &cordon)
 }
 
 // NewHandler returns the handler for questions of other instances.
@@ -105,6 +101,6 @@
 	peer.Handle(mux, statePath, func(ctx context.Context, m *Question) (State, error) { return s.TakeQuestion(ctx, *m) })
 	peer.Handle(mux, pendingPath, func(ctx context.Context, m *Pool) (Pending, error) { return s.TakePending(ctx, *m) })
 	peer.Handle(mux, storePath, func(ctx context.Context, m *Store) (Stored, error) { return s.TakeStore(ctx, *m) })
-	peer.Handle(mux, emptyPath, func(ctx context.Context, m *Cordon) (Load, error) { return s.TakeCordon(ctx, *m) })
+	peer.Handle(mux, emptyPath, func(ctx context.Context, m *Cordon) (machines.Load, error) { return s.TakeCordon(ctx, *m) })
 	return mux
 }
--- a/internal/jobs/shard/ask.go
+++ b/internal/jobs/shard/ask.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 )
 
@@ -45,17 +46,26 @@
 	return counts, err
 }
 
-// SetCordoned replaces the workers that are to be emptied and returns those that are empty.
-func (s *Shard) SetCordoned(ctx context.Context, names []string) ([]string, error) {
+// Orders takes the orders for the pool's workers and returns how its work stands.
+func (s *Shard) Orders(ctx context.Context, o machines.Orders) (machines.Load, error) {
 	if err := s.ready(ctx); err != nil {
-		return nil, err
+		return machines.Load{}, err
 	}
-	var empty []string
-	err := s.do(ctx, func(pool.Moment) {
-		s.pool.SetCordoned(names)
-		empty = s.pool.Empty()
+	var load machines.Load
+	err := s.do(ctx, func(at pool.Moment) {
+		s.pool.SetCordoned(at, o.Leave, o.Later)
+		load = loadOf(s.pool.Load(at))
+		s.wantPlace = true
 	})
-	return empty, err
+	return load, err
+}
+
+func loadOf(l pool.Load) machines.Load {
+	load := machines.Load{Demand: l.Demand, Lasting: l.Lasting}
+	for _, h := range l.Hosts {
+		load.Hosts = append(load.Hosts, machines.Host{Worker: h.Worker, Used: h.Used, Lasting: h.Lasting, Empty: h.Empty, Usable: h.Usable})
+	}
+	return load
 }
 
 func (s *Shard) ready(ctx context.Context) error {
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
@@ -152,7 +153,7 @@
 			s.fail(fatal, errors.Annotatef(err, "storing progress of pool %s", s.config.Pool))
 			return
 		}
-		if s.pause(ctx, err) != nil {
+		if claim.Pause(ctx, s.config.Logger, err) != nil {
 			return
 		}
 	}
@@ -180,7 +181,7 @@
 
 func (p *proof) run(ctx context.Context, fatal chan error) {
 	s := p.shard
-	err := s.config.Log.Fence(ctx, s.output, s.epoch)
+	err := s.claim.Prove(ctx)
 	var fenced stream.FencedError
 	if errors.As(err, &fenced) {
 		s.fail(fatal, errors.Annotatef(err, "proving the claim on pool %s", s.config.Pool))
@@ -202,14 +203,14 @@
 		var trimmed stream.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
-			from, err := s.readAll(ctx, s.intake, func(r stream.Record) { s.take(ctx, r) })
+			from, err := claim.ReadAll(ctx, s.config.Log, s.intake, s.config.Logger, func(r stream.Record) { s.take(ctx, r) })
 			if err != nil {
 				return err
 			}
 			next = from
 			continue
 		case err != nil:
-			if err := s.pause(ctx, err); err != nil {
+			if err := claim.Pause(ctx, s.config.Logger, err); err != nil {
 				return err
 			}
 			continue
--- a/internal/jobs/shard/record.go
+++ b/internal/jobs/shard/record.go
@@ -12,7 +12,6 @@
 
 // Keys of the two tables of a pool.
 const (
-	ownerKey       = "owner"
 	specPrefix     = "job/"
 	cancelPrefix   = "cancel/"
 	progressPrefix = "progress/"
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -10,6 +10,7 @@
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
@@ -19,11 +20,10 @@
 // Times of an owner.
 const (
 	tickInterval  = 25 * time.Millisecond
-	placeInterval = 8 * time.Millisecond  // between two rounds of placing, so that ends come together
-	renewInterval = time.Second           // between two proofs to the log that no successor has claimed
-	ownerTimeout  = 4 * time.Second       // without a proof, after which nothing is ordered any more
-	intakeWait    = time.Second           // longest wait for new jobs in one read
-	retryPause    = 50 * time.Millisecond // after a call that the store refused
+	placeInterval = 8 * time.Millisecond // between two rounds of placing, so that ends come together
+	renewInterval = time.Second          // between two proofs to the log that no successor has claimed
+	ownerTimeout  = 4 * time.Second      // without a proof, after which nothing is ordered any more
+	intakeWait    = time.Second          // longest wait for new jobs in one read
 	paceInterval  = 200 * time.Millisecond
 	eventQueue    = 256
 )
@@ -47,15 +47,12 @@
 	Log      stream.Log
 	Workers  worker.Client
 	Advisor  worker.Advisor
-	Clock    Clock
+	Clock    claim.Clock
 	Logger   *zap.Logger
 	Observer pool.Observer
 	View     func() View
 }
 
-// Clock reads both clocks.
-type Clock interface{ Moment() pool.Moment }
-
 // View is what operators and workers have published, as far as it concerns one pool.
 type View struct {
 	Workers   []catalog.Worker
@@ -68,7 +65,7 @@
 	config  Config
 	intake  stream.Table // jobs and cancellations, written by every instance
 	output  stream.Table // claims and progress, written by the owner
-	epoch   int64
+	claim   *claim.Claim
 	pool    *pool.Pool
 	events  chan func(at pool.Moment) // run on the control thread
 	refresh chan struct{}
@@ -103,9 +100,14 @@
 // by a stream.FencedError.
 func (s *Shard) Run(ctx context.Context) error {
 	defer close(s.ended)
-	if err := s.claim(ctx); err != nil {
+	claimed, proven, err := claim.Take(ctx, claim.Config{
+		Log: s.config.Log, Table: s.output, Holder: s.config.Holder, Clock: s.config.Clock, Logger: s.config.Logger,
+	})
+	if err != nil {
 		return errors.Annotatef(err, "claiming pool %s", s.config.Pool)
 	}
+	s.claim, s.proven = claimed, proven
+	s.writer = stream.Writer{Epoch: claimed.Epoch()}
 	if err := s.load(ctx); err != nil {
 		return errors.Annotatef(err, "taking over pool %s", s.config.Pool)
 	}
@@ -116,64 +118,21 @@
 	return errors.Trace(group.Wait())
 }
 
-// claim draws a number from the log that no other owner has and fences off all lower ones.
-func (s *Shard) claim(ctx context.Context) error {
-	record := stream.Record{Key: ownerKey, Value: []byte(s.config.Holder)}
-	for {
-		offset, err := s.config.Log.Append(ctx, s.output, []stream.Record{record}, nil)
-		if err == nil {
-			s.epoch = offset + 1
-			break
-		}
-		if err := s.pause(ctx, err); err != nil {
-			return err
-		}
-	}
-	for {
-		sent := s.config.Clock.Moment().Steady
-		err := s.config.Log.Fence(ctx, s.output, s.epoch)
-		if err == nil {
-			s.proven = sent
-			s.writer = stream.Writer{Epoch: s.epoch}
-			s.config.Logger.Info("claimed a pool", zap.String("pool", s.config.Pool), zap.Int64("fence", s.epoch))
-			return nil
-		}
-		var fenced stream.FencedError
-		if errors.As(err, &fenced) {
-			return err
-		}
-		if err := s.pause(ctx, err); err != nil {
-			return err
-		}
-	}
-}
-
-// pause waits a moment after a failed call; it fails when the context has ended.
-func (s *Shard) pause(ctx context.Context, cause error) error {
-	s.config.Logger.Debug("the store did not take a call", zap.String("pool", s.config.Pool), zap.Error(cause))
-	select {
-	case <-ctx.Done():
-		return errors.Trace(ctx.Err())
-	case <-time.After(retryPause):
-		return nil
-	}
-}
-
 // load reads everything that the log holds of the pool.
 func (s *Shard) load(ctx context.Context) error {
 	jobs := map[job.ID]*pool.Stored{}
-	if _, err := s.readAll(ctx, s.output, func(r stream.Record) { s.loadProgress(jobs, r) }); err != nil {
+	if _, err := claim.ReadAll(ctx, s.config.Log, s.output, s.config.Logger, func(r stream.Record) { s.loadProgress(jobs, r) }); err != nil {
 		return err
 	}
 	var cancelled []job.ID
-	next, err := s.readAll(ctx, s.intake, func(r stream.Record) { s.loadIntake(jobs, &cancelled, r) })
+	next, err := claim.ReadAll(ctx, s.config.Log, s.intake, s.config.Logger, func(r stream.Record) { s.loadIntake(jobs, &cancelled, r) })
 	if err != nil {
 		return err
 	}
 	s.tail = next
 	at := s.config.Clock.Moment()
 	s.pool = pool.New(pool.Config{
-		Name: s.config.Pool, Fence: s.epoch, Lease: s.config.Settings.Lease,
+		Name: s.config.Pool, Fence: s.claim.Epoch(), Lease: s.config.Settings.Lease,
 		Inherited: ownerTimeout + time.Duration(float64(s.config.Settings.Lease)*(1+2*clockDrift)) + time.Second,
 		Retention: s.config.Settings.Retention, StopTime: s.config.Settings.StopTime, Harm: s.config.Settings.Harm,
 		Observer: s.config.Observer,
@@ -193,30 +152,6 @@
 	return nil
 }
 
-// readAll reads the newest record of every key and returns the offset from which to read on.
-func (s *Shard) readAll(ctx context.Context, t stream.Table, take func(stream.Record)) (int64, error) {
-	after, next, first := "", int64(0), true
-	for {
-		page, err := s.config.Log.Newest(ctx, t, after)
-		if err != nil {
-			if err := s.pause(ctx, err); err != nil {
-				return 0, err
-			}
-			continue
-		}
-		if first {
-			next, first = page.End, false
-		}
-		for _, item := range page.Items {
-			take(item.Record)
-			after = item.Key
-		}
-		if !page.More || len(page.Items) == 0 {
-			return next, nil
-		}
-	}
-}
-
 // do runs a function on the control thread and waits for it.
 func (s *Shard) do(ctx context.Context, f func(at pool.Moment)) error {
 	done := make(chan struct{})
