--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -87,6 +87,7 @@
 	wanted  map[string]*demand
 	barred  map[MoveAction]bool // moves that the platform does not allow
 	busy    map[string]time.Duration
+	worked  bool // tasks that do not last have asked for room
 }
 
 // NewPlanner returns a planner that knows of no wave.
--- a/internal/jobs/machines/size.go
+++ b/internal/jobs/machines/size.go
@@ -16,9 +16,8 @@
 
 // demand remembers what a pool needed lately.
 type demand struct {
-	peak   time.Duration // when the size below was last needed
-	size   int
-	worked bool // tasks that do not last have asked for room
+	peak time.Duration // when the size below was last needed
+	size int
 }
 
 // planSizes brings instances to pools that ask for more than they have, and empties those that are left over.
@@ -62,10 +61,10 @@
 		d = &demand{size: max(now, r.present(pool)), peak: r.Now}
 		r.wanted[pool] = d
 	}
-	d.worked = d.worked || load.Demand > 0
+	r.worked = r.worked || load.Demand > 0
 	switch {
-	case !d.worked:
-		// A pool that has had no work yet keeps what operators gave it.
+	case !r.worked:
+		// Before any work has come, every pool keeps what operators gave it.
 		d.size, d.peak = max(now, d.size, len(r.members[pool])), r.Now
 	case now >= d.size, r.Now-d.peak > shrinkAfter:
 		d.size, d.peak = now, r.Now
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -12,8 +12,9 @@
 // Times between looks at a worker.
 const (
 	lookWait   = time.Second            // longest wait for an end, well inside a lease
-	lookGap    = 60 * time.Millisecond  // after a look that brought an end, so that several come at once
+	lookGap    = 110 * time.Millisecond // after a look that brought an end, so that several come at once
 	silentGap  = 250 * time.Millisecond // between looks at a worker that does not answer
+	maxBackoff = 3                      // doublings of that gap for a worker that runs nothing
 	fencedGap  = time.Second            // after a look that a higher fence refused
 	fullReport = 500                    // ends in one report; more may be waiting
 )
@@ -122,6 +123,7 @@
 	}
 	p.tick(at, h, report.Answer)
 	h.silent = false
+	h.misses = 0
 	h.answered = true
 	h.acked = max(h.acked, a.Hold.Acked)
 	h.lookSent = max(h.lookSent, a.Sent)
@@ -153,6 +155,10 @@
 		}
 		h.silent = true
 		h.nextLook = at.Steady + silentGap
+		if len(h.runs) == 0 {
+			h.nextLook = at.Steady + silentGap<<min(h.misses, maxBackoff)
+			h.misses++
+		}
 	}
 }
 
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -154,9 +154,9 @@
 
 // confirm notes that a worker has taken a run.
 func (p *Pool) confirm(at Moment, r *run) {
-	r.settled = at.Steady
 	if r.phase == sending || r.phase == doubtful {
 		r.phase = running
+		r.settled = at.Steady
 		r.began = at.Steady
 		r.job.job.Begun = true
 	}
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -164,7 +164,7 @@
 		}
 		l.Hosts = append(l.Hosts, load)
 	}
-	l.Demand = max(l.Demand, p.arrivals.rate(at.Steady))
+	l.Demand = max(l.Demand, p.arrivals.forecast(at.Steady))
 	return l
 }
 
