owners: Keep a unit with its owner while it lives, and hand jobs to the owner first

Cause: the group dealt its parts anew at every join and leave, so a restart of all instances in turn changed the owner of a pool up to ten times, each with a pause and a new wait for inherited runs; a slow store took one append a job at 72 ms each; 11 processes did not end before the kill because three of the four listeners stayed open. What: owners stay while they live and hand over before they stop; owners append jobs in batches with their progress; silent workers are judged by the list of instances; all listeners close.

--- a/commands/run.go
+++ b/commands/run.go
@@ -171,6 +171,11 @@
 	if err := servers[0].Shutdown(shutdown); err != nil {
 		p.logger.Warn("some callers were still waiting", zap.Error(err))
 	}
+	for _, s := range servers {
+		if err := s.Close(); err != nil {
+			p.logger.Warn("could not close a listener", zap.Error(err))
+		}
+	}
 	p.logger.Info("stopped")
 }
 
--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
@@ -69,6 +68,9 @@
 	if known, err := n.inFormerPool(ctx, q, spec.ID); err != nil || known {
 		return err
 	}
+	if err := n.submitToOwner(ctx, spec); err == nil {
+		return nil
+	}
 	record, err := shard.SpecRecord(&spec)
 	if err != nil {
 		return err
@@ -76,6 +78,39 @@
 	return n.store(ctx, shard.IntakeTable(q.Pool), record)
 }
 
+// ownerTimeout bounds the time in which an owner stores what it is handed.
+const ownerTimeout = 1200 * time.Millisecond
+
+// submitToOwner hands a job to the owner of its pool; after an error it may be stored nonetheless, and
+// is stored once however often it is handed in.
+func (n *Instance) submitToOwner(ctx context.Context, spec job.Spec) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	owner, here, err := n.owner(spec.Pool)
+	if err != nil {
+		return err
+	}
+	if here != nil {
+		return here.Submit(ctx, spec)
+	}
+	return n.config.Peers.Submit(ctx, owner, spec)
+}
+
+// cancelAtOwner has the owner of a pool end a job and reports whether it holds the job.
+func (n *Instance) cancelAtOwner(ctx context.Context, pool string, name job.ID) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	owner, here, err := n.owner(pool)
+	if err != nil {
+		return false, err
+	}
+	if here != nil {
+		return here.Cancel(ctx, name)
+	}
+	answer, err := n.config.Peers.Cancel(ctx, owner, relay.Question{Pool: pool, Job: name})
+	return answer.Known, err
+}
+
 // inFormerPool reports whether a job came in while its queue belonged to another pool.
 func (n *Instance) inFormerPool(ctx context.Context, q catalog.Queue, name job.ID) (bool, error) {
 	n.mu.RLock()
@@ -144,17 +179,15 @@
 	return stored.Done, stored.Unsure
 }
 
-// others returns the other instances that are known to own something.
+// others returns the other live instances.
 func (n *Instance) others() []netip.AddrPort {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	var list []netip.AddrPort
-	for _, member := range n.owners {
-		address, err := netip.ParseAddrPort(member)
-		if err != nil || address == n.config.Settings.Peers || slices.Contains(list, address) {
-			continue
+	for _, m := range n.alive {
+		if m.Address != n.config.Settings.Peers {
+			list = append(list, m.Address)
 		}
-		list = append(list, address)
 	}
 	return list
 }
@@ -227,35 +260,31 @@
 	if o, ok := n.shards[pool]; ok && o.shard != nil {
 		return netip.AddrPort{}, o.shard, nil
 	}
-	part := partOf(n.catalog, pool, n.config.Settings.Parts)
-	if part < 0 || part >= len(n.owners) || n.owners[part] == "" {
+	address, ok := n.owners[pool]
+	if !ok {
 		return netip.AddrPort{}, nil, errors.Errorf("no owner of pool %s is known", pool)
 	}
-	address, err := netip.ParseAddrPort(n.owners[part])
-	if err == nil && address == n.config.Settings.Peers {
+	if address == n.config.Settings.Peers {
 		return address, nil, errors.Errorf("pool %s is being taken over here", pool)
 	}
-	return address, nil, errors.Annotatef(err, "reading the address of the owner of pool %s", pool)
+	return address, nil, nil
 }
 
-// Cancel stores the wish to end a job.
+// Cancel ends a job.
 func (n *Instance) Cancel(ctx context.Context, q catalog.Queue, name job.ID) error {
-	asked, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	_, pool, err := n.locate(asked, q, name)
-	var none NoJobError
-	if errors.As(err, &none) {
-		return err
-	}
-	if err != nil {
-		// The owner cannot be asked; a wish for a job that is not there does no harm.
-		pool = q.Pool
+	unsure := false
+	for _, pool := range n.poolsFrom(q.Pool) {
+		known, err := n.cancelAtOwner(ctx, pool, name)
+		if err == nil && known {
+			return nil
+		}
+		unsure = unsure || err != nil
 	}
-	if err := n.store(ctx, shard.IntakeTable(pool), shard.CancelRecord(name)); err != nil {
-		return err
+	if !unsure {
+		return NoJobError{Job: name}
 	}
-	n.config.Logger.Info("cancellation stored", zap.String("job", string(name)), zap.String("pool", pool))
-	return nil
+	// An owner cannot be asked; a wish for a job that is not there does no harm.
+	return n.store(ctx, shard.IntakeTable(q.Pool), shard.CancelRecord(name))
 }
 
 // Pending returns how many jobs of a queue have not begun.
--- a/internal/jobs/instance/feed.go
+++ b/internal/jobs/instance/feed.go
@@ -139,9 +139,9 @@
 		return
 	}
 	if n.catalog != nil {
-		n.noteMoves(n.catalog, c)
+		n.noteMoves(n.catalog.Config, c)
 	}
-	n.catalog = c
+	n.catalog = &snapshot{c}
 	n.config.Logger.Info("configuration in force", zap.Int64("version", c.Version), zap.Int("queues", len(c.Queues)))
 }
 
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +12,7 @@
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/claim"
+	"marigoldshed.example/marigoldshed/internal/jobs/owners"
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
@@ -42,18 +42,22 @@
 type Instance struct {
 	config Config
 
-	mu        sync.RWMutex // guards everything below
-	catalog   *catalog.Config
-	evacuated id.Set[id.DataCentre]
-	waves     map[int]announced
-	workers   map[string]catalog.Worker
-	former    map[string][]string // pools that a queue had before, newest last
-	owners    []string            // member by part, empty where none is known
-	shards    map[string]*owned
-	heard     time.Duration // steady time of the newest answer of the store
-	stopping  bool
-	leave     chan struct{} // closed when the instance is to stop
-	left      chan struct{} // closed once it has given up its pools
+	mu          sync.RWMutex // guards everything below
+	catalog     *snapshot
+	evacuated   id.Set[id.DataCentre]
+	waves       map[int]announced
+	workers     map[string]catalog.Worker
+	former      map[string][]string // pools that a queue had before, newest last
+	owners      owners.Table
+	alive       []owners.Member
+	shards      map[string]*owned
+	heard       time.Duration // steady time of the newest answer of the store
+	stopping    bool
+	ownersKnown bool
+
+	ownersChanged chan struct{}
+	leave         chan struct{} // closed when the instance is to stop
+	left          chan struct{} // closed once it has given up its pools
 }
 
 // announced is a wave and when it was first seen.
@@ -73,7 +77,7 @@
 func New(c Config) *Instance {
 	return &Instance{
 		config: c, evacuated: id.Set[id.DataCentre]{}, waves: map[int]announced{}, workers: map[string]catalog.Worker{},
-		former: map[string][]string{}, shards: map[string]*owned{}, leave: make(chan struct{}), left: make(chan struct{}),
+		former: map[string][]string{}, shards: map[string]*owned{}, owners: owners.Table{}, ownersChanged: make(chan struct{}, 1), leave: make(chan struct{}), left: make(chan struct{}),
 	}
 }
 
@@ -82,9 +86,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	operators := &feed{instance: n, table: n.config.Tables.Operators, wait: operatorWait, replace: n.replaceOperators, take: n.takeOperator}
 	workers := &feed{instance: n, table: n.config.Tables.Workers, gap: workerGap, replace: n.replaceWorkers, take: n.takeWorker}
+	table := &feed{instance: n, table: ownerTable(), wait: operatorWait, replace: n.replaceOwners, take: n.takeOwner}
 	members := &membership{instance: n}
 	group.Go(func() error { return operators.loop(ctx) })
 	group.Go(func() error { return workers.loop(ctx) })
+	group.Go(func() error { return table.loop(ctx) })
 	group.Go(func() error { return members.loop(ctx) })
 	return errors.Trace(group.Wait())
 }
@@ -165,20 +171,13 @@
 	}
 }
 
-// units returns the names of what instances own, each in its part of the group's topic.
-func units(c *catalog.Config) []string {
+// snapshot is the configuration in force.
+type snapshot struct{ *catalog.Config }
+
+// units returns the names of what instances own.
+func (c snapshot) units() []string {
 	return append(c.Serving(), fleetUnit)
 }
 
 // fleetUnit is the unit whose owner moves and maintains instances.
 const fleetUnit = "fleet"
-
-// partOf returns the part of the group's topic that stands for a unit.
-func partOf(c *catalog.Config, unit string, parts int) int {
-	all := units(c)
-	i := slices.Index(all, unit)
-	if i < 0 {
-		return -1
-	}
-	return i * parts / max(len(all), 1) % parts
-}
--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -2,46 +2,60 @@
 
 import (
 	"context"
+	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"marigoldshed.example/marigoldshed/internal/jobs/machines"
-	"marigoldshed.example/marigoldshed/internal/jobs/shard"
+	"marigoldshed.example/marigoldshed/internal/jobs/owners"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
-// Names of the group and of the topic whose parts stand for pools.
+// Names of the group and of its topics; every live member holds some part of them.
 const (
-	groupName  = "instances"
-	groupTopic = "owners"
+	groupName   = "instances"
+	groupTopics = 4
 )
 
+// ownerTable holds who owns each unit.
+func ownerTable() stream.Table { return stream.Table{Name: "owners"} }
+
 // Times of the membership.
 const (
 	joinInterval  = 300 * time.Millisecond
-	usualTTL      = 1100 * time.Millisecond // silence after which an instance loses its pools
-	reclaimPause  = 700 * time.Millisecond  // after a pool was claimed by another instance
-	handoverLimit = 1500 * time.Millisecond // for giving up the pools of an instance that stops
+	usualTTL      = 1100 * time.Millisecond // silence after which an instance loses its units
+	reclaimPause  = 700 * time.Millisecond  // after a unit was claimed by another instance
+	firstPause    = 900 * time.Millisecond  // before a unit is claimed that nobody has owned yet
+	balancePause  = 5 * time.Second         // between two units that are handed over to level the load
+	handoverLimit = 1500 * time.Millisecond // for giving up the units of an instance that stops
 )
 
-// membership keeps this instance in the group and starts and ends pools as the group hands them out.
+// membership keeps this instance in the group and claims and ends units as members come and go.
 type membership struct {
 	instance   *Instance
 	generation int64
-	parts      []int
-	listed     int64 // generation whose owners are known
-	quiet      map[string]time.Duration
+	listed     int64 // generation whose members are known
+	joined     time.Duration
+	balanced   time.Duration
+	quiet      map[string]time.Duration // when a unit may be claimed again
+}
+
+func (n *Instance) self() owners.Member {
+	return owners.Member{Address: n.config.Settings.Peers, Weight: max(1, n.config.Settings.MilliCores)}
 }
 
 func (m *membership) member() stream.Member {
 	set := m.instance.config.Settings
-	return stream.Member{
-		Group: groupName, Name: set.Peers.String(), Topic: groupTopic,
-		TTL: max(usualTTL, set.MinTTL), Generation: m.generation,
+	member := stream.Member{
+		Group: groupName, Name: m.instance.self().String(), TTL: max(usualTTL, set.MinTTL), Generation: m.generation,
+	}
+	for i := range groupTopics {
+		member.Topics = append(member.Topics, fmt.Sprintf("members-%d", i))
 	}
+	return member
 }
 
 func (m *membership) loop(ctx context.Context) error {
@@ -49,19 +63,26 @@
 	for {
 		m.join(ctx)
 		m.assign(ctx)
-		select {
-		case <-ctx.Done():
-			return errors.Trace(ctx.Err())
-		case <-m.instance.leave:
-			m.giveUp()
-			<-ctx.Done()
-			return errors.Trace(ctx.Err())
-		case <-time.After(joinInterval):
+		timer := time.After(joinInterval)
+	wait:
+		for {
+			select {
+			case <-ctx.Done():
+				return errors.Trace(ctx.Err())
+			case <-m.instance.leave:
+				m.giveUp(ctx)
+				<-ctx.Done()
+				return errors.Trace(ctx.Err())
+			case <-m.instance.ownersChanged:
+				m.assign(ctx)
+			case <-timer:
+				break wait
+			}
 		}
 	}
 }
 
-// join renews the membership and learns who owns what after a change.
+// join renews the membership and learns who lives after a change.
 func (m *membership) join(ctx context.Context) {
 	n := m.instance
 	assigned, err := n.config.Groups.Join(ctx, m.member())
@@ -70,57 +91,72 @@
 		return
 	}
 	n.hear()
-	if assigned.Generation != m.generation || !slices.Equal(assigned.Parts, m.parts) {
-		n.config.Logger.Info("parts assigned", zap.Int64("generation", assigned.Generation), zap.Ints("parts", assigned.Parts))
-	}
-	m.generation, m.parts = assigned.Generation, assigned.Parts
-	if m.listed == m.generation && !n.ownersMissing() {
+	m.generation = assigned.Generation
+	if m.listed == m.generation && m.joined > 0 {
 		return
 	}
-	owners, err := n.config.Groups.Owners(ctx, groupName)
+	rows, err := n.config.Groups.Owners(ctx, groupName)
 	if err != nil {
 		return
 	}
 	m.listed = m.generation
-	n.setOwners(owners)
+	if m.joined == 0 {
+		m.joined = n.config.Clock.Moment().Steady
+	}
+	n.setAlive(rows, m.generation)
 }
 
-func (n *Instance) setOwners(owners []stream.Owner) {
-	list := make([]string, n.config.Settings.Parts)
-	for _, o := range owners {
-		if o.Part >= 0 && o.Part < len(list) {
-			list[o.Part] = o.Member
+// setAlive takes over the list of live members.
+func (n *Instance) setAlive(rows []stream.Owner, generation int64) {
+	alive := []owners.Member{n.self()}
+	for _, row := range rows {
+		member, err := owners.ParseMember(row.Member)
+		if err != nil || slices.Contains(alive, member) {
+			continue
 		}
+		alive = append(alive, member)
+	}
+	slices.SortFunc(alive, func(a, b owners.Member) int { return a.Address.Compare(b.Address) })
+	n.config.Logger.Info("members changed", zap.Int64("generation", generation), zap.Int("alive", len(alive)))
+	n.mu.Lock()
+	n.alive = alive
+	n.mu.Unlock()
+}
+
+// takeOwner takes in who owns a unit.
+func (n *Instance) takeOwner(r stream.Record) {
+	address, err := netip.ParseAddrPort(string(r.Value))
+	if err != nil {
+		return
 	}
 	n.mu.Lock()
-	n.owners = list
+	n.owners[r.Key] = address
 	n.mu.Unlock()
+	select {
+	case n.ownersChanged <- struct{}{}:
+	default:
+	}
 }
 
-func (n *Instance) ownersMissing() bool {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	return len(n.owners) == 0 || slices.Contains(n.owners, "")
+func (n *Instance) replaceOwners(all []stream.Record) {
+	for _, r := range all {
+		n.takeOwner(r)
+	}
+	n.mu.Lock()
+	n.ownersKnown = true
+	n.mu.Unlock()
 }
 
-// assign starts the pools that are this instance's and ends the others.
+// assign claims the units that are this instance's, ends those that are another's and levels the load.
 func (m *membership) assign(ctx context.Context) {
 	n := m.instance
-	n.mu.RLock()
-	c := n.catalog
-	n.mu.RUnlock()
-	if c == nil {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.catalog == nil || !n.ownersKnown || m.joined == 0 || n.stopping {
 		return
 	}
 	now := n.config.Clock.Moment().Steady
-	wanted := map[string]bool{}
-	for _, unit := range units(c) {
-		if slices.Contains(m.parts, partOf(c, unit, n.config.Settings.Parts)) {
-			wanted[unit] = true
-		}
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	units := n.catalog.units()
 	for unit, o := range n.shards {
 		select {
 		case <-o.done:
@@ -129,79 +165,105 @@
 			continue
 		default:
 		}
-		if !wanted[unit] {
+		if n.owners[unit] != n.self().Address {
 			o.cancel()
 			delete(n.shards, unit)
-			n.config.Logger.Info("gave up a pool", zap.String("pool", unit))
+			n.config.Logger.Info("unit handed to another instance", zap.String("unit", unit), zap.Stringer("owner", n.owners[unit]))
 		}
 	}
-	for unit := range wanted {
-		if _, running := n.shards[unit]; !running && now >= m.quiet[unit] {
-			n.start(ctx, unit)
+	m.takeOver(ctx, now, units)
+	m.level(ctx, now, units)
+}
+
+// takeOver claims the units whose owner is this instance, or is gone; the caller holds the lock.
+func (m *membership) takeOver(ctx context.Context, now time.Duration, units []string) {
+	n := m.instance
+	successors := owners.Successors(units, n.alive, n.owners)
+	for _, unit := range units {
+		if _, running := n.shards[unit]; running || now < m.quiet[unit] {
+			continue
 		}
+		_, owned := n.owners[unit]
+		if !owned && now < m.joined+firstPause {
+			continue
+		}
+		switch {
+		case n.owners[unit] == n.self().Address:
+		case successors[unit] == n.self().Address:
+			n.owners[unit] = n.self().Address
+			go m.announce(ctx, []owners.Offer{{Unit: unit, To: n.self().Address}})
+		default:
+			continue
+		}
+		n.start(ctx, unit)
 	}
 }
 
-// start runs a unit; the caller holds the lock.
-func (n *Instance) start(ctx context.Context, unit string) {
-	ctx, cancel := context.WithCancel(ctx)
-	o := &owned{cancel: cancel, done: make(chan struct{})}
-	n.shards[unit] = o
-	if unit == fleetUnit {
-		go o.run(ctx, unit, n.config.Logger, n.keeper())
+// level hands over a unit when another instance has much less to do; the caller holds the lock.
+func (m *membership) level(ctx context.Context, now time.Duration, units []string) {
+	n := m.instance
+	if now < m.balanced+balancePause && m.balanced > 0 {
 		return
 	}
-	o.shard = n.shard(unit)
-	go o.run(ctx, unit, n.config.Logger, o.shard)
-}
-
-func (n *Instance) shard(unit string) *shard.Shard {
-	set := n.config.Settings
-	return shard.New(shard.Config{
-		Pool: unit, Holder: set.Name, Log: n.config.Log, Workers: n.config.Workers, Advisor: n.config.Advisor,
-		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(unit, n.config.Logger),
-		Settings: shard.Settings{Lease: set.Lease(), Retention: set.Retention, StopTime: set.StopTime, Harm: set.Harm},
-		View:     func() shard.View { return n.view(unit) },
-	})
-}
-
-func (n *Instance) keeper() *machines.Keeper {
-	return machines.NewKeeper(machines.KeeperConfig{
-		Holder: n.config.Settings.Name, Log: n.config.Log, Status: n.config.Tables.Status, Codec: n.config.Codec,
-		Machines: n.config.Machines, Clock: n.config.Clock, Logger: n.config.Logger, Turn: n.config.Settings.Turn,
-		View: n.published, Ask: n.giveOrders,
-	})
-}
-
-// runner is a pool or the keeper of the instances.
-type runner interface {
-	Run(ctx context.Context) error
+	offer, ok := owners.Surplus(n.self(), units, n.alive, n.owners)
+	if !ok {
+		return
+	}
+	m.balanced = now
+	if o, running := n.shards[offer.Unit]; running {
+		o.cancel()
+		delete(n.shards, offer.Unit)
+	}
+	n.owners[offer.Unit] = offer.To
+	n.config.Logger.Info("handing a unit over to level the load", zap.String("unit", offer.Unit), zap.Stringer("to", offer.To))
+	go m.announce(ctx, []owners.Offer{offer})
 }
 
-func (o *owned) run(ctx context.Context, unit string, logger *zap.Logger, r runner) {
-	defer close(o.done)
-	defer o.cancel()
-	err := r.Run(ctx)
-	logger.Info("unit is owned here no longer", zap.String("unit", unit), zap.Error(err))
+// announce writes who owns units now; it tries again until the store has it or the time is over.
+func (m *membership) announce(ctx context.Context, offers []owners.Offer) {
+	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
+	defer cancel()
+	var records []stream.Record
+	for _, o := range offers {
+		records = append(records, stream.Record{Key: o.Unit, Value: []byte(o.To.String())})
+	}
+	for ctx.Err() == nil {
+		_, err := m.instance.config.Log.Append(ctx, ownerTable(), records, nil)
+		if err == nil {
+			return
+		}
+		m.instance.config.Logger.Warn("could not write who owns units", zap.Error(err))
+		sleep(ctx, tryPause)
+	}
 }
 
-// giveUp ends all pools and leaves the group, so that others take over at once.
-func (m *membership) giveUp() {
+// giveUp ends all units, hands them to others and leaves the group.
+func (m *membership) giveUp(ctx context.Context) {
 	n := m.instance
 	defer close(n.left)
 	n.mu.Lock()
 	ending := n.shards
 	n.shards = map[string]*owned{}
+	var offers []owners.Offer
+	if n.catalog != nil {
+		offers = owners.Handover(n.self(), n.catalog.units(), n.alive, n.owners)
+	}
+	for _, o := range offers {
+		n.owners[o.Unit] = o.To
+	}
 	n.mu.Unlock()
 	for _, o := range ending {
 		o.cancel()
 		<-o.done
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), handoverLimit)
+	if len(offers) > 0 {
+		m.announce(ctx, offers)
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
 	if err := n.config.Groups.Leave(ctx, m.member()); err != nil {
 		n.config.Logger.Warn("could not leave the group", zap.Error(err))
 		return
 	}
-	n.config.Logger.Info("left the group", zap.Int("pools", len(ending)))
+	n.config.Logger.Info("left the group", zap.Int("units", len(ending)))
 }
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
@@ -33,6 +34,25 @@
 	return relay.State{State: state, Known: known}, err
 }
 
+// TakeSubmit stores a job of a pool that runs here.
+func (n *Instance) TakeSubmit(ctx context.Context, spec job.Spec) error {
+	s, err := n.own(spec.Pool)
+	if err != nil {
+		return err
+	}
+	return s.Submit(ctx, spec)
+}
+
+// TakeCancel ends a job of a pool that runs here.
+func (n *Instance) TakeCancel(ctx context.Context, q relay.Question) (relay.State, error) {
+	s, err := n.own(q.Pool)
+	if err != nil {
+		return relay.State{}, err
+	}
+	known, err := s.Cancel(ctx, q.Job)
+	return relay.State{Known: known, State: job.Cancelled}, err
+}
+
 // TakePending tells another instance what waits in a pool that runs here.
 func (n *Instance) TakePending(ctx context.Context, p relay.Pool) (relay.Pending, error) {
 	s, err := n.own(p.Pool)
--- /dev/null
+++ b/internal/jobs/instance/unit.go
@@ -0,0 +1,53 @@
+package instance
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/machines"
+	"marigoldshed.example/marigoldshed/internal/jobs/shard"
+)
+
+// start runs a unit; the caller holds the lock.
+func (n *Instance) start(ctx context.Context, unit string) {
+	ctx, cancel := context.WithCancel(ctx)
+	o := &owned{cancel: cancel, done: make(chan struct{})}
+	n.shards[unit] = o
+	if unit == fleetUnit {
+		go o.run(ctx, unit, n.config.Logger, n.keeper())
+		return
+	}
+	o.shard = n.shard(unit)
+	go o.run(ctx, unit, n.config.Logger, o.shard)
+}
+
+func (n *Instance) shard(unit string) *shard.Shard {
+	set := n.config.Settings
+	return shard.New(shard.Config{
+		Pool: unit, Holder: set.Name, Log: n.config.Log, Workers: n.config.Workers, Advisor: n.config.Advisor, Machines: n.config.Machines,
+		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(unit, n.config.Logger),
+		Settings: shard.Settings{Lease: set.Lease(), Retention: set.Retention, StopTime: set.StopTime, Harm: set.Harm},
+		View:     func() shard.View { return n.view(unit) },
+	})
+}
+
+func (n *Instance) keeper() *machines.Keeper {
+	return machines.NewKeeper(machines.KeeperConfig{
+		Holder: n.config.Settings.Name, Log: n.config.Log, Status: n.config.Tables.Status, Codec: n.config.Codec,
+		Machines: n.config.Machines, Clock: n.config.Clock, Logger: n.config.Logger, Turn: n.config.Settings.Turn,
+		View: n.published, Ask: n.giveOrders,
+	})
+}
+
+// runner is a pool or the keeper of the instances.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func (o *owned) run(ctx context.Context, unit string, logger *zap.Logger, r runner) {
+	defer close(o.done)
+	defer o.cancel()
+	err := r.Run(ctx)
+	logger.Info("unit is owned here no longer", zap.String("unit", unit), zap.Error(err))
+}
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -18,9 +18,10 @@
 // host is one life of a worker with what runs there.
 type host struct {
 	info     catalog.Worker
-	listed   bool // its entry stands in the workers' table
-	cordoned bool // is to be emptied now
-	doomed   bool // is to be emptied soon
+	met      time.Duration // when this owner first heard of it
+	listed   bool          // its entry stands in the workers' table
+	cordoned bool          // is to be emptied now
+	doomed   bool          // is to be emptied soon
 	used     catalog.Amount
 	runs     map[worker.Run]*run
 
@@ -72,7 +73,7 @@
 			p.reborn(at, h, info.Born)
 		}
 		if !known {
-			h = &host{runs: map[worker.Run]*run{}, clock: info.Clock, clockAt: at.Steady}
+			h = &host{runs: map[worker.Run]*run{}, clock: info.Clock, clockAt: at.Steady, met: at.Steady}
 			p.workers[info.ID] = h
 			p.config.Observer.WorkerChanged(info.ID, "joined")
 		}
@@ -138,3 +139,27 @@
 
 // leaves reports whether what lasts must move off a worker.
 func (p *Pool) leaves(h *host) bool { return h.cordoned || h.info.Draining }
+
+// Doubtful reports whether a worker with runs does not answer.
+func (p *Pool) Doubtful() bool {
+	for _, h := range p.workers {
+		if len(h.runs) > 0 && (h.silent || !h.info.Address.IsValid()) {
+			return true
+		}
+	}
+	return false
+}
+
+// listLag is how far the list of instances may be behind the workers that have joined.
+const listLag = 2 * time.Second
+
+// Judge ends the silent workers whose life is over by a list of the workers on instances that are up,
+// which was asked for at a time.
+func (p *Pool) Judge(at Moment, asked time.Duration, up map[string]bool) {
+	for name, h := range p.workers {
+		silent := h.silent || !h.info.Address.IsValid()
+		if len(h.runs) > 0 && silent && !up[name] && asked-h.met > listLag {
+			p.over(at, h)
+		}
+	}
+}
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -17,6 +17,8 @@
 	pendingPath = "/jobs.Relay/Pending"
 	storePath   = "/jobs.Relay/Store"
 	emptyPath   = "/jobs.Relay/Empty"
+	submitPath  = "/jobs.Relay/Submit"
+	cancelPath  = "/jobs.Relay/Cancel"
 )
 
 // Question asks the owner of a pool for the state of a job.
@@ -25,7 +27,10 @@
 	Job  job.ID `cbor:"2,keyasint"`
 }
 
-// State answers a Question.
+// Ack answers a message that wants no content.
+type Ack struct{}
+
+// State answers a Question, also one that asked for a cancellation.
 type State struct {
 	Known bool      `cbor:"1,keyasint,omitempty"`
 	State job.State `cbor:"2,keyasint,omitempty"`
@@ -62,6 +67,8 @@
 // Service answers the other instances.
 type Service interface {
 	TakeQuestion(ctx context.Context, q Question) (State, error)
+	TakeSubmit(ctx context.Context, spec job.Spec) error
+	TakeCancel(ctx context.Context, q Question) (State, error)
 	TakePending(ctx context.Context, p Pool) (Pending, error)
 	TakeStore(ctx context.Context, s Store) (Stored, error)
 	TakeCordon(ctx context.Context, c Cordon) (machines.Load, error)
@@ -80,6 +87,17 @@
 	return peer.Call[Question, State](ctx, c.peers, to, statePath, &q)
 }
 
+// Submit hands a job to the owner of its pool, which stores it.
+func (c *Client) Submit(ctx context.Context, to netip.AddrPort, spec job.Spec) error {
+	_, err := peer.Call[job.Spec, Ack](ctx, c.peers, to, submitPath, &spec)
+	return err
+}
+
+// Cancel has the owner of a pool end a job.
+func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, q Question) (State, error) {
+	return peer.Call[Question, State](ctx, c.peers, to, cancelPath, &q)
+}
+
 // Pending asks how many jobs have not begun.
 func (c *Client) Pending(ctx context.Context, to netip.AddrPort, p Pool) (Pending, error) {
 	return peer.Call[Pool, Pending](ctx, c.peers, to, pendingPath, &p)
@@ -99,6 +117,8 @@
 func NewHandler(s Service) http.Handler {
 	mux := http.NewServeMux()
 	peer.Handle(mux, statePath, func(ctx context.Context, m *Question) (State, error) { return s.TakeQuestion(ctx, *m) })
+	peer.Handle(mux, submitPath, func(ctx context.Context, m *job.Spec) (Ack, error) { return Ack{}, s.TakeSubmit(ctx, *m) })
+	peer.Handle(mux, cancelPath, func(ctx context.Context, m *Question) (State, error) { return s.TakeCancel(ctx, *m) })
 	peer.Handle(mux, pendingPath, func(ctx context.Context, m *Pool) (Pending, error) { return s.TakePending(ctx, *m) })
 	peer.Handle(mux, storePath, func(ctx context.Context, m *Store) (Stored, error) { return s.TakeStore(ctx, *m) })
 	peer.Handle(mux, emptyPath, func(ctx context.Context, m *Cordon) (machines.Load, error) { return s.TakeCordon(ctx, *m) })
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -74,6 +74,7 @@
 	}
 	s.store(ctx, at, fatal)
 	s.carryOut(ctx)
+	s.judge(ctx, at)
 }
 
 // store writes what has changed, one batch at a time.
@@ -82,7 +83,7 @@
 		return
 	}
 	batch := s.pool.Flush()
-	if batch.Empty() {
+	if batch.Empty() && len(s.handedIn) == 0 {
 		s.pool.NothingToStore(batch)
 		return
 	}
@@ -92,7 +93,8 @@
 		return
 	}
 	s.writing = true
-	w := &write{shard: s, batch: batch, records: records, writer: s.writer, sent: at.Steady}
+	w := &write{shard: s, batch: batch, records: append(s.handedIn, records...), callers: s.callers, writer: s.writer, sent: at.Steady}
+	s.handedIn, s.callers = nil, nil
 	s.writer.Sequence++
 	go w.run(ctx, fatal)
 }
@@ -107,7 +109,9 @@
 		records = append(records, r)
 	}
 	for _, name := range batch.Dropped {
-		records = append(records, stream.Record{Key: progressPrefix + string(name)})
+		for _, prefix := range [...]string{progressPrefix, specPrefix, cancelPrefix} {
+			records = append(records, stream.Record{Key: prefix + string(name)})
+		}
 	}
 	return records, nil
 }
@@ -124,6 +128,7 @@
 	shard   *Shard
 	batch   *pool.Batch
 	records []stream.Record
+	callers []chan struct{} // closed once the log has the batch
 	writer  stream.Writer
 	sent    time.Duration
 }
@@ -145,6 +150,9 @@
 				s.wantPlace = true
 				s.pool.Stored(at, w.batch)
 			})
+			for _, caller := range w.callers {
+				close(caller)
+			}
 			w.clean(ctx)
 			return
 		}
@@ -161,15 +169,17 @@
 
 // clean removes the jobs that need not be kept from the intake.
 func (w *write) clean(ctx context.Context) {
-	if len(w.batch.Dropped) == 0 {
-		return
-	}
 	var records []stream.Record
 	for _, name := range w.batch.Dropped {
-		records = append(records, stream.Record{Key: specPrefix + string(name)}, stream.Record{Key: cancelPrefix + string(name)})
+		if _, ok := w.shard.direct.LoadAndDelete(name); ok {
+			records = append(records, stream.Record{Key: specPrefix + string(name)}, stream.Record{Key: cancelPrefix + string(name)})
+		}
+	}
+	if len(records) == 0 {
+		return
 	}
 	if _, err := w.shard.config.Log.Append(ctx, w.shard.intake, records, nil); err != nil {
-		w.shard.config.Logger.Warn("ended jobs stay in the intake", zap.Int("jobs", len(w.batch.Dropped)), zap.Error(err))
+		w.shard.config.Logger.Warn("ended jobs stay in the intake", zap.Int("records", len(records)), zap.Error(err))
 	}
 }
 
@@ -229,6 +239,7 @@
 		return
 	}
 	if name, ok := strings.CutPrefix(r.Key, cancelPrefix); ok {
+		s.direct.Store(job.ID(name), struct{}{})
 		s.post(ctx, func(at pool.Moment) {
 			s.pool.Cancel(at, job.ID(name))
 			s.wantPlace = true
@@ -236,6 +247,7 @@
 		return
 	}
 	if spec, ok := s.decodeSpec(r); ok {
+		s.direct.Store(spec.ID, struct{}{})
 		s.post(ctx, func(at pool.Moment) {
 			s.pool.Submit(at, spec)
 			s.wantPlace = true
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -47,6 +49,7 @@
 	Log      stream.Log
 	Workers  worker.Client
 	Advisor  worker.Advisor
+	Machines worker.Machines
 	Clock    claim.Clock
 	Logger   *zap.Logger
 	Observer pool.Observer
@@ -79,7 +82,12 @@
 	placed    time.Duration
 	paced     time.Duration
 	wantPlace bool
-	tail      int64 // next offset of the intake
+	tail      int64           // next offset of the intake
+	handedIn  []stream.Record // jobs and cancellations that go into the next batch
+	callers   []chan struct{} // closed once that batch is stored
+	direct    sync.Map        // ids of jobs that stand in the intake
+	judged    time.Duration   // when the list of instances was last asked for
+	judging   bool
 }
 
 // New returns a shard that is to be run.
@@ -121,11 +129,19 @@
 // load reads everything that the log holds of the pool.
 func (s *Shard) load(ctx context.Context) error {
 	jobs := map[job.ID]*pool.Stored{}
-	if _, err := claim.ReadAll(ctx, s.config.Log, s.output, s.config.Logger, func(r stream.Record) { s.loadProgress(jobs, r) }); err != nil {
+	var cancelled []job.ID
+	if _, err := claim.ReadAll(ctx, s.config.Log, s.output, s.config.Logger, func(r stream.Record) {
+		s.loadProgress(jobs, r)
+		s.loadIntake(jobs, &cancelled, r)
+	}); err != nil {
 		return err
 	}
-	var cancelled []job.ID
-	next, err := claim.ReadAll(ctx, s.config.Log, s.intake, s.config.Logger, func(r stream.Record) { s.loadIntake(jobs, &cancelled, r) })
+	next, err := claim.ReadAll(ctx, s.config.Log, s.intake, s.config.Logger, func(r stream.Record) {
+		s.loadIntake(jobs, &cancelled, r)
+		if _, id, ok := strings.Cut(r.Key, "/"); ok {
+			s.direct.Store(job.ID(id), struct{}{})
+		}
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/jobs/stream/stream.go
+++ b/internal/jobs/stream/stream.go
@@ -66,22 +66,16 @@
 type Member struct {
 	Group      string
 	Name       string
-	Topic      string
+	Topics     []string
 	TTL        time.Duration // silence after which the store gives the member's parts to others
 	Generation int64         // last one heard of, 0 at first
 }
 
-// Assignment is a member's part of the work.
-type Assignment struct {
-	Generation int64
-	Parts      []int
-}
+// Assignment answers a member that has joined; the generation rises whenever a member comes or goes.
+type Assignment struct{ Generation int64 }
 
-// Owner is one part and the member that holds it.
-type Owner struct {
-	Part   int
-	Member string
-}
+// Owner is a member that holds some part of the group's topics, and so is alive.
+type Owner struct{ Member string }
 
 // Groups is the platform's store of group memberships.
 type Groups interface {
@@ -89,7 +83,7 @@
 	Join(ctx context.Context, m Member) (Assignment, error)
 	// Leave gives the member's parts to the others at once.
 	Leave(ctx context.Context, m Member) error
-	// Owners returns who holds which part.
+	// Owners returns the members that hold parts, once for each part.
 	Owners(ctx context.Context, group string) ([]Owner, error)
 }
 
