--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -13,6 +13,9 @@
 	Hosts   []Host `cbor:"1,keyasint,omitempty"`
 	Demand  int    `cbor:"2,keyasint,omitempty"` // thousandths of a core that running and ready tasks ask for
 	Lasting int    `cbor:"3,keyasint,omitempty"` // the same for tasks that last
+	Memory  int    `cbor:"4,keyasint,omitempty"` // megabytes that all of them ask for
+	Spread  int    `cbor:"5,keyasint,omitempty"` // workers needed because few tasks of a step may share one
+	Stuck   int    `cbor:"6,keyasint,omitempty"` // tasks that last and found no worker
 }
 
 // Host is a worker of a pool.
@@ -28,6 +31,7 @@
 type Orders struct {
 	Leave []string `cbor:"1,keyasint,omitempty"` // workers to be emptied
 	Later []string `cbor:"2,keyasint,omitempty"` // workers to be emptied soon, where nothing that lasts should start
+	Gone  []string `cbor:"3,keyasint,omitempty"` // workers whose instances were moved or taken down
 }
 
 // Action is an order for an instance; its outcome comes back as an event.
@@ -87,7 +91,9 @@
 	wanted  map[string]*demand
 	barred  map[MoveAction]bool // moves that the platform does not allow
 	busy    map[string]time.Duration
-	worked  bool // tasks that do not last have asked for room
+	gone    map[string]time.Duration // workers whose instances were moved or taken down, by when
+	worker  map[string]string        // newest worker seen on an instance
+	worked  bool                     // tasks that do not last have asked for room
 }
 
 // NewPlanner returns a planner that knows of no wave.
@@ -95,6 +101,7 @@
 	return &Planner{
 		waves: map[int]*wave{}, leaving: map[string]goal{}, transit: map[string]transit{},
 		wanted: map[string]*demand{}, barred: map[MoveAction]bool{}, busy: map[string]time.Duration{},
+		gone: map[string]time.Duration{}, worker: map[string]string{},
 	}
 }
 
@@ -138,6 +145,9 @@
 	for i := range r.Instances {
 		m := &r.Instances[i]
 		r.byName[m.Name] = m
+		if _, gone := r.gone[m.Worker]; !gone && m.Worker != "" {
+			r.worker[m.Name] = m.Worker
+		}
 		pool := m.Pool
 		if t, moving := r.transit[m.Name]; moving {
 			pool = t.pool
@@ -148,6 +158,11 @@
 
 // settle forgets orders whose effect shows, and goals of instances that have left.
 func (r *round) settle() {
+	for w, since := range r.gone {
+		if r.Now-since > goneLife {
+			delete(r.gone, w)
+		}
+	}
 	for name, t := range r.transit {
 		m := r.byName[name]
 		switch {
@@ -216,6 +231,9 @@
 // Moved takes in the outcome of a MoveAction.
 func (p *Planner) Moved(now time.Duration, a MoveAction, o Outcome) {
 	t := p.transit[a.Instance]
+	if o == Carried {
+		p.retire(now, a.Instance)
+	}
 	switch o {
 	case Carried, Unanswered:
 		p.transit[a.Instance] = transit{pool: a.Pool, since: now}
@@ -230,6 +248,16 @@
 	}
 }
 
+// goneLife is how long a worker is called gone, longer than its entry stays in the workers' table.
+const goneLife = 15 * time.Second
+
+// retire notes that the life of the worker on an instance is over.
+func (p *Planner) retire(now time.Duration, name string) {
+	if w := p.worker[name]; w != "" {
+		p.gone[w] = now
+	}
+}
+
 // orders tells every pool which of its workers are to be emptied.
 func (r *round) orders() {
 	for pool := range r.Loads {
@@ -246,6 +274,9 @@
 				o.Later = append(o.Later, m.Worker)
 			}
 		}
+		for w := range r.gone {
+			o.Gone = append(o.Gone, w)
+		}
 		slices.Sort(o.Leave)
 		r.plan.Orders[pool] = o
 	}
--- a/internal/jobs/machines/size.go
+++ b/internal/jobs/machines/size.go
@@ -52,10 +52,14 @@
 // only when it has asked for fewer for a while.
 func (r *round) size(pool string, load Load) int {
 	capacity := r.capacity()
-	if capacity == 0 {
+	if capacity.CPU == 0 {
 		return 0
 	}
-	now := max(minInstances, ceil((load.Demand+load.Lasting)*headroom/percent, capacity))
+	now := max(minInstances, load.Spread, ceil((load.Demand+load.Lasting)*headroom/percent, capacity.CPU),
+		ceil(load.Memory*headroom/percent, max(1, capacity.MemoryMB)))
+	if load.Stuck > 0 {
+		now = max(now, r.present(pool)+1)
+	}
 	d, known := r.wanted[pool]
 	if !known {
 		d = &demand{size: max(now, r.present(pool)), peak: r.Now}
@@ -74,13 +78,14 @@
 
 func ceil(amount, unit int) int { return (amount + unit - 1) / unit }
 
-// capacity returns the processors of a typical instance, in thousandths of a core.
-func (r *round) capacity() int {
-	sum := 0
+// capacity returns the room of a typical instance.
+func (r *round) capacity() catalog.Amount {
+	var sum catalog.Amount
 	for _, m := range r.Instances {
-		sum += m.Capacity.CPU
+		sum = sum.Plus(m.Capacity)
 	}
-	return sum / max(1, len(r.Instances))
+	n := max(1, len(r.Instances))
+	return catalog.Amount{CPU: sum.CPU / n, MemoryMB: sum.MemoryMB / n, Accelerators: sum.Accelerators / n}
 }
 
 // present counts the instances that serve a pool or will shortly.
--- a/internal/jobs/machines/wave.go
+++ b/internal/jobs/machines/wave.go
@@ -69,6 +69,7 @@
 	}
 	switch o {
 	case Carried:
+		p.retire(now, a.Instance)
 		w.done.Add(a.Instance)
 		w.down[a.Instance] = now
 		delete(p.leaving, a.Instance)
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -21,6 +21,7 @@
 	met      time.Duration // when this owner first heard of it
 	listed   bool          // its entry stands in the workers' table
 	cordoned bool          // is to be emptied now
+	retired  bool          // its life was ended by an order of ours
 	doomed   bool          // is to be emptied soon
 	used     catalog.Amount
 	runs     map[worker.Run]*run
@@ -103,6 +104,17 @@
 	}
 }
 
+// Retire ends workers whose instances were moved or taken down: their lives are over, though their
+// entries may stay in the workers' table for a while.
+func (p *Pool) Retire(at Moment, names []string) {
+	for _, name := range names {
+		if h, ok := p.workers[name]; ok && !h.retired {
+			h.retired = true
+			p.over(at, h)
+		}
+	}
+}
+
 // expireCordons serves again on workers that nobody asks to be emptied any more.
 func (p *Pool) expireCordons(at Moment) {
 	if at.Steady <= p.cordonedTill {
@@ -121,7 +133,7 @@
 	h.seen, h.stored, h.acked = 0, 0, 0
 	h.leaseEnd = 0
 	h.clock, h.clockAt = 0, at.Steady
-	h.answered = false
+	h.answered, h.retired = false, false
 }
 
 // loseAll ends every run of a worker whose life or lease is over.
@@ -133,7 +145,7 @@
 
 // usable reports whether a worker may get new work.
 func (p *Pool) usable(at Moment, h *host) bool {
-	return h.listed && h.answered && !h.silent && !h.cordoned && !h.info.Draining &&
+	return h.listed && !h.retired && h.answered && !h.silent && !h.cordoned && !h.info.Draining &&
 		at.Steady >= h.avoid && !p.evacuated.Has(h.info.DataCentre)
 }
 
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -58,7 +58,7 @@
 }
 
 func (p *Pool) look(at Moment, h *host) {
-	if !h.info.Address.IsValid() || at.Steady < h.nextLook {
+	if h.retired || !h.info.Address.IsValid() || at.Steady < h.nextLook {
 		return
 	}
 	unsure := h.unsure()
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -132,6 +132,9 @@
 	Hosts   []HostLoad
 	Demand  int // thousandths of a core that running and ready tasks ask for, or that new jobs will keep busy
 	Lasting int // the same for tasks that last
+	Memory  int // megabytes that all of them ask for
+	Spread  int // workers that the widest step needs because few of its tasks may share one
+	Stuck   int // tasks that last and found no worker
 }
 
 // HostLoad is a worker with what it carries.
@@ -151,6 +154,9 @@
 		for i := range it.repeat.Steps[it.step] {
 			if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
 				l.add(step)
+				if step.Lasting {
+					l.Stuck++
+				}
 			}
 		}
 	}
@@ -169,6 +175,10 @@
 }
 
 func (l *Load) add(step *job.Step) {
+	l.Memory += step.MemoryMB
+	if step.PerWorker > 0 && step.Lasting {
+		l.Spread = max(l.Spread, (step.Count+step.PerWorker-1)/step.PerWorker)
+	}
 	if step.Lasting {
 		l.Lasting += needOf(step).CPU
 		return
--- a/internal/jobs/shard/ask.go
+++ b/internal/jobs/shard/ask.go
@@ -54,6 +54,7 @@
 	var load machines.Load
 	err := s.do(ctx, func(at pool.Moment) {
 		s.pool.SetCordoned(at, o.Leave, o.Later)
+		s.pool.Retire(at, o.Gone)
 		load = loadOf(s.pool.Load(at))
 		s.wantPlace = true
 	})
@@ -61,7 +62,7 @@
 }
 
 func loadOf(l pool.Load) machines.Load {
-	load := machines.Load{Demand: l.Demand, Lasting: l.Lasting}
+	load := machines.Load{Demand: l.Demand, Lasting: l.Lasting, Memory: l.Memory, Spread: l.Spread, Stuck: l.Stuck}
 	for _, h := range l.Hosts {
 		load.Hosts = append(load.Hosts, machines.Host{Worker: h.Worker, Used: h.Used, Lasting: h.Lasting, Empty: h.Empty, Usable: h.Usable})
 	}
