machines: Record orders for instances before they are given, and wait only for those

Cause: a keeper that took over left all instances alone for three seconds, so after a restart of everything a surge found its pool with two or three workers for five seconds. What: the instances ordered about lately are stored before the orders go out; a successor leaves just those alone, and an order that is not stored is not given.

--- a/internal/jobs/instance/metrics.go
+++ b/internal/jobs/instance/metrics.go
@@ -73,7 +73,7 @@
 func (o *observer) JobEnded(spec *job.Spec, state job.State, took time.Duration) {
 	o.metrics.jobs.WithLabelValues(spec.Team, spec.Queue, state.String()).Observe(took.Seconds())
 	o.logger.Info("job ended", zap.String("job", string(spec.ID)), zap.String("queue", spec.Queue), zap.String("state", state.String()),
-		zap.Duration("took", took))
+		zap.Duration("took", took), zap.Duration("allowed", spec.Objective()), zap.Duration("chain", spec.Chain()))
 }
 
 func (o *observer) WorkerChanged(worker, what string) {
--- a/internal/jobs/machines/keeper.go
+++ b/internal/jobs/machines/keeper.go
@@ -62,7 +62,8 @@
 
 	outcomes  chan func(now time.Duration) // run by loop
 	proven    time.Duration
-	quietTill time.Duration
+	recent    map[string]time.Duration // instances that were ordered about lately
+	inherited recentRecord
 	listed    time.Duration
 	instances []catalog.Instance
 	loads     map[string]Load
@@ -77,7 +78,7 @@
 func NewKeeper(c KeeperConfig) *Keeper {
 	return &Keeper{
 		config: c, planner: NewPlanner(), outcomes: make(chan func(time.Duration), 256), loads: map[string]Load{},
-		orders: map[string]Orders{}, done: map[int]int{}, finished: map[int]bool{}, stored: map[int][]string{},
+		orders: map[string]Orders{}, done: map[int]int{}, finished: map[int]bool{}, stored: map[int][]string{}, recent: map[string]time.Duration{},
 	}
 }
 
@@ -90,12 +91,13 @@
 		return errors.Annotate(err, "claiming the instances")
 	}
 	k.claim, k.proven, k.writer = claimed, proven, stream.Writer{Epoch: claimed.Epoch()}
-	if !claimed.First() {
-		k.quietTill = proven + k.config.Turn
-	}
 	if _, err := claim.ReadAll(ctx, k.config.Log, Table(), k.config.Logger, k.load); err != nil {
 		return errors.Annotate(err, "taking over the instances")
 	}
+	// The earlier holder may have ordered these about until it lost its claim.
+	for _, name := range k.inherited.Names {
+		k.planner.Rest(name, proven+k.config.Turn)
+	}
 	return errors.Trace(k.loop(ctx))
 }
 
@@ -108,7 +110,51 @@
 	Finished bool     `cbor:"3,keyasint,omitempty"`
 }
 
+// recentKey is the key of the instances that were ordered about lately.
+const recentKey = "recent"
+
+// recentRecord names the instances that the holder of the claim has ordered about lately.
+type recentRecord struct {
+	Names []string `cbor:"1,keyasint,omitempty"`
+}
+
+// record stores which instances are about to be ordered about, so that a successor leaves them alone for
+// a while; orders that are not recorded are not given.
+func (k *Keeper) record(ctx context.Context, now time.Duration, actions []Action) error {
+	if len(actions) == 0 {
+		return nil
+	}
+	for _, a := range actions {
+		k.recent[instanceOf(a)] = now
+	}
+	var r recentRecord
+	for name, since := range k.recent {
+		if now-since > k.config.Turn {
+			delete(k.recent, name)
+			continue
+		}
+		r.Names = append(r.Names, name)
+	}
+	return k.append(ctx, recentKey, r)
+}
+
+func instanceOf(a Action) string {
+	switch a := a.(type) {
+	case MoveAction:
+		return a.Instance
+	case MaintainAction:
+		return a.Instance
+	}
+	return ""
+}
+
 func (k *Keeper) load(r stream.Record) {
+	if r.Key == recentKey {
+		if err := cbor.Unmarshal(r.Value, &k.inherited); err != nil {
+			k.config.Logger.Error("the record of recent orders cannot be read", zap.Error(err))
+		}
+		return
+	}
 	if !strings.HasPrefix(r.Key, wavePrefix) || len(r.Value) == 0 {
 		return
 	}
@@ -152,7 +198,7 @@
 	for _, w := range view.Waves {
 		k.announce(ctx, now, w)
 	}
-	if now-k.proven > proofLife || now < k.quietTill || len(k.instances) == 0 {
+	if now-k.proven > proofLife || len(k.instances) == 0 {
 		return nil
 	}
 	plan := k.planner.Tick(Input{
@@ -160,6 +206,9 @@
 	})
 	k.orders = plan.Orders
 	k.logSizes(plan.Sizes)
+	if err := k.record(ctx, now, plan.Actions); err != nil {
+		return k.giveBack(now, plan.Actions, err)
+	}
 	for _, a := range plan.Actions {
 		o := &order{keeper: k, action: a}
 		go o.run(ctx)
@@ -179,6 +228,24 @@
 	k.sizes = sizes
 }
 
+// giveBack tells the planner that orders were not given because they could not be recorded.
+func (k *Keeper) giveBack(now time.Duration, actions []Action, err error) error {
+	var later laterError
+	if !errors.As(err, &later) {
+		return err
+	}
+	k.config.Logger.Warn("orders for instances were put off", zap.Int("orders", len(actions)), zap.Error(err))
+	for _, a := range actions {
+		switch a := a.(type) {
+		case MoveAction:
+			k.planner.Moved(now, a, Refused)
+		case MaintainAction:
+			k.planner.Maintained(now, a, Refused)
+		}
+	}
+	return nil
+}
+
 func (k *Keeper) prove(ctx context.Context) error {
 	now := k.config.Clock.Moment().Steady
 	if now-k.proven < proveInterval {
@@ -275,25 +342,41 @@
 
 // store writes how far a wave is; that the log did not take it is no fault, as the same is written again.
 func (k *Keeper) store(ctx context.Context, w waveRecord) error {
-	data, err := cbor.Marshal(w)
+	err := k.append(ctx, fmt.Sprintf("%s%d", wavePrefix, w.Number), w)
+	var later laterError
+	if errors.As(err, &later) {
+		k.config.Logger.Warn("could not store how far a wave is", zap.Int("wave", w.Number), zap.Error(err))
+		return nil
+	}
+	return err
+}
+
+// laterError reports a record that the log did not take now.
+type laterError struct{ cause error }
+
+func (e laterError) Error() string { return "not stored yet: " + e.cause.Error() }
+
+// append stores a record under the claim; it fails with a laterError when the log did not take it now.
+func (k *Keeper) append(ctx context.Context, key string, value any) error {
+	data, err := cbor.Marshal(value)
 	if err != nil {
-		return errors.Annotate(err, "encoding a wave")
+		return errors.Annotatef(err, "encoding %s", key)
 	}
-	records := []stream.Record{{Key: fmt.Sprintf("%s%d", wavePrefix, w.Number), Value: data}}
-	_, err = k.config.Log.Append(ctx, Table(), records, &k.writer)
+	asked := k.config.Clock.Moment().Steady
+	_, err = k.config.Log.Append(ctx, Table(), []stream.Record{{Key: key, Value: data}}, &k.writer)
 	var fenced stream.FencedError
 	var sequence stream.SequenceError
 	switch {
 	case err == nil:
 		k.writer.Sequence++
+		k.proven = max(k.proven, asked)
+		return nil
 	case errors.As(err, &fenced):
-		return errors.Annotate(err, "storing a wave")
+		return errors.Annotatef(err, "storing %s", key)
 	case errors.As(err, &sequence):
 		k.writer.Sequence = sequence.Expected
-	default:
-		k.config.Logger.Warn("could not store how far a wave is", zap.Int("wave", w.Number), zap.Error(err))
 	}
-	return nil
+	return laterError{cause: err}
 }
 
 // order carries out one action and brings back its outcome.
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -121,6 +121,9 @@
 	hosts   map[string]Host                // by worker
 }
 
+// Rest leaves an instance alone until a time.
+func (p *Planner) Rest(name string, until time.Duration) { p.busy[name] = max(p.busy[name], until) }
+
 // Tick decides one round.
 func (p *Planner) Tick(in Input) Plan {
 	r := &round{
