machines: Let a pool that is short take what others no longer need at once

Cause: a pool kept the room that it had last needed for two seconds, and a new keeper kept every pool's size as it found it, while another pool was 12 to 32 instances short.

--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -66,8 +66,9 @@
 	Sizes   map[string]Size
 }
 
-// Size is how many instances a pool should have and how many serve it or will shortly.
-type Size struct{ Wanted, Present int }
+// Size is how many instances a pool should have, how many it needs at this moment and how many serve it
+// or will shortly.
+type Size struct{ Wanted, Needed, Present int }
 
 // goal is why an instance is being emptied.
 type goal struct {
--- a/internal/jobs/machines/size.go
+++ b/internal/jobs/machines/size.go
@@ -20,26 +20,36 @@
 	size int
 }
 
-// planSizes brings instances to pools that ask for more than they have, and empties those that are left over.
+// planSizes brings instances to pools that ask for more than they have, and empties those that are left
+// over: at once when another pool is short of them, else when its pool has not needed them for a while.
 func (r *round) planSizes() {
 	if r.Spare == "" {
 		return
 	}
 	var short []string
 	missing := map[string]int{}
+	deficit := -r.idle()
 	for pool, load := range r.Loads {
 		if pool == r.Spare {
 			continue
 		}
-		size := Size{Wanted: r.size(pool, load), Present: r.present(pool)}
+		needed, held := r.size(pool, load)
+		size := Size{Wanted: held, Needed: needed, Present: r.present(pool)}
 		r.plan.Sizes[pool] = size
-		gap := size.Wanted - size.Present
-		switch {
-		case gap > 0:
+		if gap := needed - size.Present; gap > 0 {
 			missing[pool] = gap - r.recall(pool, gap)
+			deficit += missing[pool]
 			short = append(short, pool)
-		case gap < 0:
-			r.shed(pool, -gap)
+		}
+	}
+	for pool, size := range r.plan.Sizes {
+		surplus := size.Present - size.Wanted
+		if unneeded := size.Present - size.Needed; deficit > 0 && unneeded > surplus {
+			surplus = max(surplus, min(unneeded, deficit))
+			deficit -= surplus
+		}
+		if surplus > 0 {
+			r.shed(pool, surplus)
 		}
 	}
 	slices.SortFunc(short, func(a, b string) int { return missing[b] - missing[a] })
@@ -48,12 +58,28 @@
 	}
 }
 
-// size returns how many instances a pool should have: at once more when it asks for more, and fewer
-// only when it has asked for fewer for a while.
-func (r *round) size(pool string, load Load) int {
+// idle counts the instances that no pool uses, or that are on their way out of one.
+func (r *round) idle() int {
+	count := 0
+	for _, m := range r.members[r.Spare] {
+		if r.movable(m) && !r.Evacuated.Has(m.DataCentre) {
+			count++
+		}
+	}
+	for name, g := range r.leaving {
+		if m := r.byName[name]; m != nil && g.wave == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// size returns how many instances a pool needs now, and how many it should have: at once more when it
+// asks for more, and fewer only when it has asked for fewer for a while.
+func (r *round) size(pool string, load Load) (needed, held int) {
 	capacity := r.capacity()
 	if capacity.CPU == 0 {
-		return 0
+		return 0, 0
 	}
 	now := max(minInstances, load.Spread, ceil((load.Demand+load.Lasting)*headroom/percent, capacity.CPU),
 		ceil(load.Memory*headroom/percent, max(1, capacity.MemoryMB)))
@@ -73,7 +99,7 @@
 	case now >= d.size, r.Now-d.peak > shrinkAfter:
 		d.size, d.peak = now, r.Now
 	}
-	return d.size
+	return now, d.size
 }
 
 func ceil(amount, unit int) int { return (amount + unit - 1) / unit }
