pool: End a worker's runs only on proof that its life is over

What: a later life on the same instance, or an order of ours that was carried out, ends a life; an absence from the list does not. The worker that an order ends is noted with its first try. No instance moves before work has come. Tests: the planner's first tests, of surges, spread tasks, waves and repeated orders.

--- a/internal/jobs/instance/unit.go
+++ b/internal/jobs/instance/unit.go
@@ -25,7 +25,7 @@
 func (n *Instance) shard(unit string) *shard.Shard {
 	set := n.config.Settings
 	return shard.New(shard.Config{
-		Pool: unit, Holder: set.Name, Log: n.config.Log, Workers: n.config.Workers, Advisor: n.config.Advisor, Machines: n.config.Machines,
+		Pool: unit, Holder: set.Name, Log: n.config.Log, Workers: n.config.Workers, Advisor: n.config.Advisor,
 		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(unit, n.config.Logger),
 		Settings: shard.Settings{Lease: set.Lease(), Retention: set.Retention, StopTime: set.StopTime, Harm: set.Harm},
 		View:     func() shard.View { return n.view(unit) },
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -38,7 +38,10 @@
 type Action interface{ action() }
 
 // MoveAction brings an instance into a pool; the outcome goes to Moved.
-type MoveAction struct{ Instance, Pool string }
+type MoveAction struct {
+	Instance, Pool string
+	Worker         string // whose life it ends
+}
 
 // MaintainAction takes an instance down for its maintenance; the outcome goes to Maintained.
 type MaintainAction struct {
@@ -90,10 +93,9 @@
 	leaving map[string]goal
 	transit map[string]transit
 	wanted  map[string]*demand
-	barred  map[MoveAction]bool // moves that the platform does not allow
+	barred  map[[2]string]bool // instances and pools between which the platform allows no move
 	busy    map[string]time.Duration
 	gone    map[string]time.Duration // workers whose instances were moved or taken down, by when
-	worker  map[string]string        // newest worker seen on an instance
 	worked  bool                     // tasks that do not last have asked for room
 }
 
@@ -101,8 +103,8 @@
 func NewPlanner() *Planner {
 	return &Planner{
 		waves: map[int]*wave{}, leaving: map[string]goal{}, transit: map[string]transit{},
-		wanted: map[string]*demand{}, barred: map[MoveAction]bool{}, busy: map[string]time.Duration{},
-		gone: map[string]time.Duration{}, worker: map[string]string{},
+		wanted: map[string]*demand{}, barred: map[[2]string]bool{}, busy: map[string]time.Duration{},
+		gone: map[string]time.Duration{},
 	}
 }
 
@@ -149,9 +151,6 @@
 	for i := range r.Instances {
 		m := &r.Instances[i]
 		r.byName[m.Name] = m
-		if _, gone := r.gone[m.Worker]; !gone && m.Worker != "" {
-			r.worker[m.Name] = m.Worker
-		}
 		pool := m.Pool
 		if t, moving := r.transit[m.Name]; moving {
 			pool = t.pool
@@ -218,7 +217,7 @@
 func (r *round) move(m *catalog.Instance, pool string) {
 	delete(r.leaving, m.Name)
 	r.transit[m.Name] = transit{pool: pool, since: r.Now, sent: true}
-	r.plan.Actions = append(r.plan.Actions, MoveAction{Instance: m.Name, Pool: pool})
+	r.plan.Actions = append(r.plan.Actions, MoveAction{Instance: m.Name, Pool: pool, Worker: m.Worker})
 }
 
 // Outcome is how an order ended.
@@ -236,14 +235,14 @@
 func (p *Planner) Moved(now time.Duration, a MoveAction, o Outcome) {
 	t := p.transit[a.Instance]
 	if o == Carried {
-		p.retire(now, a.Instance)
+		p.retire(now, a.Worker)
 	}
 	switch o {
 	case Carried, Unanswered:
 		p.transit[a.Instance] = transit{pool: a.Pool, since: now}
 		return
 	case Barred:
-		p.barred[a] = true
+		p.barred[[2]string{a.Instance, a.Pool}] = true
 	case Refused:
 		p.busy[a.Instance] = now + busyPause
 	}
@@ -255,10 +254,10 @@
 // goneLife is how long a worker is called gone, longer than its entry stays in the workers' table.
 const goneLife = 15 * time.Second
 
-// retire notes that the life of the worker on an instance is over.
-func (p *Planner) retire(now time.Duration, name string) {
-	if w := p.worker[name]; w != "" {
-		p.gone[w] = now
+// retire notes that the life of a worker is over.
+func (p *Planner) retire(now time.Duration, worker string) {
+	if worker != "" {
+		p.gone[worker] = now
 	}
 }
 
--- /dev/null
+++ b/internal/jobs/machines/planner_test.go
@@ -0,0 +1,244 @@
+package machines
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+)
+
+// fleet is a set of instances whose pools answer with the loads that a test sets.
+type fleet struct {
+	planner   *Planner
+	now       time.Duration
+	instances []catalog.Instance
+	loads     map[string]Load
+	busy      map[string]int // thousandths of a core in use by worker
+	lasting   map[string]int
+	moved     int
+}
+
+func newFleet(sizes map[string]int) *fleet {
+	f := &fleet{planner: NewPlanner(), now: time.Hour, loads: map[string]Load{}, busy: map[string]int{}, lasting: map[string]int{}}
+	pools := make([]string, 0, len(sizes))
+	for pool := range sizes {
+		pools = append(pools, pool)
+	}
+	slices.Sort(pools)
+	for _, pool := range pools {
+		for i := range sizes[pool] {
+			name := fmt.Sprintf("%s%d", pool, i)
+			f.instances = append(f.instances, catalog.Instance{
+				Name: name, Pool: pool, State: catalog.Up, Worker: "w-" + name, Capacity: catalog.Amount{CPU: 16000, MemoryMB: 64000},
+			})
+		}
+		if pool != "spare" {
+			f.loads[pool] = Load{}
+		}
+	}
+	return f
+}
+
+// tick lets the pools answer and returns what the planner decides.
+func (f *fleet) tick() Plan {
+	f.now += 200 * time.Millisecond
+	loads := map[string]Load{}
+	for pool, load := range f.loads {
+		load.Hosts = nil
+		for _, m := range f.instances {
+			if m.Pool == pool && m.State == catalog.Up {
+				_, leaves := f.planner.leaving[m.Name]
+				load.Hosts = append(load.Hosts, Host{
+					Worker: m.Worker, Used: f.busy[m.Worker], Lasting: f.lasting[m.Worker], Usable: !leaves, Empty: leaves && f.busy[m.Worker] == 0,
+				})
+			}
+		}
+		loads[pool] = load
+	}
+	return f.planner.Tick(Input{
+		Now: f.now, Listed: f.now, Instances: f.instances, Loads: loads, Spare: "spare", Evacuated: id.Set[id.DataCentre]{},
+	})
+}
+
+// carry carries moves out at once and counts them.
+func (f *fleet) carry(plan Plan) {
+	for _, a := range plan.Actions {
+		move, ok := a.(MoveAction)
+		if !ok {
+			continue
+		}
+		f.moved++
+		for i := range f.instances {
+			if f.instances[i].Name == move.Instance {
+				f.instances[i].Pool = move.Pool
+				f.instances[i].Worker += "'"
+			}
+		}
+		f.planner.Moved(f.now, move, Carried)
+	}
+}
+
+func (f *fleet) size(pool string) int {
+	count := 0
+	for _, m := range f.instances {
+		if m.Pool == pool {
+			count++
+		}
+	}
+	return count
+}
+
+func TestNothingMovesBeforeWorkComes(t *testing.T) {
+	f := newFleet(map[string]int{"a": 4, "b": 4, "spare": 3})
+	for range 20 {
+		f.carry(f.tick())
+	}
+	if f.moved != 0 {
+		t.Errorf("%d instances moved", f.moved)
+	}
+}
+
+// TestSurgeTakesRoom replays a surge in one pool while the other is idle: the pool in need gets what is
+// off and what the other does not need, and gives it back after the surge.
+func TestSurgeTakesRoom(t *testing.T) {
+	f := newFleet(map[string]int{"a": 4, "b": 6, "spare": 2})
+	f.loads["a"] = Load{Demand: 100_000}
+	for range 10 {
+		f.carry(f.tick())
+	}
+	if got := f.size("a"); got != 7 {
+		t.Errorf("the pool in need has %d instances, 7 hold its work", got)
+	}
+	f.loads["a"] = Load{Demand: 4000}
+	for range 30 {
+		f.carry(f.tick())
+	}
+	if a, b := f.size("a"), f.size("b"); a != minInstances || b != minInstances {
+		t.Errorf("idle pools have %d and %d instances, not %d", a, b, minInstances)
+	}
+}
+
+func TestShortPoolTakesWhatAnotherJustNeeded(t *testing.T) {
+	f := newFleet(map[string]int{"a": 2, "b": 8, "spare": 0})
+	f.loads["b"] = Load{Demand: 110_000}
+	f.carry(f.tick())
+	f.loads["b"] = Load{Demand: 10_000}
+	f.loads["a"] = Load{Demand: 100_000}
+	for range 4 {
+		f.carry(f.tick())
+	}
+	if got := f.size("a"); got != 7 {
+		t.Errorf("the pool in need has %d instances 0.8 s later, 7 hold its work", got)
+	}
+}
+
+func TestRoomForTasksThatAreSpread(t *testing.T) {
+	tests := []struct {
+		name string
+		load Load
+		want int
+	}{
+		{"few tasks of a step on one worker", Load{Demand: 1, Spread: 3}, 3},
+		{"memory", Load{Demand: 1, Memory: 230_000}, 4},
+		{"a task that found no worker", Load{Demand: 1, Stuck: 1}, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(map[string]int{"a": 2, "spare": 4})
+			f.loads["a"] = test.load
+			f.carry(f.tick())
+			if got := f.size("a"); got != test.want {
+				t.Errorf("the pool has %d instances, not %d", got, test.want)
+			}
+		})
+	}
+}
+
+// TestWave maintains every instance of a wave once, never more at once than it allows, and only empty ones.
+func TestWave(t *testing.T) {
+	f := newFleet(map[string]int{"a": 4, "b": 4, "spare": 2})
+	for pool := range f.loads {
+		f.loads[pool] = Load{Demand: 40_000}
+	}
+	for _, m := range f.instances {
+		f.busy[m.Worker] = 5000
+	}
+	var names []string
+	for _, m := range f.instances {
+		names = append(names, m.Name)
+	}
+	f.planner.AddWave(f.now, catalog.Wave{Number: 1, Instances: names, Within: 30 * time.Second, AtOnce: 3}, nil)
+	up := map[string]time.Duration{}
+	count := map[string]int{}
+	for range 200 {
+		plan := f.tick()
+		for _, a := range plan.Actions {
+			m, ok := a.(MaintainAction)
+			if !ok {
+				continue
+			}
+			count[m.Instance]++
+			i := slices.IndexFunc(f.instances, func(x catalog.Instance) bool { return x.Name == m.Instance })
+			if f.instances[i].Pool != "spare" && f.busy[f.instances[i].Worker] > 0 {
+				t.Errorf("%s was taken down while it worked", m.Instance)
+			}
+			f.instances[i].State = catalog.InUpkeep
+			up[m.Instance] = f.now + 2*time.Second
+			f.planner.Maintained(f.now, m, Carried)
+		}
+		down := 0
+		for i := range f.instances {
+			m := &f.instances[i]
+			if m.State != catalog.InUpkeep {
+				continue
+			}
+			down++
+			if f.now >= up[m.Name] {
+				m.State = catalog.Up
+				m.Worker += "'"
+			}
+		}
+		if down > 3 {
+			t.Fatalf("%d instances are down at once", down)
+		}
+		for name := range f.planner.leaving {
+			i := slices.IndexFunc(f.instances, func(x catalog.Instance) bool { return x.Name == name })
+			f.busy[f.instances[i].Worker] = max(0, f.busy[f.instances[i].Worker]-500)
+		}
+		f.carry(plan)
+	}
+	if done, all := f.planner.Done(1); !all {
+		t.Errorf("%d of %d instances were maintained", len(done), len(names))
+	}
+	for name, n := range count {
+		if n != 1 {
+			t.Errorf("%s was taken down %d times", name, n)
+		}
+	}
+}
+
+// TestLifeThatAnOrderEnded repeats an order whose answer was lost: by the time of the second answer a new
+// worker runs on the instance, and that one is not gone.
+func TestLifeThatAnOrderEnded(t *testing.T) {
+	f := newFleet(map[string]int{"a": 3, "spare": 0})
+	f.planner.AddWave(f.now, catalog.Wave{Number: 1, Instances: []string{"a0"}, Within: 30 * time.Second, AtOnce: 1}, nil)
+	var order MaintainAction
+	for range 5 {
+		for _, a := range f.tick().Actions {
+			if m, ok := a.(MaintainAction); ok {
+				order = m
+			}
+		}
+	}
+	f.planner.Maintained(f.now, order, Unanswered)
+	f.instances[0].Worker = "w-new"
+	f.tick()
+	f.planner.Maintained(f.now, order, Carried)
+	gone := f.tick().Orders["a"].Gone
+	if !slices.Contains(gone, "w-a0") || slices.Contains(gone, "w-new") {
+		t.Errorf("workers %v are called gone, not w-a0", gone)
+	}
+}
--- a/internal/jobs/machines/size.go
+++ b/internal/jobs/machines/size.go
@@ -96,6 +96,9 @@
 	case !r.worked:
 		// Before any work has come, every pool keeps what operators gave it.
 		d.size, d.peak = max(now, d.size, len(r.members[pool])), r.Now
+		if load.Stuck == 0 {
+			now = min(now, r.present(pool))
+		}
 	case now >= d.size, r.Now-d.peak > shrinkAfter:
 		d.size, d.peak = now, r.Now
 	}
@@ -161,7 +164,7 @@
 		g, leaves := r.leaving[m.Name]
 		spare := m.Pool == r.Spare && !leaves
 		surplus := m.Pool != pool && leaves && g.wave == 0 && r.empty(m)
-		if !spare && !surplus || !r.movable(m) || r.Evacuated.Has(m.DataCentre) || r.barred[MoveAction{Instance: m.Name, Pool: pool}] {
+		if !spare && !surplus || !r.movable(m) || r.Evacuated.Has(m.DataCentre) || r.barred[[2]string{m.Name, pool}] {
 			continue
 		}
 		r.move(m, pool)
@@ -176,7 +179,7 @@
 	}
 	for name, g := range r.leaving {
 		m := r.byName[name]
-		if g.wave != 0 || m == nil || !r.movable(m) || !r.empty(m) || r.barred[MoveAction{Instance: name, Pool: r.Spare}] {
+		if g.wave != 0 || m == nil || !r.movable(m) || !r.empty(m) || r.barred[[2]string{name, r.Spare}] {
 			continue
 		}
 		r.move(m, r.Spare)
--- a/internal/jobs/machines/wave.go
+++ b/internal/jobs/machines/wave.go
@@ -14,6 +14,7 @@
 	began time.Duration
 	done  id.Set[string]
 	down  map[string]time.Duration // instances taken down, by the time of the order
+	asked map[string]string        // worker whose life the first order for an instance was to end
 }
 
 // AddWave makes a wave known; done are instances that were maintained before.
@@ -21,7 +22,7 @@
 	if _, known := p.waves[w.Number]; known {
 		return
 	}
-	p.waves[w.Number] = &wave{Wave: w, began: now, done: id.NewSet(done...), down: map[string]time.Duration{}}
+	p.waves[w.Number] = &wave{Wave: w, began: now, done: id.NewSet(done...), down: map[string]time.Duration{}, asked: map[string]string{}}
 }
 
 // DropWave forgets a wave that was withdrawn.
@@ -69,7 +70,7 @@
 	}
 	switch o {
 	case Carried:
-		p.retire(now, a.Instance)
+		p.retire(now, w.asked[a.Instance])
 		w.done.Add(a.Instance)
 		w.down[a.Instance] = now
 		delete(p.leaving, a.Instance)
@@ -79,6 +80,7 @@
 		delete(p.leaving, a.Instance)
 	case Refused:
 		delete(w.down, a.Instance)
+		delete(w.asked, a.Instance)
 		p.busy[a.Instance] = now + busyPause
 	case Unanswered:
 		// It may be down: it counts as such and the order is repeated.
@@ -143,6 +145,9 @@
 func (r *round) maintain(w *wave, m *catalog.Instance) {
 	w.down[m.Name] = r.Now
 	r.transit[m.Name] = transit{pool: m.Pool, since: r.Now, sent: true}
+	if _, again := w.asked[m.Name]; !again {
+		w.asked[m.Name] = m.Worker
+	}
 	r.plan.Actions = append(r.plan.Actions, MaintainAction{Instance: m.Name, Wave: w.Number})
 }
 
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -18,11 +18,10 @@
 // host is one life of a worker with what runs there.
 type host struct {
 	info     catalog.Worker
-	met      time.Duration // when this owner first heard of it
-	listed   bool          // its entry stands in the workers' table
-	cordoned bool          // is to be emptied now
-	retired  bool          // its life was ended by an order of ours
-	doomed   bool          // is to be emptied soon
+	listed   bool // its entry stands in the workers' table
+	cordoned bool // is to be emptied now
+	retired  bool // its life was ended by an order of ours
+	doomed   bool // is to be emptied soon
 	used     catalog.Amount
 	runs     map[worker.Run]*run
 
@@ -74,7 +73,7 @@
 			p.reborn(at, h, info.Born)
 		}
 		if !known {
-			h = &host{runs: map[worker.Run]*run{}, clock: info.Clock, clockAt: at.Steady, met: at.Steady}
+			h = &host{runs: map[worker.Run]*run{}, clock: info.Clock, clockAt: at.Steady}
 			p.workers[info.ID] = h
 			p.config.Observer.WorkerChanged(info.ID, "joined")
 		}
@@ -84,6 +83,7 @@
 		h.info = info
 		h.listed = true
 	}
+	p.supersede(at, list)
 	for name, h := range p.workers {
 		if h.listed && !present.Has(name) {
 			h.listed = false
@@ -152,25 +152,18 @@
 // leaves reports whether what lasts must move off a worker.
 func (p *Pool) leaves(h *host) bool { return h.cordoned || h.info.Draining }
 
-// Doubtful reports whether a worker with runs does not answer.
-func (p *Pool) Doubtful() bool {
-	for _, h := range p.workers {
-		if len(h.runs) > 0 && (h.silent || !h.info.Address.IsValid()) {
-			return true
+// supersede ends the workers on whose instances a later life has begun.
+func (p *Pool) supersede(at Moment, list []catalog.Worker) {
+	newest := map[string]catalog.Worker{}
+	for _, w := range list {
+		if w.Instance != "" && w.Born.After(newest[w.Instance].Born) {
+			newest[w.Instance] = w
 		}
 	}
-	return false
-}
-
-// listLag is how far the list of instances may be behind the workers that have joined.
-const listLag = 2 * time.Second
-
-// Judge ends the silent workers whose life is over by a list of the workers on instances that are up,
-// which was asked for at a time.
-func (p *Pool) Judge(at Moment, asked time.Duration, up map[string]bool) {
 	for name, h := range p.workers {
-		silent := h.silent || !h.info.Address.IsValid()
-		if len(h.runs) > 0 && silent && !up[name] && asked-h.met > listLag {
+		later, ok := newest[h.info.Instance]
+		if ok && later.ID != name && later.Born.After(h.info.Born) && !h.retired {
+			h.retired = true
 			p.over(at, h)
 		}
 	}
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -167,11 +167,15 @@
 			p.crowded = true
 			if step.Lasting {
 				reserve(step, hosts, reserved)
+				if it.entry.stuck == 0 {
+					it.entry.stuck = at.Steady
+				}
 			}
 			return hosts
 		}
 		p.place(at, it.entry, t, h)
 	}
+	it.entry.stuck = 0
 	return hosts
 }
 
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -42,6 +42,7 @@
 	arrived time.Duration
 	due     time.Duration // steady time at which the job is late
 	gone    time.Duration // steady time at which it is forgotten, 0 while it goes on
+	stuck   time.Duration // steady time since which a task that lasts has found no worker, 0 if none
 }
 
 // Pool is the state of one pool's jobs and workers.
--- a/internal/jobs/pool/restore.go
+++ b/internal/jobs/pool/restore.go
@@ -66,7 +66,7 @@
 				}
 				h := p.workers[t.Worker]
 				if h == nil {
-					h = &host{info: catalog.Worker{ID: t.Worker}, runs: map[worker.Run]*run{}, clockAt: at.Steady, met: at.Steady}
+					h = &host{info: catalog.Worker{ID: t.Worker}, runs: map[worker.Run]*run{}, clockAt: at.Steady}
 					p.workers[t.Worker] = h
 				}
 				r := p.attach(e, t, h)
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -127,6 +127,9 @@
 	return away < limit
 }
 
+// stuckAfter is how long a task that lasts finds no worker until the pool asks for another one.
+const stuckAfter = 400 * time.Millisecond
+
 // Load tells how the work of the pool stands.
 type Load struct {
 	Hosts   []HostLoad
@@ -154,7 +157,7 @@
 		for i := range it.repeat.Steps[it.step] {
 			if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
 				l.add(step)
-				if step.Lasting {
+				if step.Lasting && it.entry.stuck > 0 && at.Steady-it.entry.stuck > stuckAfter {
 					l.Stuck++
 				}
 			}
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -74,7 +74,6 @@
 	}
 	s.store(ctx, at, fatal)
 	s.carryOut(ctx)
-	s.judge(ctx, at)
 }
 
 // store writes what has changed, one batch at a time.
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -49,7 +49,6 @@
 	Log      stream.Log
 	Workers  worker.Client
 	Advisor  worker.Advisor
-	Machines worker.Machines
 	Clock    claim.Clock
 	Logger   *zap.Logger
 	Observer pool.Observer
@@ -86,8 +85,6 @@
 	handedIn  []stream.Record // jobs and cancellations that go into the next batch
 	callers   []chan struct{} // closed once that batch is stored
 	direct    sync.Map        // ids of jobs that stand in the intake
-	judged    time.Duration   // when the list of instances was last asked for
-	judging   bool
 }
 
 // New returns a shard that is to be run.
