--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -54,6 +54,7 @@
 	heard       time.Duration // steady time of the newest answer of the store
 	stopping    bool
 	ownersKnown bool
+	ownedSince  map[string]time.Duration // when a unit changed hands, as heard here
 
 	ownersChanged chan struct{}
 	leave         chan struct{} // closed when the instance is to stop
@@ -77,7 +78,7 @@
 func New(c Config) *Instance {
 	return &Instance{
 		config: c, evacuated: id.Set[id.DataCentre]{}, waves: map[int]announced{}, workers: map[string]catalog.Worker{},
-		former: map[string][]string{}, shards: map[string]*owned{}, owners: owners.Table{}, ownersChanged: make(chan struct{}, 1), leave: make(chan struct{}), left: make(chan struct{}),
+		former: map[string][]string{}, shards: map[string]*owned{}, owners: owners.Table{}, ownedSince: map[string]time.Duration{}, ownersChanged: make(chan struct{}, 1), leave: make(chan struct{}), left: make(chan struct{}),
 	}
 }
 
--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -29,6 +29,7 @@
 	usualTTL      = 1100 * time.Millisecond // silence after which an instance loses its units
 	reclaimPause  = 700 * time.Millisecond  // after a unit was claimed by another instance
 	firstPause    = 900 * time.Millisecond  // before a unit is claimed that nobody has owned yet
+	claimRest     = 1200 * time.Millisecond // after a unit changed hands, until members agree on who lives
 	balancePause  = 5 * time.Second         // between two units that are handed over to level the load
 	handoverLimit = 1500 * time.Millisecond // for giving up the units of an instance that stops
 )
@@ -130,7 +131,7 @@
 		return
 	}
 	n.mu.Lock()
-	n.owners[r.Key] = address
+	n.setOwner(r.Key, address)
 	n.mu.Unlock()
 	select {
 	case n.ownersChanged <- struct{}{}:
@@ -138,6 +139,14 @@
 	}
 }
 
+// setOwner notes who owns a unit; the caller holds the lock.
+func (n *Instance) setOwner(unit string, address netip.AddrPort) {
+	if n.owners[unit] != address {
+		n.ownedSince[unit] = n.config.Clock.Moment().Steady
+	}
+	n.owners[unit] = address
+}
+
 func (n *Instance) replaceOwners(all []stream.Record) {
 	for _, r := range all {
 		n.takeOwner(r)
@@ -189,8 +198,10 @@
 		}
 		switch {
 		case n.owners[unit] == n.self().Address:
+		case owned && now < n.ownedSince[unit]+claimRest:
+			continue
 		case successors[unit] == n.self().Address:
-			n.owners[unit] = n.self().Address
+			n.setOwner(unit, n.self().Address)
 			go m.announce(ctx, []owners.Offer{{Unit: unit, To: n.self().Address}})
 		default:
 			continue
@@ -214,7 +225,7 @@
 		o.cancel()
 		delete(n.shards, offer.Unit)
 	}
-	n.owners[offer.Unit] = offer.To
+	n.setOwner(offer.Unit, offer.To)
 	n.config.Logger.Info("handing a unit over to level the load", zap.String("unit", offer.Unit), zap.Stringer("to", offer.To))
 	go m.announce(ctx, []owners.Offer{offer})
 }
@@ -249,7 +260,7 @@
 		offers = owners.Handover(n.self(), n.catalog.units(), n.alive, n.owners)
 	}
 	for _, o := range offers {
-		n.owners[o.Unit] = o.To
+		n.setOwner(o.Unit, o.To)
 	}
 	n.mu.Unlock()
 	for _, o := range ending {
--- a/internal/jobs/machines/keeper.go
+++ b/internal/jobs/machines/keeper.go
@@ -63,7 +63,7 @@
 	outcomes  chan func(now time.Duration) // run by loop
 	proven    time.Duration
 	recent    map[string]time.Duration // instances that were ordered about lately
-	inherited recentRecord
+	inherited []string                 // the same, of the earlier holder
 	listed    time.Duration
 	instances []catalog.Instance
 	loads     map[string]Load
@@ -95,7 +95,7 @@
 		return errors.Annotate(err, "taking over the instances")
 	}
 	// The earlier holder may have ordered these about until it lost its claim.
-	for _, name := range k.inherited.Names {
+	for _, name := range k.inherited {
 		k.planner.Rest(name, proven+k.config.Turn)
 	}
 	return errors.Trace(k.loop(ctx))
@@ -148,13 +148,22 @@
 	return ""
 }
 
+// Recent returns the instances that a record of the keeper's table names as ordered about lately.
+func Recent(r stream.Record) ([]string, error) {
+	var recent recentRecord
+	if r.Key != recentKey || len(r.Value) == 0 {
+		return nil, nil
+	}
+	err := cbor.Unmarshal(r.Value, &recent)
+	return recent.Names, errors.Annotate(err, "decoding the recent orders for instances")
+}
+
 func (k *Keeper) load(r stream.Record) {
-	if r.Key == recentKey {
-		if err := cbor.Unmarshal(r.Value, &k.inherited); err != nil {
-			k.config.Logger.Error("the record of recent orders cannot be read", zap.Error(err))
-		}
-		return
+	names, err := Recent(r)
+	if err != nil {
+		k.config.Logger.Error("a stored record cannot be read", zap.Error(err))
 	}
+	k.inherited = append(k.inherited, names...)
 	if !strings.HasPrefix(r.Key, wavePrefix) || len(r.Value) == 0 {
 		return
 	}
@@ -191,6 +200,9 @@
 	if err := k.prove(ctx); err != nil {
 		return err
 	}
+	if k.config.Clock.Moment().Steady-k.proven > proofLife {
+		return nil
+	}
 	view := k.config.View()
 	k.list(ctx)
 	k.ask(ctx, view.Pools)
@@ -284,7 +296,9 @@
 	loads := map[string]Load{}
 	for _, pool := range pools {
 		wait.Go(func() {
-			load, err := k.config.Ask(ctx, pool, k.orders[pool])
+			orders := k.orders[pool]
+			orders.Fence = k.claim.Epoch()
+			load, err := k.config.Ask(ctx, pool, orders)
 			if err != nil {
 				k.config.Logger.Debug("a pool does not answer", zap.String("pool", pool), zap.Error(err))
 				return
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -29,6 +29,7 @@
 
 // Orders is what a pool is asked to do with its workers.
 type Orders struct {
+	Fence int64    `cbor:"4,keyasint,omitempty"` // of the keeper that gives them; lower ones are refused
 	Leave []string `cbor:"1,keyasint,omitempty"` // workers to be emptied
 	Later []string `cbor:"2,keyasint,omitempty"` // workers to be emptied soon, where nothing that lasts should start
 	Gone  []string `cbor:"3,keyasint,omitempty"` // workers whose instances were moved or taken down
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -17,13 +17,15 @@
 
 // host is one life of a worker with what runs there.
 type host struct {
-	info     catalog.Worker
-	listed   bool // its entry stands in the workers' table
-	cordoned bool // is to be emptied now
-	retired  bool // its life was ended by an order of ours
-	doomed   bool // is to be emptied soon
-	used     catalog.Amount
-	runs     map[worker.Run]*run
+	info      catalog.Worker
+	listed    bool          // its entry stands in the workers' table
+	cordoned  bool          // is to be emptied now
+	retired   bool          // its life was ended by an order of ours
+	retiredAt time.Duration // the worker's clock in its entry at that time
+	doomed    bool          // is to be emptied soon
+	used      catalog.Amount
+	runs      map[worker.Run]*run
+	strange   id.Set[worker.Run] // runs of jobs that this owner does not hold; nothing starts beside them
 
 	clock    time.Duration // its steady clock at clockAt
 	clockAt  time.Duration
@@ -80,6 +82,10 @@
 		if known && h.info.Draining != info.Draining {
 			p.config.Observer.WorkerChanged(info.ID, "draining changed")
 		}
+		if h.retired && info.Clock > h.retiredAt+retiredLife {
+			// Its entry is still renewed: the order that should have ended it had been carried out before.
+			h.retired = false
+		}
 		h.info = info
 		h.listed = true
 	}
@@ -109,12 +115,23 @@
 func (p *Pool) Retire(at Moment, names []string) {
 	for _, name := range names {
 		if h, ok := p.workers[name]; ok && !h.retired {
-			h.retired = true
+			h.retired, h.retiredAt = true, h.info.Clock
 			p.over(at, h)
 		}
 	}
 }
 
+// retiredLife is how much older an entry must be than the end of its worker to show that it lives.
+const retiredLife = 4 * time.Second
+
+// Spare keeps new work for a while off workers whose instances an earlier owner may have said to be empty.
+func (p *Pool) Spare(at Moment, instances []string) {
+	p.cordonedTill = at.Steady + cordonLife
+	for _, h := range p.workers {
+		h.cordoned = h.cordoned || slices.Contains(instances, h.info.Instance)
+	}
+}
+
 // expireCordons serves again on workers that nobody asks to be emptied any more.
 func (p *Pool) expireCordons(at Moment) {
 	if at.Steady <= p.cordonedTill {
@@ -138,6 +155,7 @@
 
 // loseAll ends every run of a worker whose life or lease is over.
 func (p *Pool) loseAll(at Moment, h *host) {
+	h.strange = nil
 	for _, r := range h.runs {
 		p.ended(at, r, worker.End{Run: r.id, How: worker.Lost})
 	}
@@ -145,7 +163,7 @@
 
 // usable reports whether a worker may get new work.
 func (p *Pool) usable(at Moment, h *host) bool {
-	return h.listed && !h.retired && h.answered && !h.silent && !h.cordoned && !h.info.Draining &&
+	return h.listed && !h.retired && len(h.strange) == 0 && h.answered && !h.silent && !h.cordoned && !h.info.Draining &&
 		at.Steady >= h.avoid && !p.evacuated.Has(h.info.DataCentre)
 }
 
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
@@ -36,7 +37,7 @@
 
 // lapse ends the runs of a worker whose lease has run out.
 func (p *Pool) lapse(at Moment, h *host) {
-	if len(h.runs) == 0 || at.Steady <= h.leaseEnd {
+	if len(h.runs)+len(h.strange) == 0 || at.Steady <= h.leaseEnd {
 		return
 	}
 	for _, r := range h.runs {
@@ -44,6 +45,7 @@
 			p.ended(at, r, worker.End{Run: r.id, How: worker.Lapsed})
 		}
 	}
+	h.strange = nil
 }
 
 func (p *Pool) repeatStops(h *host) {
@@ -65,7 +67,7 @@
 	if h.looking && (h.urgent || !unsure || h.silent) {
 		return
 	}
-	busy := len(h.runs) > 0
+	busy := len(h.runs)+len(h.strange) > 0
 	if !busy && h.stored <= h.acked && (h.answered || !h.listed) && !(h.silent && h.listed) {
 		return
 	}
@@ -206,16 +208,17 @@
 // takeRunning confirms what runs on a worker and stops what this owner does not know.
 func (p *Pool) takeRunning(at Moment, h *host, list []worker.Running) id.Set[worker.Run] {
 	present := id.Set[worker.Run]{}
+	h.strange = id.Set[worker.Run]{}
 	for _, seen := range list {
 		present.Add(seen.Run)
 		r := h.runs[seen.Run]
 		if r == nil {
-			p.actions = append(p.actions, StopAction{To: h.target(), Run: seen.Run, Fence: p.config.Fence})
+			p.adopt(at, h, seen.Run)
 			continue
 		}
 		p.confirm(at, r)
 		r.percent = seen.Percent
-		if seen.Checkpoint != "" {
+		if seen.Checkpoint != "" && !r.stray {
 			p.save(r.job, r.task, seen.Checkpoint)
 		}
 		p.watch(at, r, seen)
@@ -223,6 +226,21 @@
 	return present
 }
 
+// adopt stops a run that should not be there, such as that of a task which ended elsewhere, and lets it
+// take room until it has ended.
+func (p *Pool) adopt(at Moment, h *host, id worker.Run) {
+	e, known := p.jobs[id.Task.Job]
+	if !known || e.job.Task(id.Task) == nil {
+		h.strange.Add(id)
+		p.actions = append(p.actions, StopAction{To: h.target(), Run: id, Fence: p.config.Fence})
+		return
+	}
+	r := p.attach(e, &job.Task{Name: id.Task, Run: id.Number, Worker: h.info.ID}, h)
+	r.stray = true
+	r.phase = doubtful
+	p.stop(at, r)
+}
+
 // settle resolves the runs that a look sent at a time should have shown and did not.
 func (p *Pool) settle(at Moment, h *host, sent time.Duration, present id.Set[worker.Run]) {
 	for _, r := range h.runs {
--- a/internal/jobs/pool/pool_test.go
+++ b/internal/jobs/pool/pool_test.go
@@ -58,6 +58,16 @@
 			w.after(1100*time.Millisecond, func() { w.takeOver().cutFrom["w1"] = true })
 			w.after(12*time.Second, func() { delete(w.owners[1].cutFrom, "w1") })
 		}},
+		{"the owner changes as a worker that was cut off comes back", faults{}, func(w *world) {
+			w.after(900*time.Millisecond, func() { w.workers["w0"].cut = true })
+			w.after(5600*time.Millisecond, func() { w.workers["w0"].cut = false })
+			for i := range 12 {
+				w.after(5600*time.Millisecond+time.Duration(i+1)*40*time.Millisecond, func() { w.takeOver() })
+			}
+			for i := range 30 {
+				w.after(time.Duration(i)*150*time.Millisecond, func() { w.submit(fmt.Sprintf("%016x", 100+i), shortJob(6)) })
+			}
+		}},
 		{"owners change in a row", faults{lostAfter: 0.05, late: 0.02}, func(w *world) {
 			for i := range 5 {
 				w.after(time.Duration(i+1)*900*time.Millisecond, func() { w.takeOver() })
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -34,6 +34,7 @@
 	settled time.Duration // steady time since which a look that does not show the run proves its absence
 	began   time.Duration // steady time of its confirmation
 	sent    bool          // a stop is on its way
+	stray   bool          // should not be there: its task has another run, or is done
 	percent int           // share at which it works, as last reported
 	paced   int           // share that was ordered
 	over    time.Duration // steady time since which it is over its target, 0 while it is not
@@ -252,6 +253,12 @@
 func (p *Pool) ended(at Moment, r *run, end worker.End) {
 	t, e := r.task, r.job
 	p.release(r)
+	if r.stray {
+		if end.How == worker.Done {
+			p.doneLate(at, end)
+		}
+		return
+	}
 	p.touch(e)
 	p.config.Observer.Ended(&e.job.Spec, t.Name, r.id.Number, r.host.info.ID, end.How.String())
 	p.learn(at, r, end.How)
--- a/internal/jobs/shard/ask.go
+++ b/internal/jobs/shard/ask.go
@@ -6,6 +6,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
 // State returns the stored state of a job and whether the pool holds it; that it does not is said only
@@ -52,12 +53,20 @@
 		return machines.Load{}, err
 	}
 	var load machines.Load
+	refused := false
 	err := s.do(ctx, func(at pool.Moment) {
+		if refused = o.Fence < s.keeper; refused {
+			return
+		}
+		s.keeper = o.Fence
 		s.pool.SetCordoned(at, o.Leave, o.Later)
 		s.pool.Retire(at, o.Gone)
 		load = loadOf(s.pool.Load(at))
 		s.wantPlace = true
 	})
+	if refused {
+		return load, stream.FencedError{Epoch: o.Fence}
+	}
 	return load, err
 }
 
--- a/internal/jobs/shard/record.go
+++ b/internal/jobs/shard/record.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
@@ -81,3 +82,12 @@
 	}
 	return found
 }
+
+// loadRecent takes in the instances that were ordered about lately.
+func (s *Shard) loadRecent(names []string, r stream.Record) []string {
+	recent, err := machines.Recent(r)
+	if err != nil {
+		s.config.Logger.Error("a stored record cannot be read", zap.Error(err))
+	}
+	return append(names, recent...)
+}
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -14,6 +14,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
@@ -81,6 +82,7 @@
 	placed    time.Duration
 	paced     time.Duration
 	wantPlace bool
+	keeper    int64           // highest fence of a keeper that has given orders for workers
 	tail      int64           // next offset of the intake
 	handedIn  []stream.Record // jobs and cancellations that go into the next batch
 	callers   []chan struct{} // closed once that batch is stored
@@ -143,6 +145,10 @@
 		return err
 	}
 	s.tail = next
+	var ordered []string
+	if _, err := claim.ReadAll(ctx, s.config.Log, machines.Table(), s.config.Logger, func(r stream.Record) { ordered = s.loadRecent(ordered, r) }); err != nil {
+		return err
+	}
 	at := s.config.Clock.Moment()
 	s.pool = pool.New(pool.Config{
 		Name: s.config.Pool, Fence: s.claim.Epoch(), Lease: s.config.Settings.Lease,
@@ -151,6 +157,7 @@
 		Observer: s.config.Observer,
 	})
 	s.applyView(at)
+	s.pool.Spare(at, ordered)
 	stored := make([]pool.Stored, 0, len(jobs))
 	for _, j := range jobs {
 		if j.Spec.ID != "" {
