--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -41,7 +41,10 @@
 	listed     int64 // generation whose members are known
 	joined     time.Duration
 	balanced   time.Duration
+	changed    time.Duration            // when members last came or went
 	quiet      map[string]time.Duration // when a unit may be claimed again
+	asked      map[string]time.Duration // when a unit was last asked for
+	renewed    chan int64               // generations of answered renewals
 }
 
 func (n *Instance) self() owners.Member {
@@ -60,7 +63,8 @@
 }
 
 func (m *membership) loop(ctx context.Context) error {
-	m.quiet = map[string]time.Duration{}
+	m.quiet, m.asked = map[string]time.Duration{}, map[string]time.Duration{}
+	m.renewed = make(chan int64, 8)
 	for {
 		m.join(ctx)
 		m.assign(ctx)
@@ -74,6 +78,9 @@
 				m.giveUp(ctx)
 				<-ctx.Done()
 				return errors.Trace(ctx.Err())
+			case generation := <-m.renewed:
+				m.heard(ctx, generation)
+				m.assign(ctx)
 			case <-m.instance.ownersChanged:
 				m.assign(ctx)
 			case <-timer:
@@ -83,28 +90,54 @@
 	}
 }
 
-// join renews the membership and learns who lives after a change.
+// join renews the membership without waiting for the answer: renewals go on arriving in time while the
+// store is slow to answer.
 func (m *membership) join(ctx context.Context) {
-	n := m.instance
-	assigned, err := n.config.Groups.Join(ctx, m.member())
+	r := &renewal{membership: m, member: m.member()}
+	go r.run(ctx)
+}
+
+// renewal is one call that renews the membership.
+type renewal struct {
+	membership *membership
+	member     stream.Member
+}
+
+func (r *renewal) run(ctx context.Context) {
+	n := r.membership.instance
+	assigned, err := n.config.Groups.Join(ctx, r.member)
 	if err != nil {
 		n.config.Logger.Debug("could not renew the membership", zap.Error(err))
 		return
 	}
 	n.hear()
-	m.generation = assigned.Generation
-	if m.listed == m.generation && m.joined > 0 {
+	select {
+	case r.membership.renewed <- assigned.Generation:
+	case <-ctx.Done():
+	}
+}
+
+// heard takes in the answer to a renewal and learns who lives after a change.
+func (m *membership) heard(ctx context.Context, generation int64) {
+	n := m.instance
+	if generation < m.generation {
+		return
+	}
+	m.generation = generation
+	if m.listed == generation && m.joined > 0 {
 		return
 	}
 	rows, err := n.config.Groups.Owners(ctx, groupName)
 	if err != nil {
+		n.config.Logger.Debug("could not list the members", zap.Error(err))
 		return
 	}
-	m.listed = m.generation
+	m.listed = generation
+	m.changed = n.config.Clock.Moment().Steady
 	if m.joined == 0 {
-		m.joined = n.config.Clock.Moment().Steady
+		m.joined = m.changed
 	}
-	n.setAlive(rows, m.generation)
+	n.setAlive(rows, generation)
 }
 
 // setAlive takes over the list of live members.
@@ -184,7 +217,9 @@
 	m.level(ctx, now, units)
 }
 
-// takeOver claims the units whose owner is this instance, or is gone; the caller holds the lock.
+// takeOver runs the units whose owner is this instance and asks for those whose owner is gone. What is
+// asked for runs here once the table says so: the log decides among instances that ask at the same time.
+// The caller holds the lock.
 func (m *membership) takeOver(ctx context.Context, now time.Duration, units []string) {
 	n := m.instance
 	successors := owners.Successors(units, n.alive, n.owners)
@@ -192,28 +227,24 @@
 		if _, running := n.shards[unit]; running || now < m.quiet[unit] {
 			continue
 		}
-		_, owned := n.owners[unit]
-		if !owned && now < m.joined+firstPause {
-			continue
-		}
+		owner, owned := n.owners[unit]
 		switch {
-		case n.owners[unit] == n.self().Address:
+		case owner == n.self().Address:
+			n.start(ctx, unit)
+		case !owned && now < m.joined+firstPause:
 		case owned && now < n.ownedSince[unit]+claimRest:
-			continue
+		case now < m.asked[unit]+claimRest:
 		case successors[unit] == n.self().Address:
-			n.setOwner(unit, n.self().Address)
+			m.asked[unit] = now
 			go m.announce(ctx, []owners.Offer{{Unit: unit, To: n.self().Address}})
-		default:
-			continue
 		}
-		n.start(ctx, unit)
 	}
 }
 
 // level hands over a unit when another instance has much less to do; the caller holds the lock.
 func (m *membership) level(ctx context.Context, now time.Duration, units []string) {
 	n := m.instance
-	if now < m.balanced+balancePause && m.balanced > 0 {
+	if now < m.changed+balancePause || m.balanced > 0 && now < m.balanced+balancePause {
 		return
 	}
 	offer, ok := owners.Surplus(n.self(), units, n.alive, n.owners)
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -164,7 +164,7 @@
 		}
 	}
 	for name, h := range p.workers {
-		load := HostLoad{Worker: name, Used: h.used.CPU, Empty: h.cordoned && len(h.runs) == 0, Usable: p.usable(at, h)}
+		load := HostLoad{Worker: name, Used: h.used.CPU, Empty: h.cordoned && h.answered && len(h.runs)+len(h.strange) == 0, Usable: p.usable(at, h)}
 		for _, r := range h.runs {
 			l.add(r.step)
 			if r.step.Lasting {
