--- a/internal/jobs/job/job.go
+++ b/internal/jobs/job/job.go
@@ -32,6 +32,7 @@
 	Run        int    // number of the latest run, 0 before the first
 	Worker     string // where the latest run is or may be, empty when no run can exist
 	Checkpoint string // newest known progress to resume from
+	Leaving    bool   // its latest run is to end so that it can start elsewhere
 }
 
 // Placed reports whether a run of the task exists or may exist.
--- a/internal/jobs/job/progress.go
+++ b/internal/jobs/job/progress.go
@@ -31,6 +31,7 @@
 	Failures    int
 	Worker      string
 	Checkpoint  string
+	Leaving     bool
 }
 
 // Progress returns what is to be stored of the job now.
@@ -57,7 +58,7 @@
 				changed = true
 			case t.Run > 0:
 				part.Tasks = append(part.Tasks, progressOfTask{
-					Step: s, Index: i, Run: t.Run, Failures: t.Failures, Worker: t.Worker, Checkpoint: t.Checkpoint,
+					Step: s, Index: i, Run: t.Run, Failures: t.Failures, Worker: t.Worker, Checkpoint: t.Checkpoint, Leaving: t.Leaving,
 				})
 				changed = true
 			}
@@ -103,6 +104,7 @@
 		}
 		t := &o.Steps[stored.Step][stored.Index]
 		t.Run, t.Failures, t.Worker, t.Checkpoint = stored.Run, stored.Failures, stored.Worker, stored.Checkpoint
+		t.Leaving = stored.Leaving
 	}
 }
 
--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -9,8 +9,9 @@
 	Jobs    []StoredJob
 	Dropped []job.ID // jobs that the log need not keep any longer
 
-	runs []*run
-	ends map[string]int64 // newest end by worker that the batch covers
+	runs    []*run
+	parting []*run
+	ends    map[string]int64 // newest end by worker that the batch covers
 }
 
 // StoredJob is the progress of one job.
@@ -38,6 +39,7 @@
 	clear(p.changed)
 	b.Dropped, p.dropped = p.dropped, nil
 	b.runs, p.held = p.held, nil
+	b.parting, p.parting = p.parting, nil
 	for name, h := range p.workers {
 		if h.seen > h.stored {
 			b.ends[name] = h.seen
@@ -56,11 +58,12 @@
 	for _, r := range b.runs {
 		p.send(at, r)
 	}
-	for name, end := range b.ends {
-		if h, ok := p.workers[name]; ok && h.seen >= end {
-			h.stored = max(h.stored, end)
+	for _, r := range b.parting {
+		if p.find(r.host.info.ID, r.id) == r && r.task.Leaving {
+			p.stop(at, r)
 		}
 	}
+	p.NothingToStore(b)
 }
 
 // NothingToStore acknowledges ends that changed no job.
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -56,6 +56,7 @@
 	evacuated    id.Set[id.DataCentre]
 	changed      map[job.ID]struct{} // jobs whose progress is to be stored
 	held         []*run              // runs that may be started once they are stored
+	parting      []*run              // runs that may be stopped once that is stored
 	actions      []Action
 	dropped      []job.ID // jobs to be removed from the log
 	cordonedTill time.Duration
--- a/internal/jobs/pool/pool_test.go
+++ b/internal/jobs/pool/pool_test.go
@@ -74,6 +74,13 @@
 			}
 		}},
 		{"tasks fail", faults{}, func(w *world) { w.fails = 0.2 }},
+		{"workers are emptied while owners change", faults{}, func(w *world) {
+			for i := range 8 {
+				w.after(time.Duration(i)*1500*time.Millisecond, func() { w.leaving = []string{fmt.Sprintf("w%d", i%4)} })
+				w.after(time.Duration(i)*1500*time.Millisecond+time.Duration(w.random.IntN(1400))*time.Millisecond, func() { w.takeOver() })
+			}
+			w.after(13*time.Second, func() { w.leaving = nil })
+		}},
 		{"a worker drains", faults{}, func(w *world) {
 			w.after(time.Second, func() { w.workers["w2"].draining = true })
 		}},
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -93,6 +93,7 @@
 	tm.used = tm.used.Minus(fullNeed(r.step))
 	if r.task.Run == r.id.Number {
 		r.task.Worker = ""
+		r.task.Leaving = false
 	}
 }
 
@@ -160,6 +161,9 @@
 		r.settled = at.Steady
 		r.began = at.Steady
 		r.job.job.Begun = true
+		if r.task.Leaving {
+			p.stop(at, r) // an earlier owner may have ordered that already
+		}
 	}
 }
 
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -86,21 +86,27 @@
 // atWork reports whether a lasting task serves its users.
 func (p *Pool) atWork(t *job.Task) bool {
 	r := p.runOf(t)
-	return r != nil && r.phase == running && (r.percent >= fullShare || r.paced < fullShare)
+	return r != nil && !t.Leaving && r.phase == running && (r.percent >= fullShare || r.paced < fullShare)
 }
 
 // fullShare is the share of a task that is at work, in percent.
 const fullShare = 100
 
-// Clear moves what lasts off the workers that are to be emptied, as far as each step may miss tasks.
+// Clear moves what lasts off the workers that are to be emptied, as far as each step may miss tasks. That
+// a task leaves is stored before its run is stopped, so that a successor counts it as away.
 func (p *Pool) Clear(at Moment) {
 	for _, h := range p.workers {
 		if !p.leaves(h) || h.silent {
 			continue
 		}
 		for _, r := range h.runs {
-			if r.step.Lasting && r.phase == running && (h.info.Draining || p.spareable(r)) {
-				p.stop(at, r)
+			if !r.step.Lasting || r.phase != running || r.task.Leaving || r.stray {
+				continue
+			}
+			if h.info.Draining || p.spareable(r) {
+				r.task.Leaving = true
+				p.touch(r.job)
+				p.parting = append(p.parting, r)
 			}
 		}
 	}
--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -32,6 +32,9 @@
 	failed  map[job.Name]int
 	places  map[job.Name]int // runs at this moment
 	fails   float64
+	leaving []string            // workers that are to be emptied
+	parting map[worker.Run]bool // runs whose stop was ordered
+	at      map[job.Name]string // worker of a run at this moment
 }
 
 // faults are the chances of what may happen to a single order.
@@ -61,7 +64,7 @@
 func newWorld(seed uint64, workers int) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, log: map[job.ID]*Stored{},
-		work: map[job.Name]time.Duration{}, done: map[job.Name]bool{}, acked: map[job.Name]bool{}, failed: map[job.Name]int{}, places: map[job.Name]int{},
+		work: map[job.Name]time.Duration{}, done: map[job.Name]bool{}, acked: map[job.Name]bool{}, failed: map[job.Name]int{}, places: map[job.Name]int{}, parting: map[worker.Run]bool{}, at: map[job.Name]string{},
 	}
 	for i := range workers {
 		w.addWorker(fmt.Sprintf("w%d", i))
@@ -201,6 +204,7 @@
 	run := &fakeRun{need: needOf(step), began: w.now, serial: w.serial}
 	f.runs[s.Run] = run
 	w.places[s.Task]++
+	w.at[s.Task] = f.id
 	if step.Lasting {
 		return
 	}
@@ -241,6 +245,7 @@
 	f.barred[run.Task] = max(f.barred[run.Task], run.Number)
 	if r, there := f.runs[run]; there {
 		serial := r.serial
+		f.part(run)
 		f.w.after(time.Duration(f.w.random.IntN(800))*time.Millisecond, func() {
 			if now, ok := f.runs[run]; ok && now.serial == serial {
 				f.end(run, worker.Stopped)
@@ -250,6 +255,37 @@
 	return f.answer(), nil
 }
 
+// part checks that a step can miss one more of its tasks when a stop reaches a worker that does not drain.
+func (f *fakeWorker) part(run worker.Run) {
+	w := f.w
+	spec := w.log[run.Task.Job].Spec
+	limit := spec.Steps[run.Task.Step].MaxUnavailable
+	if limit == 0 || f.draining || w.parting[run] {
+		return
+	}
+	w.parting[run] = true
+	away := 0
+	for i := range spec.Steps[run.Task.Step].Count {
+		other := run.Task
+		other.Index = i
+		if i != run.Task.Index && (w.places[other] == 0 || w.partingNow(other)) {
+			away++
+		}
+	}
+	if away >= limit {
+		w.breaks("AVAIL: %v is stopped while %d others are away", run, away)
+	}
+}
+
+func (w *world) partingNow(task job.Name) bool {
+	for run := range w.workers[w.at[task]].runs {
+		if run.Task == task && w.parting[run] {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *fakeWorker) hold(h worker.Hold) (worker.Report, error) {
 	if h.Fence < f.fence {
 		return worker.Report{}, f.refuse(worker.Fenced)
@@ -361,6 +397,7 @@
 	at := o.w.moment()
 	o.pool.SetWorkers(at, o.w.list())
 	o.pool.Tick(at)
+	o.pool.SetCordoned(at, o.w.leaving, nil)
 	if !o.writing {
 		o.pool.Clear(at)
 		o.pool.Place(at)
