pool: Start tasks elsewhere whose runs take far longer than declared

Cause: a job is late when one of its tasks lies on a worker that is slow or stands still. Also: the workers' table is read only where a pool is owned.

--- a/internal/jobs/instance/feed.go
+++ b/internal/jobs/instance/feed.go
@@ -18,6 +18,7 @@
 const (
 	operatorWait = 900 * time.Millisecond // one waiting read of the operators' table
 	workerGap    = 400 * time.Millisecond // between two reads of the workers' table
+	idlePause    = 20 * time.Millisecond  // until it is asked again whether a table is needed
 	feedPause    = 100 * time.Millisecond // after a read that failed
 )
 
@@ -29,16 +30,24 @@
 	gap      time.Duration // pause after a read
 	replace  func(all []stream.Record)
 	take     func(r stream.Record)
+	needed   func() bool // nil for a table that is always followed
 	next     int64
 }
 
 // loop reads the newest records and then follows the table; records that are gone make it start over.
 func (f *feed) loop(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !f.wanted() {
+			sleep(ctx, idlePause)
+			continue
+		}
 		err := f.load(ctx)
-		for err == nil {
+		for err == nil && f.wanted() {
 			err = f.follow(ctx)
 		}
+		if err == nil {
+			continue
+		}
 		var trimmed stream.TrimmedError
 		if errors.As(err, &trimmed) {
 			f.instance.config.Logger.Info("reading a table anew", zap.Stringer("table", f.table), zap.Int64("first", trimmed.First))
@@ -49,6 +58,8 @@
 	return errors.Trace(ctx.Err())
 }
 
+func (f *feed) wanted() bool { return f.needed == nil || f.needed() }
+
 func (f *feed) load(ctx context.Context) error {
 	var all []stream.Record
 	next, err := claim.ReadAll(ctx, f.instance.config.Log, f.table, f.instance.config.Logger, func(r stream.Record) { all = append(all, r) })
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -86,7 +86,7 @@
 func (n *Instance) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	operators := &feed{instance: n, table: n.config.Tables.Operators, wait: operatorWait, replace: n.replaceOperators, take: n.takeOperator}
-	workers := &feed{instance: n, table: n.config.Tables.Workers, gap: workerGap, replace: n.replaceWorkers, take: n.takeWorker}
+	workers := &feed{instance: n, table: n.config.Tables.Workers, gap: workerGap, replace: n.replaceWorkers, take: n.takeWorker, needed: n.ownsPools}
 	table := &feed{instance: n, table: ownerTable(), wait: operatorWait, replace: n.replaceOwners, take: n.takeOwner}
 	members := &membership{instance: n}
 	group.Go(func() error { return operators.loop(ctx) })
@@ -121,6 +121,18 @@
 	return n.catalog != nil && !n.stopping && n.config.Clock.Moment().Steady-n.heard < storeSilence
 }
 
+// ownsPools reports whether any pool runs here, so that its workers must be known.
+func (n *Instance) ownsPools() bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	for _, o := range n.shards {
+		if o.shard != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // hear notes that the store has answered.
 func (n *Instance) hear() {
 	n.mu.Lock()
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -258,7 +258,10 @@
 // sluggishFactor is how much longer than usual runs take on a worker that is avoided.
 const sluggishFactor = 2.5
 
-func (h *host) sluggish() bool { return h.slow > sluggishFactor }
+// overdueInRow is how many runs in a row must have been overdue on a worker that is avoided.
+const overdueInRow = 2
+
+func (h *host) sluggish() bool { return h.slow > sluggishFactor || h.overdue >= overdueInRow }
 
 // reserve keeps the emptiest worker free for a task that lasts.
 func reserve(step *job.Step, hosts []*host, reserved map[*host]bool) {
@@ -322,7 +325,7 @@
 	h := r.host
 	switch how {
 	case worker.Done:
-		h.failures, h.penalties = 0, 0
+		h.failures, h.penalties, h.overdue = 0, 0, 0
 		if r.began > 0 && r.step.Estimate > 0 {
 			ratio := float64(at.Steady-r.began) / float64(r.step.Estimate)
 			if h.slow == 0 {
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -40,9 +40,10 @@
 	job     *job.Job
 	stored  job.State // newest state that the log holds
 	arrived time.Duration
-	due     time.Duration // steady time at which the job is late
-	gone    time.Duration // steady time at which it is forgotten, 0 while it goes on
-	stuck   time.Duration // steady time since which a task that lasts has found no worker, 0 if none
+	due     time.Duration    // steady time at which the job is late
+	gone    time.Duration    // steady time at which it is forgotten, 0 while it goes on
+	rescues map[job.Name]int // runs that were ended because they took too long
+	stuck   time.Duration    // steady time since which a task that lasts has found no worker, 0 if none
 }
 
 // Pool is the state of one pool's jobs and workers.
@@ -130,7 +131,7 @@
 }
 
 func (p *Pool) add(at Moment, j *job.Job) *entry {
-	e := &entry{job: j, arrived: at.Steady}
+	e := &entry{job: j, arrived: at.Steady, rescues: map[job.Name]int{}}
 	// The time since a job was taken is read off two clocks that may differ by seconds.
 	if age := at.Wall.Sub(j.Spec.Accepted); age > 0 && age < maxClockAge {
 		e.arrived -= age
--- a/internal/jobs/pool/restore.go
+++ b/internal/jobs/pool/restore.go
@@ -39,7 +39,7 @@
 
 func (p *Pool) restoreEnded(at Moment, j *job.Job) {
 	left := p.config.Retention - min(max(0, at.Wall.Sub(j.Ended)), p.config.Retention)
-	e := &entry{job: j, stored: j.State, arrived: at.Steady, gone: at.Steady + left}
+	e := &entry{job: j, stored: j.State, arrived: at.Steady, rescues: map[job.Name]int{}, gone: at.Steady + left}
 	p.jobs[j.Spec.ID] = e
 	p.inherit(at, e)
 	p.stopRuns(at, e)
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -112,6 +112,50 @@
 	}
 }
 
+// Bounds on runs that take much longer than declared.
+const (
+	overdueFactor = 2.5 // multiple of the estimate
+	overdueSlack  = 400 * time.Millisecond
+	maxRescues    = 1 // a task that is long everywhere is left to run the second time
+)
+
+// Rescue starts tasks elsewhere whose runs take far longer than declared while other workers have room:
+// their workers may be slow, or stand still.
+func (p *Pool) Rescue(at Moment) {
+	for _, h := range p.workers {
+		if h.silent {
+			continue
+		}
+		for _, r := range h.runs {
+			if p.overdue(at, r) && p.roomElsewhere(at, r) {
+				r.job.rescues[r.id.Task]++
+				h.overdue++
+				p.stop(at, r)
+			}
+		}
+	}
+}
+
+func (p *Pool) overdue(at Moment, r *run) bool {
+	step := r.step
+	if step.Lasting || step.Gang || step.Estimate == 0 || r.phase != running || r.began <= 0 || r.stray {
+		return false
+	}
+	if step.Rack != "" && step.Rack != r.host.info.Rack || r.job.rescues[r.id.Task] >= maxRescues {
+		return false
+	}
+	return at.Steady-r.began > time.Duration(overdueFactor*float64(step.Estimate))+overdueSlack
+}
+
+func (p *Pool) roomElsewhere(at Moment, r *run) bool {
+	for _, h := range p.workers {
+		if h != r.host && p.usable(at, h) && !h.sluggish() && h.free().Holds(r.need) && h.info.Has(r.step.Label) {
+			return true
+		}
+	}
+	return false
+}
+
 // spareable reports whether a task of a lasting step can be away without breaking the step's limit.
 func (p *Pool) spareable(r *run) bool {
 	limit := r.step.MaxUnavailable
--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -400,6 +400,7 @@
 	o.pool.SetCordoned(at, o.w.leaving, nil)
 	if !o.writing {
 		o.pool.Clear(at)
+		o.pool.Rescue(at)
 		o.pool.Place(at)
 		o.write()
 	}
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -65,6 +65,7 @@
 		s.paced = at.Steady
 		s.pool.Pace(at)
 		s.pool.Clear(at)
+		s.pool.Rescue(at)
 		s.wantPlace = true
 	}
 	if s.wantPlace && !s.writing && at.Steady-s.placed >= placeInterval {
