pool: Keep the runs of a worker that is called gone, and remember ended workers

What: only a later life, another life's answer or a newer birth ends runs; a worker called gone is just not used, and is used again when its entry goes on being renewed. A worker whose life is over stays known while its entry stands.

--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -20,6 +20,8 @@
 	info      catalog.Worker
 	listed    bool          // its entry stands in the workers' table
 	cordoned  bool          // is to be emptied now
+	ended     bool          // its life is over, though its entry may stand
+	spared    bool          // has lived on after an order that should have ended it
 	retired   bool          // its life was ended by an order of ours
 	retiredAt time.Duration // the worker's clock in its entry at that time
 	doomed    bool          // is to be emptied soon
@@ -84,8 +86,9 @@
 			p.config.Observer.WorkerChanged(info.ID, "draining changed")
 		}
 		if h.retired && info.Clock > h.retiredAt+retiredLife {
-			// Its entry is still renewed: the order that should have ended it had been carried out before.
-			h.retired = false
+			// Its entry is still renewed: the order had been carried out before it began.
+			h.retired, h.spared = false, true
+			p.config.Observer.WorkerChanged(info.ID, "lives on")
 		}
 		h.info = info
 		h.listed = true
@@ -111,13 +114,14 @@
 	}
 }
 
-// Retire ends workers whose instances were moved or taken down: their lives are over, though their
-// entries may stay in the workers' table for a while.
-func (p *Pool) Retire(at Moment, names []string) {
+// Retire keeps new work off workers whose instances were moved or taken down, though their entries may
+// stay in the workers' table for a while. It ends no run: an order that is answered as carried out may
+// have been carried out before, on an earlier worker of the instance.
+func (p *Pool) Retire(names []string) {
 	for _, name := range names {
-		if h, ok := p.workers[name]; ok && !h.retired {
+		if h, ok := p.workers[name]; ok && !h.retired && !h.spared {
 			h.retired, h.retiredAt = true, h.info.Clock
-			p.over(at, h)
+			p.config.Observer.WorkerChanged(name, "was moved or taken down")
 		}
 	}
 }
@@ -151,7 +155,7 @@
 	h.seen, h.stored, h.acked = 0, 0, 0
 	h.leaseEnd = 0
 	h.clock, h.clockAt = 0, at.Steady
-	h.answered, h.retired = false, false
+	h.answered, h.retired, h.spared, h.ended = false, false, false, false
 }
 
 // loseAll ends every run of a worker whose life or lease is over.
@@ -164,7 +168,7 @@
 
 // usable reports whether a worker may get new work.
 func (p *Pool) usable(at Moment, h *host) bool {
-	return h.listed && !h.retired && len(h.strange) == 0 && h.answered && !h.silent && !h.cordoned && !h.info.Draining &&
+	return h.listed && !h.ended && !h.retired && len(h.strange) == 0 && h.answered && !h.silent && !h.cordoned && !h.info.Draining &&
 		at.Steady >= h.avoid && !p.evacuated.Has(h.info.DataCentre)
 }
 
@@ -181,8 +185,7 @@
 	}
 	for name, h := range p.workers {
 		later, ok := newest[h.info.Instance]
-		if ok && later.ID != name && later.Born.After(h.info.Born) && !h.retired {
-			h.retired = true
+		if ok && later.ID != name && later.Born.After(h.info.Born) && !h.ended {
 			p.over(at, h)
 		}
 	}
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -60,7 +60,7 @@
 }
 
 func (p *Pool) look(at Moment, h *host) {
-	if h.retired || !h.info.Address.IsValid() || at.Steady < h.nextLook {
+	if h.ended || !h.info.Address.IsValid() || at.Steady < h.nextLook {
 		return
 	}
 	unsure := h.unsure()
@@ -68,6 +68,9 @@
 		return
 	}
 	busy := len(h.runs)+len(h.strange) > 0
+	if h.retired && !busy {
+		return
+	}
 	if !busy && h.stored <= h.acked && (h.answered || !h.listed) && !(h.silent && h.listed) {
 		return
 	}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -191,9 +191,9 @@
 func (p *Pool) over(at Moment, h *host) {
 	p.config.Observer.WorkerChanged(h.info.ID, "is over")
 	p.loseAll(at, h)
-	h.listed = false
-	h.answered = false
+	h.ended = true
 	h.leaseEnd = 0
+	h.stored, h.acked = 0, 0
 }
 
 // stop ends a run that may exist.
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -86,7 +86,7 @@
 // atWork reports whether a lasting task serves its users.
 func (p *Pool) atWork(t *job.Task) bool {
 	r := p.runOf(t)
-	return r != nil && !t.Leaving && r.phase == running && (r.percent >= fullShare || r.paced < fullShare)
+	return r != nil && !t.Leaving && !r.host.silent && r.phase == running && (r.percent >= fullShare || r.paced < fullShare)
 }
 
 // fullShare is the share of a task that is at work, in percent.
--- a/internal/jobs/shard/ask.go
+++ b/internal/jobs/shard/ask.go
@@ -60,7 +60,7 @@
 		}
 		s.keeper = o.Fence
 		s.pool.SetCordoned(at, o.Leave, o.Later)
-		s.pool.Retire(at, o.Gone)
+		s.pool.Retire(o.Gone)
 		load = loadOf(s.pool.Load(at))
 		s.wantPlace = true
 	})
