pool: Ask for advice on workers, and turn away what nobody will wait for

Cause: starts on advised queues were sent without a ticket; in a surge beyond all room every job was taken and all of them were late. What: a step of an advised queue asks about workers with room, a few questions at a time, and starts only on those with a ticket that holds; a job is refused, with the time until the work before it is done, when it would end after three times its allowed time even with every instance that is to be had.

--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -10,6 +10,7 @@
 
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
@@ -68,8 +69,10 @@
 	if known, err := n.inFormerPool(ctx, q, spec.ID); err != nil || known {
 		return err
 	}
-	if err := n.submitToOwner(ctx, spec); err == nil {
-		return nil
+	err := n.submitToOwner(ctx, spec)
+	var full FullError
+	if err == nil || errors.As(err, &full) {
+		return err
 	}
 	record, err := shard.SpecRecord(&spec)
 	if err != nil {
@@ -91,23 +94,32 @@
 		return err
 	}
 	if here != nil {
-		return here.Submit(ctx, spec)
+		err := here.Submit(ctx, spec)
+		var full pool.FullError
+		if errors.As(err, &full) {
+			return FullError{Retry: full.Wait}
+		}
+		return err
+	}
+	taken, err := n.config.Peers.Submit(ctx, owner, spec)
+	if err == nil && taken.Full {
+		return FullError{Retry: taken.Wait}
 	}
-	return n.config.Peers.Submit(ctx, owner, spec)
+	return err
 }
 
 // cancelAtOwner has the owner of a pool end a job and reports whether it holds the job.
-func (n *Instance) cancelAtOwner(ctx context.Context, pool string, name job.ID) (bool, error) {
+func (n *Instance) cancelAtOwner(ctx context.Context, unit string, name job.ID) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	owner, here, err := n.owner(pool)
+	owner, here, err := n.owner(unit)
 	if err != nil {
 		return false, err
 	}
 	if here != nil {
 		return here.Cancel(ctx, name)
 	}
-	answer, err := n.config.Peers.Cancel(ctx, owner, relay.Question{Pool: pool, Job: name})
+	answer, err := n.config.Peers.Cancel(ctx, owner, relay.Question{Pool: unit, Job: name})
 	return answer.Known, err
 }
 
@@ -116,11 +128,11 @@
 	n.mu.RLock()
 	former := slices.Clone(n.former[q.Name])
 	n.mu.RUnlock()
-	for _, pool := range former {
-		if pool == q.Pool {
+	for _, unit := range former {
+		if unit == q.Pool {
 			continue
 		}
-		_, known, err := n.ask(ctx, pool, name)
+		_, known, err := n.ask(ctx, unit, name)
 		if err != nil {
 			return false, NotReadyError{Reason: err.Error(), Retry: retryAfter}
 		}
@@ -200,13 +212,13 @@
 
 // locate finds a job in the pool of its queue, or in another that has it from an earlier configuration.
 func (n *Instance) locate(ctx context.Context, q catalog.Queue, name job.ID) (job.State, string, error) {
-	for _, pool := range n.poolsFrom(q.Pool) {
-		state, known, err := n.askUntil(ctx, pool, name)
+	for _, unit := range n.poolsFrom(q.Pool) {
+		state, known, err := n.askUntil(ctx, unit, name)
 		if err != nil {
-			return 0, pool, NotReadyError{Reason: err.Error(), Retry: retryAfter}
+			return 0, unit, NotReadyError{Reason: err.Error(), Retry: retryAfter}
 		}
 		if known {
-			return state, pool, nil
+			return state, unit, nil
 		}
 	}
 	return 0, "", NoJobError{Job: name}
@@ -226,9 +238,9 @@
 }
 
 // askUntil asks the owner of a pool for a job until it answers or the time is over.
-func (n *Instance) askUntil(ctx context.Context, pool string, name job.ID) (job.State, bool, error) {
+func (n *Instance) askUntil(ctx context.Context, unit string, name job.ID) (job.State, bool, error) {
 	for {
-		state, known, err := n.ask(ctx, pool, name)
+		state, known, err := n.ask(ctx, unit, name)
 		if err == nil {
 			return state, known, nil
 		}
@@ -239,33 +251,33 @@
 	}
 }
 
-func (n *Instance) ask(ctx context.Context, pool string, name job.ID) (job.State, bool, error) {
+func (n *Instance) ask(ctx context.Context, unit string, name job.ID) (job.State, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	owner, here, err := n.owner(pool)
+	owner, here, err := n.owner(unit)
 	if err != nil {
 		return 0, false, err
 	}
 	if here != nil {
 		return here.State(ctx, name)
 	}
-	answer, err := n.config.Peers.State(ctx, owner, relay.Question{Pool: pool, Job: name})
+	answer, err := n.config.Peers.State(ctx, owner, relay.Question{Pool: unit, Job: name})
 	return answer.State, answer.Known, err
 }
 
 // owner returns the instance that owns a pool, or the pool itself when it is run here.
-func (n *Instance) owner(pool string) (netip.AddrPort, *shard.Shard, error) {
+func (n *Instance) owner(unit string) (netip.AddrPort, *shard.Shard, error) {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	if o, ok := n.shards[pool]; ok && o.shard != nil {
+	if o, ok := n.shards[unit]; ok && o.shard != nil {
 		return netip.AddrPort{}, o.shard, nil
 	}
-	address, ok := n.owners[pool]
+	address, ok := n.owners[unit]
 	if !ok {
-		return netip.AddrPort{}, nil, errors.Errorf("no owner of pool %s is known", pool)
+		return netip.AddrPort{}, nil, errors.Errorf("no owner of pool %s is known", unit)
 	}
 	if address == n.config.Settings.Peers {
-		return address, nil, errors.Errorf("pool %s is being taken over here", pool)
+		return address, nil, errors.Errorf("pool %s is being taken over here", unit)
 	}
 	return address, nil, nil
 }
@@ -273,8 +285,8 @@
 // Cancel ends a job.
 func (n *Instance) Cancel(ctx context.Context, q catalog.Queue, name job.ID) error {
 	unsure := false
-	for _, pool := range n.poolsFrom(q.Pool) {
-		known, err := n.cancelAtOwner(ctx, pool, name)
+	for _, unit := range n.poolsFrom(q.Pool) {
+		known, err := n.cancelAtOwner(ctx, unit, name)
 		if err == nil && known {
 			return nil
 		}
--- a/internal/jobs/instance/error.go
+++ b/internal/jobs/instance/error.go
@@ -39,3 +39,11 @@
 
 // Error returns the reason.
 func (e UnknownError) Error() string { return "outcome unknown: " + e.Reason }
+
+// FullError reports a job that was refused because it could not end in any useful time.
+type FullError struct{ Retry time.Duration } // when to come back
+
+// Error returns when to come back.
+func (e FullError) Error() string {
+	return fmt.Sprintf("not run: the pool has work for %v before this job", e.Retry)
+}
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -8,18 +8,19 @@
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
 // own returns a pool that runs here.
-func (n *Instance) own(pool string) (*shard.Shard, error) {
+func (n *Instance) own(unit string) (*shard.Shard, error) {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	o, ok := n.shards[pool]
+	o, ok := n.shards[unit]
 	if !ok || o.shard == nil {
-		return nil, shard.EndedError{Pool: pool}
+		return nil, shard.EndedError{Pool: unit}
 	}
 	return o.shard, nil
 }
@@ -35,12 +36,17 @@
 }
 
 // TakeSubmit stores a job of a pool that runs here.
-func (n *Instance) TakeSubmit(ctx context.Context, spec job.Spec) error {
+func (n *Instance) TakeSubmit(ctx context.Context, spec job.Spec) (relay.Taken, error) {
 	s, err := n.own(spec.Pool)
 	if err != nil {
-		return err
+		return relay.Taken{}, err
 	}
-	return s.Submit(ctx, spec)
+	err = s.Submit(ctx, spec)
+	var full pool.FullError
+	if errors.As(err, &full) {
+		return relay.Taken{Full: true, Wait: full.Wait}, nil
+	}
+	return relay.Taken{}, err
 }
 
 // TakeCancel ends a job of a pool that runs here.
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -29,6 +29,7 @@
 
 // Orders is what a pool is asked to do with its workers.
 type Orders struct {
+	Reach int      `cbor:"5,keyasint,omitempty"` // thousandths of a core that the pool can get beside what it has
 	Fence int64    `cbor:"4,keyasint,omitempty"` // of the keeper that gives them; lower ones are refused
 	Leave []string `cbor:"1,keyasint,omitempty"` // workers to be emptied
 	Later []string `cbor:"2,keyasint,omitempty"` // workers to be emptied soon, where nothing that lasts should start
@@ -281,6 +282,7 @@
 		for w := range r.gone {
 			o.Gone = append(o.Gone, w)
 		}
+		o.Reach = r.reach()
 		slices.Sort(o.Leave)
 		r.plan.Orders[pool] = o
 	}
--- a/internal/jobs/machines/size.go
+++ b/internal/jobs/machines/size.go
@@ -185,3 +185,12 @@
 		r.move(m, r.Spare)
 	}
 }
+
+// reach returns the processors of the instances that no pool needs now, in thousandths of a core.
+func (r *round) reach() int {
+	count := r.idle()
+	for _, size := range r.plan.Sizes {
+		count += max(0, size.Present-size.Needed)
+	}
+	return count * r.capacity().CPU
+}
--- /dev/null
+++ b/internal/jobs/pool/admit.go
@@ -0,0 +1,59 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+)
+
+// FullError reports a job that could not end before its caller has given it up; it was not taken.
+type FullError struct{ Wait time.Duration } // until the work before it is done
+
+// Error returns the wait.
+func (e FullError) Error() string {
+	return fmt.Sprintf("pool: work for %v stands before the job", e.Wait)
+}
+
+// Admit refuses a job when the work that stands before it, spread over the room that the pool has and can
+// get, ends so late that nobody waits for the job any longer: a surge that no room can hold is turned
+// away at its end instead of making everything late. A job that is known is never refused.
+func (p *Pool) Admit(spec *job.Spec) error {
+	if _, known := p.jobs[spec.ID]; known || spec.Times > 0 || spec.Lasting() {
+		return nil
+	}
+	room := p.reach
+	for _, h := range p.workers {
+		if h.listed && !h.ended && !h.info.Draining && !p.evacuated.Has(h.info.DataCentre) {
+			room += h.info.Capacity.CPU
+		}
+	}
+	if room == 0 {
+		return nil // the workers are not known yet
+	}
+	wait := p.backlog() / time.Duration(room)
+	if objective := spec.Objective(); objective > 0 && wait+spec.Chain() > lateFactor*objective {
+		return FullError{Wait: wait}
+	}
+	return nil
+}
+
+// SetReach notes how many thousandths of a core the pool can get beside what it has.
+func (p *Pool) SetReach(cpu int) { p.reach = cpu }
+
+// backlog returns the work of all accepted tasks that are not done, as time of a thousandth of a core.
+func (p *Pool) backlog() time.Duration {
+	var sum time.Duration
+	for _, e := range p.active {
+		if e.job.State.Ended() {
+			continue
+		}
+		for _, o := range e.job.Occurrences {
+			for s := range o.Steps {
+				step := &e.job.Spec.Steps[s]
+				sum += time.Duration(o.Left(s)*step.CPU) * step.Estimate
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/jobs/pool/advice.go
@@ -0,0 +1,146 @@
+package pool
+
+import (
+	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+)
+
+// Bounds on questions to the advice service, which answers one at a time and slower the more workers
+// a question names.
+const (
+	maxQuestions  = 3 // on their way from one pool
+	adviceWorkers = 24
+	ticketSlack   = 300 * time.Millisecond // a ticket must be valid for longer when its start goes out
+	adviceRetry   = 400 * time.Millisecond // after a question that was not answered
+)
+
+// AdviseAction asks which workers may run a step; the outcome goes to Advised.
+type AdviseAction struct {
+	Step    job.Name
+	Workers []string
+}
+
+func (AdviseAction) action() {}
+
+// advice is what is known of the workers for one step of an advised queue.
+type advice struct {
+	tickets map[string]ticket
+	barred  map[string]bool // workers that may not run the step
+	asking  bool
+	retry   time.Duration
+}
+
+type ticket struct {
+	text  string
+	until time.Duration
+}
+
+func stepName(it *item) job.Name {
+	return job.Name{Job: it.entry.job.Spec.ID, Occurrence: it.repeat.Number, Step: it.step}
+}
+
+func (e *entry) adviceFor(step job.Name) *advice {
+	if e.advice == nil {
+		e.advice = map[job.Name]*advice{}
+	}
+	a, ok := e.advice[step]
+	if !ok {
+		a = &advice{tickets: map[string]ticket{}, barred: map[string]bool{}}
+		e.advice[step] = a
+	}
+	return a
+}
+
+// valid returns the ticket for a worker, or an empty text when there is none that holds long enough.
+func (a *advice) valid(worker string, now time.Duration) string {
+	t, ok := a.tickets[worker]
+	if !ok || now+ticketSlack > t.until {
+		return ""
+	}
+	return t.text
+}
+
+// advised returns the workers that hold a ticket for a step, and asks about others while tasks wait.
+func (p *Pool) advised(at Moment, it *item, hosts []*host) []*host {
+	step := &it.entry.job.Spec.Steps[it.step]
+	a := it.entry.adviceFor(stepName(it))
+	var allowed []*host
+	var unknown []string
+	room := 0
+	for _, h := range hosts {
+		if !h.info.Has(step.Label) {
+			continue
+		}
+		switch {
+		case a.valid(h.info.ID, at.Steady) != "":
+			allowed = append(allowed, h)
+			room += fits(h, step)
+		case !a.barred[h.info.ID] && h.free().Holds(needOf(step)) && len(unknown) < adviceWorkers:
+			unknown = append(unknown, h.info.ID)
+		}
+	}
+	waiting := 0
+	for i := range it.repeat.Steps[it.step] {
+		if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
+			waiting++
+		}
+	}
+	if room < waiting && len(unknown) > 0 && !a.asking && at.Steady >= a.retry && p.questions < maxQuestions {
+		a.asking = true
+		p.questions++
+		p.actions = append(p.actions, AdviseAction{Step: stepName(it), Workers: unknown})
+	}
+	return allowed
+}
+
+// fits returns how many tasks of a step a worker has room for.
+func fits(h *host, step *job.Step) int {
+	need, free, n := needOf(step), h.free(), 0
+	for free.Holds(need) && n < step.Count {
+		free = free.Minus(need)
+		n++
+	}
+	return n
+}
+
+// Advised takes in the outcome of an AdviseAction.
+func (p *Pool) Advised(at Moment, a AdviseAction, answer worker.Advice, err error) {
+	p.questions--
+	e, ok := p.jobs[a.Step.Job]
+	if !ok {
+		return
+	}
+	known := e.adviceFor(a.Step)
+	known.asking = false
+	if err != nil {
+		known.retry = at.Steady + adviceRetry
+		return
+	}
+	for _, name := range a.Workers {
+		text, good := answer.Tickets[name]
+		if !good {
+			known.barred[name] = true
+			continue
+		}
+		known.tickets[name] = ticket{text: text, until: at.Steady + answer.Valid}
+	}
+}
+
+// ticketOf returns the ticket that a run's start carries.
+func (p *Pool) ticketOf(at Moment, r *run) string {
+	if !r.job.job.Spec.Policy.Advised {
+		return ""
+	}
+	step := r.id.Task
+	step.Index = 0
+	return r.job.adviceFor(step).tickets[r.host.info.ID].text
+}
+
+// dropTicket forgets a ticket that a worker has refused.
+func (p *Pool) dropTicket(r *run) {
+	step := r.id.Task
+	step.Index = 0
+	delete(r.job.adviceFor(step).tickets, r.host.info.ID)
+}
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -47,7 +47,7 @@
 	p.crowded = false
 	reserved := map[*host]bool{}
 	for i := range items {
-		hosts = p.placeItem(at, &items[i], hosts, reserved)
+		p.placeItem(at, &items[i], hosts, reserved)
 	}
 }
 
@@ -146,11 +146,14 @@
 }
 
 // placeItem starts the waiting tasks of a step as far as they fit.
-func (p *Pool) placeItem(at Moment, it *item, hosts []*host, reserved map[*host]bool) []*host {
+func (p *Pool) placeItem(at Moment, it *item, hosts []*host, reserved map[*host]bool) {
 	step := &it.entry.job.Spec.Steps[it.step]
+	if it.entry.job.Spec.Policy.Advised {
+		hosts = p.advised(at, it, hosts)
+	}
 	if step.Gang {
 		p.placeGang(at, it, hosts, reserved)
-		return hosts
+		return
 	}
 	tm := p.team(it.entry.job.Spec.Team)
 	tasks := it.repeat.Steps[it.step]
@@ -160,7 +163,7 @@
 			continue
 		}
 		if !tm.admits(fullNeed(step)) {
-			return hosts
+			return
 		}
 		h := p.choose(it, step, hosts, reserved)
 		if h == nil {
@@ -171,12 +174,11 @@
 					it.entry.stuck = at.Steady
 				}
 			}
-			return hosts
+			return
 		}
 		p.place(at, it.entry, t, h)
 	}
 	it.entry.stuck = 0
-	return hosts
 }
 
 // choose returns the best worker for a task of a step, or nil when it fits nowhere.
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -40,10 +40,11 @@
 	job     *job.Job
 	stored  job.State // newest state that the log holds
 	arrived time.Duration
-	due     time.Duration    // steady time at which the job is late
-	gone    time.Duration    // steady time at which it is forgotten, 0 while it goes on
-	rescues map[job.Name]int // runs that were ended because they took too long
-	stuck   time.Duration    // steady time since which a task that lasts has found no worker, 0 if none
+	due     time.Duration        // steady time at which the job is late
+	gone    time.Duration        // steady time at which it is forgotten, 0 while it goes on
+	advice  map[job.Name]*advice // by step, for advised queues
+	rescues map[job.Name]int     // runs that were ended because they took too long
+	stuck   time.Duration        // steady time since which a task that lasts has found no worker, 0 if none
 }
 
 // Pool is the state of one pool's jobs and workers.
@@ -62,6 +63,8 @@
 	dropped      []job.ID // jobs to be removed from the log
 	cordonedTill time.Duration
 	arrivals     arrivals
+	reach        int  // thousandths of a core that the pool can get beside what it has
+	questions    int  // to the advice service that are on their way
 	crowded      bool // the last round left a task that fits nowhere
 }
 
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -112,7 +112,7 @@
 	r.phase = sending
 	p.actions = append(p.actions, StartAction{To: h.target(), Start: worker.Start{
 		Run: r.id, Text: r.job.job.Spec.Text, Until: h.until(at.Steady, p.config.Lease),
-		Fence: p.config.Fence, Checkpoint: r.task.Checkpoint,
+		Fence: p.config.Fence, Checkpoint: r.task.Checkpoint, Ticket: p.ticketOf(at, r),
 	}})
 }
 
@@ -181,6 +181,10 @@
 		h.avoid = at.Steady + refusalPause
 		h.nextLook = at.Steady
 	}
+	if reason == worker.NoTicket {
+		p.dropTicket(r)
+		h.avoid = at.Steady
+	}
 	if reason == worker.Invalid {
 		r.job.job.Fail(r.task, at.Wall)
 	}
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
@@ -27,8 +28,11 @@
 	Job  job.ID `cbor:"2,keyasint"`
 }
 
-// Ack answers a message that wants no content.
-type Ack struct{}
+// Taken answers a job that was handed in; Full tells that it was refused, and Wait when to come back.
+type Taken struct {
+	Full bool          `cbor:"1,keyasint,omitempty"`
+	Wait time.Duration `cbor:"2,keyasint,omitempty"`
+}
 
 // State answers a Question, also one that asked for a cancellation.
 type State struct {
@@ -67,7 +71,7 @@
 // Service answers the other instances.
 type Service interface {
 	TakeQuestion(ctx context.Context, q Question) (State, error)
-	TakeSubmit(ctx context.Context, spec job.Spec) error
+	TakeSubmit(ctx context.Context, spec job.Spec) (Taken, error)
 	TakeCancel(ctx context.Context, q Question) (State, error)
 	TakePending(ctx context.Context, p Pool) (Pending, error)
 	TakeStore(ctx context.Context, s Store) (Stored, error)
@@ -88,9 +92,8 @@
 }
 
 // Submit hands a job to the owner of its pool, which stores it.
-func (c *Client) Submit(ctx context.Context, to netip.AddrPort, spec job.Spec) error {
-	_, err := peer.Call[job.Spec, Ack](ctx, c.peers, to, submitPath, &spec)
-	return err
+func (c *Client) Submit(ctx context.Context, to netip.AddrPort, spec job.Spec) (Taken, error) {
+	return peer.Call[job.Spec, Taken](ctx, c.peers, to, submitPath, &spec)
 }
 
 // Cancel has the owner of a pool end a job.
@@ -117,7 +120,7 @@
 func NewHandler(s Service) http.Handler {
 	mux := http.NewServeMux()
 	peer.Handle(mux, statePath, func(ctx context.Context, m *Question) (State, error) { return s.TakeQuestion(ctx, *m) })
-	peer.Handle(mux, submitPath, func(ctx context.Context, m *job.Spec) (Ack, error) { return Ack{}, s.TakeSubmit(ctx, *m) })
+	peer.Handle(mux, submitPath, func(ctx context.Context, m *job.Spec) (Taken, error) { return s.TakeSubmit(ctx, *m) })
 	peer.Handle(mux, cancelPath, func(ctx context.Context, m *Question) (State, error) { return s.TakeCancel(ctx, *m) })
 	peer.Handle(mux, pendingPath, func(ctx context.Context, m *Pool) (Pending, error) { return s.TakePending(ctx, *m) })
 	peer.Handle(mux, storePath, func(ctx context.Context, m *Store) (Stored, error) { return s.TakeStore(ctx, *m) })
--- a/internal/jobs/shard/ask.go
+++ b/internal/jobs/shard/ask.go
@@ -61,6 +61,7 @@
 		s.keeper = o.Fence
 		s.pool.SetCordoned(at, o.Leave, o.Later)
 		s.pool.Retire(o.Gone)
+		s.pool.SetReach(o.Reach)
 		load = loadOf(s.pool.Load(at))
 		s.wantPlace = true
 	})
--- a/internal/jobs/shard/intake.go
+++ b/internal/jobs/shard/intake.go
@@ -8,13 +8,20 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
-// Submit takes a job and returns once it is stored; after an error it may be stored yet.
+// Submit takes a job and returns once it is stored; a pool.FullError says that it was not taken, and after
+// any other error it may be stored yet.
 func (s *Shard) Submit(ctx context.Context, spec job.Spec) error {
 	record, err := SpecRecord(&spec)
 	if err != nil {
 		return err
 	}
-	return s.handIn(ctx, record, func(at pool.Moment) { s.pool.Submit(at, spec) })
+	return s.handIn(ctx, record, func(at pool.Moment) error {
+		if err := s.pool.Admit(&spec); err != nil {
+			return err
+		}
+		s.pool.Submit(at, spec)
+		return nil
+	})
 }
 
 // Cancel ends a job and returns once that is stored; it reports whether the pool holds the job.
@@ -23,17 +30,23 @@
 	if err != nil || !known {
 		return known, err
 	}
-	return true, s.handIn(ctx, CancelRecord(name), func(at pool.Moment) { s.pool.Cancel(at, name) })
+	return true, s.handIn(ctx, CancelRecord(name), func(at pool.Moment) error {
+		s.pool.Cancel(at, name)
+		return nil
+	})
 }
 
-// handIn lets the control thread take something in and waits until its record is stored.
-func (s *Shard) handIn(ctx context.Context, r stream.Record, take func(at pool.Moment)) error {
+// handIn lets the control thread take something in, unless that refuses, and waits until its record is stored.
+func (s *Shard) handIn(ctx context.Context, r stream.Record, take func(at pool.Moment) error) error {
 	if err := s.ready(ctx); err != nil {
 		return err
 	}
 	stored := make(chan struct{})
+	var refused error
 	err := s.do(ctx, func(at pool.Moment) {
-		take(at)
+		if refused = take(at); refused != nil {
+			return
+		}
 		s.handedIn = append(s.handedIn, r)
 		s.callers = append(s.callers, stored)
 		s.wantPlace = true
@@ -41,6 +54,9 @@
 	if err != nil {
 		return err
 	}
+	if refused != nil {
+		return refused
+	}
 	select {
 	case <-stored:
 		return nil
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -282,6 +282,9 @@
 	case pool.LookAction:
 		report, err := w.Hold(ctx, a.To, a.Hold)
 		outcome = func(at pool.Moment) { s.pool.Looked(at, a, report, err) }
+	case pool.AdviseAction:
+		advice, err := s.config.Advisor.Advise(ctx, a.Step, a.Workers)
+		outcome = func(at pool.Moment) { s.pool.Advised(at, a, advice, err) }
 	case pool.PaceAction:
 		answer, err := w.Pace(ctx, a.To, a.Run, a.Percent, a.Fence)
 		outcome = func(at pool.Moment) { s.pool.Paced(at, a, answer, err) }
