explain: Tell a job's story from several logs; check settings; bound batches and names

Cause: on-call engineers have only logs and metrics; a settings file could not be checked; one batch could hold any number of jobs while the log bounds a call at 2 MB; a rules file with a name of 70,000 letters was taken.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"marigoldshed.example/marigoldshed/operator"
+	"marigoldshed.example/marigoldshed/platform"
 	"marigoldshed.example/marigoldshed/rules"
 	"marigoldshed.example/marigoldshed/settings"
 )
@@ -50,10 +51,11 @@
 	var usage *flags.Error
 	var faults settings.Faults
 	var lines rules.Errors
+	var field platform.FieldError
 	var refused operator.RefusedError
 	var pending operator.PendingError
 	switch {
-	case errors.As(err, &usage), errors.As(err, &faults), errors.As(err, &lines):
+	case errors.As(err, &usage), errors.As(err, &faults), errors.As(err, &lines), errors.As(err, &field):
 		return exitUsage
 	case errors.As(err, &refused):
 		return exitRefused
@@ -73,7 +75,8 @@
 		{"serve", "Run one entry instance.", &serveCommand{}},
 		{"run", "Run one instance on the platform's machines.", &runCommand{}},
 		{"standin", "Run a small fake of the platform or of an endpoint.", &standinCommand{Platform: platformCommand{output: o}, Endpoint: endpointCommand{output: o}}},
-		{"check", "Check a rules file.", &checkCommand{output: o}},
+		{"explain", "Tell the story of a job from the logs of several instances.", &explainCommand{output: o}},
+		{"check", "Check a rules file or a settings file.", &checkCommand{output: o}},
 		{"plan", "Show what a rules file would change.", &planCommand{output: o}},
 		{"apply", "Put a rules file into force.", &applyCommand{output: o}},
 		{"pull", "Print the rules file in force.", &pullCommand{output: o}},
--- a/commands/rules.go
+++ b/commands/rules.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"marigoldshed.example/marigoldshed/operator"
+	"marigoldshed.example/marigoldshed/platform"
 	"marigoldshed.example/marigoldshed/rules"
 )
 
@@ -74,12 +75,21 @@
 }
 
 type checkCommand struct {
+	Settings bool `long:"settings" description:"the file is a settings file of the platform, not a rules file"`
 	fileArgument
 	output
 }
 
-// Execute checks a rules file and names every fault.
+// Execute checks a rules file and names every fault, or a settings file and names the first.
 func (c *checkCommand) Execute([]string) error {
+	if c.Settings {
+		set, err := platform.LoadSettings(c.Args.File)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		c.printf("instance %s in %s serves callers at %s: no fault\n", set.Name, set.DataCentre, set.Callers)
+		return nil
+	}
 	_, set, err := c.checked()
 	if err != nil {
 		return err
--- a/internal/jobs/instance/feed.go
+++ b/internal/jobs/instance/feed.go
@@ -166,8 +166,10 @@
 		if i < 0 || after.Queues[i].Pool == old.Pool {
 			continue
 		}
-		former := append(n.former[old.Name], old.Pool)
-		n.former[old.Name] = former[max(0, len(former)-maxFormer):]
+		n.former[old.Name] = append(n.former[old.Name], old.Pool)
+		if extra := len(n.former[old.Name]) - maxFormer; extra > 0 {
+			n.former[old.Name] = n.former[old.Name][extra:]
+		}
 	}
 }
 
--- a/internal/jobs/job/job.go
+++ b/internal/jobs/job/job.go
@@ -65,7 +65,7 @@
 	return j
 }
 
-func (j *Job) open(number int) *Occurrence {
+func (j *Job) open(number int) {
 	o := &Occurrence{Number: number, Steps: make([][]Task, len(j.Spec.Steps)), left: make([]int, len(j.Spec.Steps))}
 	for s, step := range j.Spec.Steps {
 		o.Steps[s] = make([]Task, step.Count)
@@ -76,7 +76,6 @@
 	}
 	j.Occurrences = append(j.Occurrences, o)
 	j.next = max(j.next, number+1)
-	return o
 }
 
 // Advance opens the occurrences that are due and reports whether there were any.
--- a/internal/jobs/pool/advice.go
+++ b/internal/jobs/pool/advice.go
@@ -129,7 +129,7 @@
 }
 
 // ticketOf returns the ticket that a run's start carries.
-func (p *Pool) ticketOf(at Moment, r *run) string {
+func (p *Pool) ticketOf(r *run) string {
 	if !r.job.job.Spec.Policy.Advised {
 		return ""
 	}
--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -23,23 +23,29 @@
 // Empty reports whether there is nothing to store.
 func (b *Batch) Empty() bool { return len(b.Jobs) == 0 && len(b.Dropped) == 0 }
 
-// maxBatchJobs bounds the jobs of one batch.
+// maxBatchJobs bounds the jobs of one batch, and so its bytes.
 const maxBatchJobs = 400
 
-// Flush returns what has changed since the last call.
+// Flush returns what has changed since the last call, or as much of it as one batch holds.
 func (p *Pool) Flush() *Batch {
 	b := &Batch{ends: map[string]int64{}}
+	taken := map[job.ID]bool{}
 	for name := range p.changed {
-		e, ok := p.jobs[name]
-		if !ok {
-			continue
+		if len(b.Jobs) == maxBatchJobs {
+			break
+		}
+		delete(p.changed, name)
+		if e, ok := p.jobs[name]; ok {
+			taken[name] = true
+			b.Jobs = append(b.Jobs, StoredJob{ID: name, Progress: e.job.Progress()})
 		}
-		b.Jobs = append(b.Jobs, StoredJob{ID: name, Progress: e.job.Progress()})
 	}
-	clear(p.changed)
 	b.Dropped, p.dropped = p.dropped, nil
-	b.runs, p.held = p.held, nil
-	b.parting, p.parting = p.parting, nil
+	b.runs, p.held = split(p.held, taken)
+	b.parting, p.parting = split(p.parting, taken)
+	if len(p.changed) > 0 {
+		return b // the ends of what is left over are not stored yet
+	}
 	for name, h := range p.workers {
 		if h.seen > h.stored {
 			b.ends[name] = h.seen
@@ -48,6 +54,18 @@
 	return b
 }
 
+// split returns the runs of the jobs that were taken, and the others.
+func split(runs []*run, taken map[job.ID]bool) (in, out []*run) {
+	for _, r := range runs {
+		if taken[r.id.Task.Job] {
+			in = append(in, r)
+			continue
+		}
+		out = append(out, r)
+	}
+	return in, out
+}
+
 // Stored lets happen what waited for a batch: its runs are ordered and its ends acknowledged.
 func (p *Pool) Stored(at Moment, b *Batch) {
 	for _, s := range b.Jobs {
--- /dev/null
+++ b/internal/jobs/pool/flush_test.go
@@ -0,0 +1,39 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+)
+
+// TestLargeBatches stores more jobs than one batch holds in several, and orders no run before its job is
+// stored.
+func TestLargeBatches(t *testing.T) {
+	w, o := settled(t)
+	p, at := o.pool, w.moment()
+	p.Actions()
+	for i := range maxBatchJobs + 50 {
+		spec := shortJob(1)
+		spec.Steps[0].CPU, spec.Steps[0].MemoryMB = 1, 1
+		spec.ID = job.ID(fmt.Sprintf("%016x", i))
+		p.Submit(at, spec)
+	}
+	p.Place(at)
+	stored := map[job.ID]bool{}
+	for _, want := range []int{maxBatchJobs, 50, 0} {
+		b := p.Flush()
+		if len(b.Jobs) != want {
+			t.Fatalf("a batch holds %d jobs, not %d", len(b.Jobs), want)
+		}
+		for _, s := range b.Jobs {
+			stored[s.ID] = true
+		}
+		p.Stored(at, b)
+		for _, a := range p.Actions() {
+			if start, ok := a.(StartAction); ok && !stored[start.Start.Task.Job] {
+				t.Fatalf("%v is ordered before it is stored", start.Start.Run)
+			}
+		}
+	}
+}
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -71,7 +71,8 @@
 	if h.retired && !busy {
 		return
 	}
-	if !busy && h.stored <= h.acked && (h.answered || !h.listed) && !(h.silent && h.listed) {
+	unmet := h.listed && (h.silent || !h.answered)
+	if !busy && h.stored <= h.acked && !unmet {
 		return
 	}
 	hold := worker.Hold{Fence: p.config.Fence, Acked: h.stored}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -112,7 +112,7 @@
 	r.phase = sending
 	p.actions = append(p.actions, StartAction{To: h.target(), Start: worker.Start{
 		Run: r.id, Text: r.job.job.Spec.Text, Until: h.until(at.Steady, p.config.Lease),
-		Fence: p.config.Fence, Checkpoint: r.task.Checkpoint, Ticket: p.ticketOf(at, r),
+		Fence: p.config.Fence, Checkpoint: r.task.Checkpoint, Ticket: p.ticketOf(r),
 	}})
 }
 
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -94,7 +94,7 @@
 
 // Clear moves what lasts off the workers that are to be emptied, as far as each step may miss tasks. That
 // a task leaves is stored before its run is stopped, so that a successor counts it as away.
-func (p *Pool) Clear(at Moment) {
+func (p *Pool) Clear() {
 	for _, h := range p.workers {
 		if !p.leaves(h) || h.silent {
 			continue
--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -119,13 +119,12 @@
 	serial int
 }
 
-func (w *world) addWorker(id string) *fakeWorker {
+func (w *world) addWorker(id string) {
 	f := &fakeWorker{
 		w: w, id: id, room: catalog.Amount{CPU: 4000, MemoryMB: 8000}, slow: 0.98 + 0.02*w.random.Float64(),
 		born: w.moment().Wall, runs: map[worker.Run]*fakeRun{}, barred: map[job.Name]int{},
 	}
 	w.workers[id] = f
-	return f
 }
 
 func (f *fakeWorker) clock() time.Duration {
@@ -399,7 +398,7 @@
 	o.pool.Tick(at)
 	o.pool.SetCordoned(at, o.w.leaving, nil)
 	if !o.writing {
-		o.pool.Clear(at)
+		o.pool.Clear()
 		o.pool.Rescue(at)
 		o.pool.Place(at)
 		o.write()
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -64,7 +64,7 @@
 	if at.Steady-s.paced > paceInterval {
 		s.paced = at.Steady
 		s.pool.Pace(at)
-		s.pool.Clear(at)
+		s.pool.Clear()
 		s.pool.Rescue(at)
 		s.wantPlace = true
 	}
--- /dev/null
+++ b/internal/observe/story/story_test.go
@@ -0,0 +1,47 @@
+package story
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestStory(t *testing.T) {
+	logs := New("00000000000000aa")
+	a := `  24.4 front-a {"level":"info","ts":"2026-05-16T10:00:01.000Z","msg":"call answered","instance":"a","job":"00000000000000aa","call":"POST","status":200}
+no json here
+{"level":"info","ts":"2026-05-16T10:00:09.000Z","msg":"worker changed","instance":"b","pool":"p","worker":"w9","what":"joined"}
+{"broken
+`
+	b := `{"level":"info","ts":"2026-05-16T10:00:02.000Z","msg":"run ended","instance":"b","pool":"p","job":"00000000000000aa","worker":"w1","how":"lapsed"}
+{"level":"info","ts":"2026-05-16T10:00:01.500Z","msg":"worker changed","instance":"b","pool":"p","worker":"w1","what":"does not answer"}
+{"level":"info","ts":"2026-05-16T10:00:01.700Z","msg":"claimed a table","instance":"b","unit":"p"}
+`
+	for _, log := range []string{b, a} {
+		if err := logs.Add(strings.NewReader(log)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out strings.Builder
+	logs.Tell(&out)
+	text := out.String()
+	order := []string{"call answered", "does not answer", "claimed a table", "how=lapsed", "missing: the end of the job", "1 lines could not be read"}
+	at := 0
+	for _, part := range order {
+		next := strings.Index(text[at:], part)
+		if next < 0 {
+			t.Fatalf("%q does not come next in:\n%s", part, text)
+		}
+		at += next
+	}
+	if strings.Contains(text, "w9") {
+		t.Error("a worker that the job never met is told of")
+	}
+}
+
+func TestStoryOfUnknownJob(t *testing.T) {
+	var out strings.Builder
+	New("00000000000000aa").Tell(&out)
+	if !strings.Contains(out.String(), "no line of 0 names job") {
+		t.Error(out.String())
+	}
+}
--- a/rules/parse.go
+++ b/rules/parse.go
@@ -17,6 +17,7 @@
 	maxCount     = 1 << 20 // slots, shares and instances
 	keyHashBytes = 32
 	maxHold      = 24 * time.Hour
+	maxNameBytes = 200
 )
 
 // Parse reads a rules file; it fails with Errors that name every fault.
@@ -49,6 +50,10 @@
 
 // line reads one rule into the set.
 func (p *parser) line(line Line) {
+	if len(line.Name) > maxNameBytes {
+		p.fault(line, "the name has %d letters, %d at most", len(line.Name), maxNameBytes)
+		return
+	}
 	if first, ok := p.seen[line.Ref()]; ok {
 		p.fault(line, "%s %s already stands on line %d", line.Kind, line.Name, first)
 		return
--- a/rules/parse_test.go
+++ b/rules/parse_test.go
@@ -23,6 +23,7 @@
 		{"sample", sample, nil},
 		{"no asker", "pool a size=1 budget=0", []string{"line 1: no comment"}},
 		{"unknown kind", "zone a # x", []string{`line 1: no rule is called "zone"`}},
+		{"a name of 70,000 letters", "out " + strings.Repeat("a", 70_000) + " # x", []string{"line 1: the name has 70000 letters"}},
 		{"every fault", "pool a size=0 budget=x # x\nqueue q pool=b for=t # y", []string{
 			"line 1: size=0", "line 1: budget=x", `line 2: no pool is called "b"`, `line 2: no team is called "t"`,
 		}},
