machines: Give instances to timely work first, and refuse only on fresh word of what is to be had

Test: TestTimelyWorkComesFirst; the refusal before anything is known stands in TestSurgeIsTurnedAway.

--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -16,6 +16,7 @@
 	Memory  int    `cbor:"4,keyasint,omitempty"` // megabytes that all of them ask for
 	Spread  int    `cbor:"5,keyasint,omitempty"` // workers needed because few tasks of a step may share one
 	Stuck   int    `cbor:"6,keyasint,omitempty"` // tasks that last and found no worker
+	Late    int    `cbor:"7,keyasint,omitempty"` // thousandths of a core for ready tasks that can only be late
 }
 
 // Host is a worker of a pool.
--- a/internal/jobs/machines/planner_test.go
+++ b/internal/jobs/machines/planner_test.go
@@ -242,3 +242,24 @@
 		t.Errorf("workers %v are called gone, not w-a0", gone)
 	}
 }
+
+// TestTimelyWorkComesFirst replays a pool whose backlog can only be late beside one in need: the instances
+// go to the pool in need, and what is left over serves the backlog.
+func TestTimelyWorkComesFirst(t *testing.T) {
+	f := newFleet(map[string]int{"a": 2, "b": 8, "spare": 0})
+	f.loads["b"] = Load{Demand: 20_000, Late: 200_000}
+	f.loads["a"] = Load{Demand: 80_000}
+	for range 5 {
+		f.carry(f.tick())
+	}
+	if got := f.size("a"); got != 6 {
+		t.Errorf("the pool in need has %d instances, 6 hold its work", got)
+	}
+	f.loads["a"] = Load{Demand: 1000}
+	for range 30 {
+		f.carry(f.tick())
+	}
+	if got := f.size("b"); got != 8 {
+		t.Errorf("%d instances serve the backlog, 8 are to be had", got)
+	}
+}
--- a/internal/jobs/machines/size.go
+++ b/internal/jobs/machines/size.go
@@ -43,7 +43,7 @@
 		}
 	}
 	for pool, size := range r.plan.Sizes {
-		surplus := size.Present - size.Wanted
+		surplus := size.Present - size.Wanted - ceil(r.Loads[pool].Late, max(1, r.capacity().CPU))
 		if unneeded := size.Present - size.Needed; deficit > 0 && unneeded > surplus {
 			surplus = max(surplus, min(unneeded, deficit))
 			deficit -= surplus
@@ -56,6 +56,19 @@
 	for _, pool := range short {
 		r.fill(pool, missing[pool])
 	}
+	if deficit <= 0 {
+		r.serveLate()
+	}
+}
+
+// serveLate brings instances that no pool needs to those with work that can only be late.
+func (r *round) serveLate() {
+	for pool, load := range r.Loads {
+		size := r.plan.Sizes[pool]
+		if extra := ceil(load.Late, max(1, r.capacity().CPU)); extra > 0 && r.worked {
+			r.fill(pool, size.Needed+extra-max(size.Present, size.Needed))
+		}
+	}
 }
 
 // idle counts the instances that no pool uses, or that are on their way out of one.
--- a/internal/jobs/pool/admit.go
+++ b/internal/jobs/pool/admit.go
@@ -18,10 +18,13 @@
 // Admit refuses a job when the work that stands before it, spread over the room that the pool has and can
 // get, ends so late that nobody waits for the job any longer: a surge that no room can hold is turned
 // away at its end instead of making everything late. A job that is known is never refused.
-func (p *Pool) Admit(spec *job.Spec) error {
+func (p *Pool) Admit(at Moment, spec *job.Spec) error {
 	if _, known := p.jobs[spec.ID]; known || spec.Times > 0 || spec.Lasting() {
 		return nil
 	}
+	if at.Steady > p.reachTill {
+		return nil // what the pool can get is not known
+	}
 	room := p.reach
 	for _, h := range p.workers {
 		if h.listed && !h.ended && !h.info.Draining && !p.evacuated.Has(h.info.DataCentre) {
@@ -39,7 +42,10 @@
 }
 
 // SetReach notes how many thousandths of a core the pool can get beside what it has.
-func (p *Pool) SetReach(cpu int) { p.reach = cpu }
+func (p *Pool) SetReach(at Moment, cpu int) { p.reach, p.reachTill = cpu, at.Steady+reachLife }
+
+// reachLife is how long what was said of a pool's reach holds.
+const reachLife = time.Second
 
 // backlog returns the work of all accepted tasks that are not done, as time of a thousandth of a core.
 func (p *Pool) backlog() time.Duration {
--- a/internal/jobs/pool/admit_test.go
+++ b/internal/jobs/pool/admit_test.go
@@ -14,12 +14,18 @@
 func TestSurgeIsTurnedAway(t *testing.T) {
 	w, o := settled(t)
 	p, at := o.pool, w.moment()
+	first := shortJob(500)
+	first.ID = "0000000000000fff"
+	if err := p.Admit(at, &first); err != nil {
+		t.Errorf("a job is refused before it is known what the pool can get: %v", err)
+	}
+	p.SetReach(at, 0)
 	taken := 0
 	var full FullError
 	for i := range 200 {
 		spec := shortJob(8)
 		spec.ID = job.ID(fmt.Sprintf("%016x", i))
-		if err := p.Admit(&spec); err != nil {
+		if err := p.Admit(at, &spec); err != nil {
 			if !errors.As(err, &full) {
 				t.Fatal(err)
 			}
@@ -37,13 +43,13 @@
 	}
 	known := shortJob(8)
 	known.ID = "0000000000000000"
-	if err := p.Admit(&known); err != nil {
+	if err := p.Admit(at, &known); err != nil {
 		t.Errorf("a job that was taken is refused when it comes again: %v", err)
 	}
-	p.SetReach(64_000)
+	p.SetReach(at, 64_000)
 	more := shortJob(8)
 	more.ID = "00000000000000ff"
-	if err := p.Admit(&more); err != nil {
+	if err := p.Admit(at, &more); err != nil {
 		t.Errorf("a job is refused although instances are to be had: %v", err)
 	}
 }
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -63,9 +63,10 @@
 	dropped      []job.ID // jobs to be removed from the log
 	cordonedTill time.Duration
 	arrivals     arrivals
-	reach        int  // thousandths of a core that the pool can get beside what it has
-	questions    int  // to the advice service that are on their way
-	crowded      bool // the last round left a task that fits nowhere
+	reachTill    time.Duration // until when what is said of the reach holds
+	reach        int           // thousandths of a core that the pool can get beside what it has
+	questions    int           // to the advice service that are on their way
+	crowded      bool          // the last round left a task that fits nowhere
 }
 
 // New returns an empty pool.
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -184,6 +184,7 @@
 type Load struct {
 	Hosts   []HostLoad
 	Demand  int // thousandths of a core that running and ready tasks ask for, or that new jobs will keep busy
+	Late    int // the same for ready tasks of jobs that can no longer be in time
 	Lasting int // the same for tasks that last
 	Memory  int // megabytes that all of them ask for
 	Spread  int // workers that the widest step needs because few of its tasks may share one
@@ -206,7 +207,11 @@
 		step := &it.entry.job.Spec.Steps[it.step]
 		for i := range it.repeat.Steps[it.step] {
 			if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
-				l.add(step)
+				if it.chance == timely {
+					l.add(step)
+				} else {
+					l.Late += step.CPU
+				}
 				if step.Lasting && it.entry.stuck > 0 && at.Steady-it.entry.stuck > stuckAfter {
 					l.Stuck++
 				}
--- a/internal/jobs/shard/ask.go
+++ b/internal/jobs/shard/ask.go
@@ -61,7 +61,7 @@
 		s.keeper = o.Fence
 		s.pool.SetCordoned(at, o.Leave, o.Later)
 		s.pool.Retire(o.Gone)
-		s.pool.SetReach(o.Reach)
+		s.pool.SetReach(at, o.Reach)
 		load = loadOf(s.pool.Load(at))
 		s.wantPlace = true
 	})
@@ -72,7 +72,7 @@
 }
 
 func loadOf(l pool.Load) machines.Load {
-	load := machines.Load{Demand: l.Demand, Lasting: l.Lasting, Memory: l.Memory, Spread: l.Spread, Stuck: l.Stuck}
+	load := machines.Load{Demand: l.Demand, Late: l.Late, Lasting: l.Lasting, Memory: l.Memory, Spread: l.Spread, Stuck: l.Stuck}
 	for _, h := range l.Hosts {
 		load.Hosts = append(load.Hosts, machines.Host{Worker: h.Worker, Used: h.Used, Lasting: h.Lasting, Empty: h.Empty, Usable: h.Usable})
 	}
--- a/internal/jobs/shard/intake.go
+++ b/internal/jobs/shard/intake.go
@@ -16,7 +16,7 @@
 		return err
 	}
 	return s.handIn(ctx, record, func(at pool.Moment) error {
-		if err := s.pool.Admit(&spec); err != nil {
+		if err := s.pool.Admit(at, &spec); err != nil {
 			return err
 		}
 		s.pool.Submit(at, spec)
