pool: Spread the room for ready tasks over the time until their latest start

Cause: a pool asked for room to run every ready task at once, though their deadlines leave time for several rounds; pools then fought over instances.

--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -207,11 +207,7 @@
 		step := &it.entry.job.Spec.Steps[it.step]
 		for i := range it.repeat.Steps[it.step] {
 			if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
-				if it.chance == timely {
-					l.add(step)
-				} else {
-					l.Late += step.CPU
-				}
+				l.wait(at, &it, step)
 				if step.Lasting && it.entry.stuck > 0 && at.Steady-it.entry.stuck > stuckAfter {
 					l.Stuck++
 				}
@@ -232,6 +228,29 @@
 	return l
 }
 
+// urgency is the part of the time until a task's latest start that its room may come late.
+const urgency = 0.6
+
+// wait adds a ready task: the room for it is spread over the time in which it must have run, so that a
+// task that could run three times over until then asks for a third of its processors.
+func (l *Load) wait(at Moment, it *item, step *job.Step) {
+	if step.Lasting {
+		l.add(step)
+		return
+	}
+	l.Memory += step.MemoryMB
+	if it.chance != timely {
+		l.Late += step.CPU
+		return
+	}
+	waves := 1.0
+	if step.Estimate > 0 {
+		slack := it.key - at.Steady // until its latest start
+		waves += urgency * float64(max(0, slack)) / float64(step.Estimate)
+	}
+	l.Demand += int(float64(step.CPU) / waves)
+}
+
 func (l *Load) add(step *job.Step) {
 	l.Memory += step.MemoryMB
 	if step.PerWorker > 0 && step.Lasting {
