--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,6 +21,10 @@
 	groupTopics = 4
 )
 
+// releasedMark stands behind a new owner's address when the earlier owner has stopped giving orders. A unit
+// that is this instance's when it starts was its own before: that process is gone as well.
+const releasedMark = " released"
+
 // ownerTable holds who owns each unit.
 func ownerTable() stream.Table { return stream.Table{Name: "owners"} }
 
@@ -159,11 +164,17 @@
 
 // takeOwner takes in who owns a unit.
 func (n *Instance) takeOwner(r stream.Record) {
-	address, err := netip.ParseAddrPort(string(r.Value))
+	text, released := strings.CutSuffix(string(r.Value), releasedMark)
+	address, err := netip.ParseAddrPort(text)
 	if err != nil {
 		return
 	}
 	n.mu.Lock()
+	if !n.ownersKnown {
+		n.released[r.Key] = released || address == n.self().Address
+	} else if n.owners[r.Key] != address {
+		n.released[r.Key] = released
+	}
 	n.setOwner(r.Key, address)
 	n.mu.Unlock()
 	select {
@@ -236,7 +247,7 @@
 		case now < m.asked[unit]+claimRest:
 		case successors[unit] == n.self().Address:
 			m.asked[unit] = now
-			go m.announce(ctx, []owners.Offer{{Unit: unit, To: n.self().Address}})
+			go m.announce(ctx, []owners.Offer{{Unit: unit, To: n.self().Address}}, "")
 		}
 	}
 }
@@ -258,16 +269,16 @@
 	}
 	n.setOwner(offer.Unit, offer.To)
 	n.config.Logger.Info("handing a unit over to level the load", zap.String("unit", offer.Unit), zap.Stringer("to", offer.To))
-	go m.announce(ctx, []owners.Offer{offer})
+	go m.announce(ctx, []owners.Offer{offer}, "")
 }
 
 // announce writes who owns units now; it tries again until the store has it or the time is over.
-func (m *membership) announce(ctx context.Context, offers []owners.Offer) {
+func (m *membership) announce(ctx context.Context, offers []owners.Offer, mark string) {
 	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
 	var records []stream.Record
 	for _, o := range offers {
-		records = append(records, stream.Record{Key: o.Unit, Value: []byte(o.To.String())})
+		records = append(records, stream.Record{Key: o.Unit, Value: []byte(o.To.String() + mark)})
 	}
 	for ctx.Err() == nil {
 		_, err := m.instance.config.Log.Append(ctx, ownerTable(), records, nil)
@@ -299,7 +310,7 @@
 		<-o.done
 	}
 	if len(offers) > 0 {
-		m.announce(ctx, offers)
+		m.announce(ctx, offers, releasedMark)
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
--- a/internal/jobs/instance/unit.go
+++ b/internal/jobs/instance/unit.go
@@ -19,6 +19,7 @@
 		return
 	}
 	o.shard = n.shard(unit)
+	n.released[unit] = false // a later claim from here may follow another instance's
 	go o.run(ctx, unit, n.config.Logger, o.shard)
 }
 
@@ -28,6 +29,7 @@
 		Pool: unit, Holder: set.Name, Log: n.config.Log, Workers: n.config.Workers, Advisor: n.config.Advisor,
 		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(unit, n.config.Logger),
 		Settings: shard.Settings{Lease: set.Lease(), Retention: set.Retention, StopTime: set.StopTime, Harm: set.Harm},
+		Released: n.released[unit],
 		View:     func() shard.View { return n.view(unit) },
 	})
 }
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -283,7 +283,7 @@
 		for w := range r.gone {
 			o.Gone = append(o.Gone, w)
 		}
-		o.Reach = r.reach()
+		o.Reach = r.reach(pool)
 		slices.Sort(o.Leave)
 		r.plan.Orders[pool] = o
 	}
--- a/internal/jobs/machines/size.go
+++ b/internal/jobs/machines/size.go
@@ -199,11 +199,19 @@
 	}
 }
 
-// reach returns the processors of the instances that no pool needs now, in thousandths of a core.
-func (r *round) reach() int {
+// reach returns the processors that a pool can get beside what it has, in thousandths of a core: instances
+// on their way to it, and those that no pool needs now.
+func (r *round) reach(pool string) int {
 	count := r.idle()
-	for _, size := range r.plan.Sizes {
-		count += max(0, size.Present-size.Needed)
+	for other, size := range r.plan.Sizes {
+		if other != pool {
+			count += max(0, size.Present-size.Needed)
+		}
+	}
+	for _, m := range r.members[pool] {
+		if r.inTransit(m.Name) || m.State != catalog.Up {
+			count++
+		}
 	}
 	return count * r.capacity().CPU
 }
--- a/internal/jobs/pool/admit.go
+++ b/internal/jobs/pool/admit.go
@@ -34,7 +34,8 @@
 	if room == 0 {
 		return nil // the workers are not known yet
 	}
-	wait := p.backlog() / time.Duration(room)
+	latest := at.Steady + spec.Objective() - spec.Chain()
+	wait := p.backlog(latest) / time.Duration(room)
 	if objective := spec.Objective(); objective > 0 && wait+spec.Chain() > lateFactor*objective {
 		return FullError{Wait: wait}
 	}
@@ -47,14 +48,18 @@
 // reachLife is how long what was said of a pool's reach holds.
 const reachLife = time.Second
 
-// backlog returns the work of all accepted tasks that are not done, as time of a thousandth of a core.
-func (p *Pool) backlog() time.Duration {
+// backlog returns the work that goes before a job with a latest start: all of the accepted jobs whose own
+// is not later, as time of a thousandth of a core.
+func (p *Pool) backlog(latest time.Duration) time.Duration {
 	var sum time.Duration
 	for _, e := range p.active {
 		if e.job.State.Ended() {
 			continue
 		}
 		for _, o := range e.job.Occurrences {
+			if e.due-e.job.Remaining(o) > latest {
+				continue
+			}
 			for s := range o.Steps {
 				step := &e.job.Spec.Steps[s]
 				sum += time.Duration(o.Left(s)*step.CPU) * step.Estimate
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -200,6 +200,12 @@
 	Usable  bool
 }
 
+// counts reports whether a worker is room that the pool has: also one that this owner has not met yet, or
+// that gets nothing new for a moment.
+func (p *Pool) counts(h *host) bool {
+	return h.listed && !h.ended && !h.retired && !h.silent && !h.cordoned && !h.info.Draining && !p.evacuated.Has(h.info.DataCentre)
+}
+
 // Load returns how the work of the pool stands.
 func (p *Pool) Load(at Moment) Load {
 	var l Load
@@ -215,7 +221,7 @@
 		}
 	}
 	for name, h := range p.workers {
-		load := HostLoad{Worker: name, Used: h.used.CPU, Empty: h.cordoned && h.answered && len(h.runs)+len(h.strange) == 0, Usable: p.usable(at, h)}
+		load := HostLoad{Worker: name, Used: h.used.CPU, Empty: h.cordoned && h.answered && len(h.runs)+len(h.strange) == 0, Usable: p.counts(h)}
 		for _, r := range h.runs {
 			l.add(r.step)
 			if r.step.Lasting {
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -22,13 +22,14 @@
 
 // Times of an owner.
 const (
-	tickInterval  = 25 * time.Millisecond
-	placeInterval = 8 * time.Millisecond // between two rounds of placing, so that ends come together
-	renewInterval = time.Second          // between two proofs to the log that no successor has claimed
-	ownerTimeout  = 4 * time.Second      // without a proof, after which nothing is ordered any more
-	intakeWait    = time.Second          // longest wait for new jobs in one read
-	paceInterval  = 200 * time.Millisecond
-	eventQueue    = 256
+	tickInterval   = 25 * time.Millisecond
+	placeInterval  = 8 * time.Millisecond // between two rounds of placing, so that ends come together
+	renewInterval  = time.Second          // between two proofs to the log that no successor has claimed
+	ownerTimeout   = 4 * time.Second      // without a proof, after which nothing is ordered any more
+	intakeWait     = time.Second          // longest wait for new jobs in one read
+	paceInterval   = 200 * time.Millisecond
+	eventQueue     = 256
+	inheritedSlack = 500 * time.Millisecond // for orders on their way
 )
 
 // clockDrift is the most by which a worker's clock is slow, as a part of the time.
@@ -54,6 +55,7 @@
 	Logger   *zap.Logger
 	Observer pool.Observer
 	View     func() View
+	Released bool // the earlier owner has surely stopped giving orders
 }
 
 // View is what operators and workers have published, as far as it concerns one pool.
@@ -152,7 +154,7 @@
 	at := s.config.Clock.Moment()
 	s.pool = pool.New(pool.Config{
 		Name: s.config.Pool, Fence: s.claim.Epoch(), Lease: s.config.Settings.Lease,
-		Inherited: ownerTimeout + time.Duration(float64(s.config.Settings.Lease)*(1+2*clockDrift)) + time.Second,
+		Inherited: s.inherited(),
 		Retention: s.config.Settings.Retention, StopTime: s.config.Settings.StopTime, Harm: s.config.Settings.Harm,
 		Observer: s.config.Observer,
 	})
@@ -172,6 +174,16 @@
 	return nil
 }
 
+// inherited returns how long a run of an earlier owner may go on that nobody has seen: its last lease, and
+// before that the time for which the owner itself may not have heard of this one.
+func (s *Shard) inherited() time.Duration {
+	lease := time.Duration(float64(s.config.Settings.Lease)*(1+2*clockDrift)) + inheritedSlack
+	if s.config.Released {
+		return lease
+	}
+	return ownerTimeout + lease
+}
+
 // do runs a function on the control thread and waits for it.
 func (s *Shard) do(ctx context.Context, f func(at pool.Moment)) error {
 	done := make(chan struct{})
--- a/internal/observe/story/story.go
+++ b/internal/observe/story/story.go
@@ -122,9 +122,10 @@
 	}
 }
 
-// around reports whether a line tells of a unit or a worker that the job met.
+// around reports whether a line tells of a unit or a worker that the job met; moves of single instances
+// are left out.
 func (l *Logs) around(line Line) bool {
-	if line.text("job") != "" {
+	if line.text("job") != "" || line.text("machine") != "" {
 		return false
 	}
 	if worker := line.text("worker"); worker != "" {
