--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/owners"
+	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
@@ -35,6 +36,7 @@
 	reclaimPause  = 700 * time.Millisecond  // after a unit was claimed by another instance
 	firstPause    = 900 * time.Millisecond  // before a unit is claimed that nobody has owned yet
 	claimRest     = 1200 * time.Millisecond // after a unit changed hands, until members agree on who lives
+	ownsTimeout   = 250 * time.Millisecond  // for an owner that the group does not list to answer
 	balancePause  = 5 * time.Second         // between two units that are handed over to level the load
 	handoverLimit = 1500 * time.Millisecond // for giving up the units of an instance that stops
 )
@@ -247,11 +249,35 @@
 		case now < m.asked[unit]+claimRest:
 		case successors[unit] == n.self().Address:
 			m.asked[unit] = now
-			go m.announce(ctx, []owners.Offer{{Unit: unit, To: n.self().Address}}, "")
+			c := &candidacy{membership: m, unit: unit, owner: owner}
+			go c.run(ctx)
 		}
 	}
 }
 
+// candidacy asks for a unit whose owner the group does not list.
+type candidacy struct {
+	membership *membership
+	unit       string
+	owner      netip.AddrPort
+}
+
+// run leaves the unit to its owner when that answers with a fresh proof: while many members join at once
+// the group does not list all who live.
+func (c *candidacy) run(ctx context.Context) {
+	n := c.membership.instance
+	if c.owner.IsValid() {
+		asked, cancel := context.WithTimeout(ctx, ownsTimeout)
+		defer cancel()
+		answer, err := n.config.Peers.Owns(asked, c.owner, relay.Pool{Pool: c.unit})
+		if err == nil && answer.Fresh {
+			n.config.Logger.Info("left a unit to its owner", zap.String("unit", c.unit), zap.Stringer("owner", c.owner))
+			return
+		}
+	}
+	c.membership.announce(ctx, []owners.Offer{{Unit: c.unit, To: n.self().Address}}, "")
+}
+
 // level hands over a unit when another instance has much less to do; the caller holds the lock.
 func (m *membership) level(ctx context.Context, now time.Duration, units []string) {
 	n := m.instance
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -59,6 +59,16 @@
 	return relay.State{Known: known, State: job.Cancelled}, err
 }
 
+// TakeOwns tells another instance whether a pool runs here with a fresh proof.
+func (n *Instance) TakeOwns(ctx context.Context, p relay.Pool) (relay.Owns, error) {
+	s, err := n.own(p.Pool)
+	if err != nil {
+		return relay.Owns{}, err
+	}
+	fresh, err := s.Fresh(ctx)
+	return relay.Owns{Fresh: fresh}, err
+}
+
 // TakePending tells another instance what waits in a pool that runs here.
 func (n *Instance) TakePending(ctx context.Context, p relay.Pool) (relay.Pending, error) {
 	s, err := n.own(p.Pool)
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -20,6 +20,7 @@
 	emptyPath   = "/jobs.Relay/Empty"
 	submitPath  = "/jobs.Relay/Submit"
 	cancelPath  = "/jobs.Relay/Cancel"
+	ownsPath    = "/jobs.Relay/Owns"
 )
 
 // Question asks the owner of a pool for the state of a job.
@@ -50,6 +51,11 @@
 	Queues map[string]int `cbor:"1,keyasint,omitempty"`
 }
 
+// Owns tells whether an instance runs a pool and has lately proved to the log that it owns it.
+type Owns struct {
+	Fresh bool `cbor:"1,keyasint,omitempty"`
+}
+
 // Store asks an instance to append records that nothing fences.
 type Store struct {
 	Table   stream.Table    `cbor:"1,keyasint"`
@@ -73,6 +79,7 @@
 	TakeQuestion(ctx context.Context, q Question) (State, error)
 	TakeSubmit(ctx context.Context, spec job.Spec) (Taken, error)
 	TakeCancel(ctx context.Context, q Question) (State, error)
+	TakeOwns(ctx context.Context, p Pool) (Owns, error)
 	TakePending(ctx context.Context, p Pool) (Pending, error)
 	TakeStore(ctx context.Context, s Store) (Stored, error)
 	TakeCordon(ctx context.Context, c Cordon) (machines.Load, error)
@@ -106,6 +113,11 @@
 	return peer.Call[Pool, Pending](ctx, c.peers, to, pendingPath, &p)
 }
 
+// Owns asks an instance whether it runs a pool.
+func (c *Client) Owns(ctx context.Context, to netip.AddrPort, p Pool) (Owns, error) {
+	return peer.Call[Pool, Owns](ctx, c.peers, to, ownsPath, &p)
+}
+
 // Store has records appended.
 func (c *Client) Store(ctx context.Context, to netip.AddrPort, s Store) (Stored, error) {
 	return peer.Call[Store, Stored](ctx, c.peers, to, storePath, &s)
@@ -123,6 +135,7 @@
 	peer.Handle(mux, submitPath, func(ctx context.Context, m *job.Spec) (Taken, error) { return s.TakeSubmit(ctx, *m) })
 	peer.Handle(mux, cancelPath, func(ctx context.Context, m *Question) (State, error) { return s.TakeCancel(ctx, *m) })
 	peer.Handle(mux, pendingPath, func(ctx context.Context, m *Pool) (Pending, error) { return s.TakePending(ctx, *m) })
+	peer.Handle(mux, ownsPath, func(ctx context.Context, m *Pool) (Owns, error) { return s.TakeOwns(ctx, *m) })
 	peer.Handle(mux, storePath, func(ctx context.Context, m *Store) (Stored, error) { return s.TakeStore(ctx, *m) })
 	peer.Handle(mux, emptyPath, func(ctx context.Context, m *Cordon) (machines.Load, error) { return s.TakeCordon(ctx, *m) })
 	return mux
