pool: Start tasks elsewhere only when several stand still together

What: only when two or more runs of a worker are overdue and nothing has ended there for 1.2 s; sizes count workers that are not met yet, but not those that are avoided.

--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -44,7 +44,8 @@
 	lookSent  time.Duration // when the newest answered look was sent
 	avoid     time.Duration // gets nothing new before
 	misses    int           // looks in a row that were not answered while nothing ran
-	overdue   int           // runs in a row that took far longer than declared
+	overdue   int           // runs that took far longer than declared, since the newest end
+	done      time.Duration // when a run last ended done there
 	failures  int           // runs that failed in a row
 	penalties int
 	slow      float64       // typical length of a run against its estimate, 0 when not known
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -260,7 +260,7 @@
 // sluggishFactor is how much longer than usual runs take on a worker that is avoided.
 const sluggishFactor = 2.5
 
-// overdueInRow is how many runs in a row must have been overdue on a worker that is avoided.
+// overdueInRow is how many runs must be overdue together on a worker that is avoided.
 const overdueInRow = 2
 
 func (h *host) sluggish() bool { return h.slow > sluggishFactor || h.overdue >= overdueInRow }
@@ -328,6 +328,7 @@
 	switch how {
 	case worker.Done:
 		h.failures, h.penalties, h.overdue = 0, 0, 0
+		h.done = at.Steady
 		if r.began > 0 && r.step.Estimate > 0 {
 			ratio := float64(at.Steady-r.began) / float64(r.step.Estimate)
 			if h.slow == 0 {
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -116,23 +116,31 @@
 const (
 	overdueFactor = 2.5 // multiple of the estimate
 	overdueSlack  = 400 * time.Millisecond
-	maxRescues    = 1 // a task that is long everywhere is left to run the second time
+	standstill    = 1200 * time.Millisecond // since the newest end on the worker
+	maxRescues    = 1                       // a task that is long everywhere is left to run the second time
 )
 
-// Rescue starts tasks elsewhere whose runs take far longer than declared while other workers have room:
-// their workers may be slow, or stand still.
+// Rescue starts tasks elsewhere that take far longer than declared, when several do on one worker and
+// nothing has ended there for a while: it is slow or stands still. One long task alone may just be long.
 func (p *Pool) Rescue(at Moment) {
 	for _, h := range p.workers {
-		if h.silent {
+		if h.silent || at.Steady-h.done < standstill {
 			continue
 		}
+		var late []*run
 		for _, r := range h.runs {
 			if p.overdue(at, r) && p.roomElsewhere(at, r) {
-				r.job.rescues[r.id.Task]++
-				h.overdue++
-				p.stop(at, r)
+				late = append(late, r)
 			}
 		}
+		if len(late) < overdueInRow {
+			continue
+		}
+		h.overdue = max(h.overdue, len(late))
+		for _, r := range late {
+			r.job.rescues[r.id.Task]++
+			p.stop(at, r)
+		}
 	}
 }
 
@@ -200,10 +208,10 @@
 	Usable  bool
 }
 
-// counts reports whether a worker is room that the pool has: also one that this owner has not met yet, or
-// that gets nothing new for a moment.
-func (p *Pool) counts(h *host) bool {
-	return h.listed && !h.ended && !h.retired && !h.silent && !h.cordoned && !h.info.Draining && !p.evacuated.Has(h.info.DataCentre)
+// counts reports whether a worker is room that the pool has, which one that this owner has not met yet is.
+func (p *Pool) counts(at Moment, h *host) bool {
+	unmet := h.listed && !h.answered && !h.silent && !h.ended && !h.retired && !h.info.Draining
+	return p.usable(at, h) || unmet && !h.cordoned && !p.evacuated.Has(h.info.DataCentre)
 }
 
 // Load returns how the work of the pool stands.
@@ -221,7 +229,7 @@
 		}
 	}
 	for name, h := range p.workers {
-		load := HostLoad{Worker: name, Used: h.used.CPU, Empty: h.cordoned && h.answered && len(h.runs)+len(h.strange) == 0, Usable: p.counts(h)}
+		load := HostLoad{Worker: name, Used: h.used.CPU, Empty: h.cordoned && h.answered && len(h.runs)+len(h.strange) == 0, Usable: p.counts(at, h)}
 		for _, r := range h.runs {
 			l.add(r.step)
 			if r.step.Lasting {
