machines: Say what a wave waits for, and let it go on in a pool that shrinks

Cause: instances that leave because their pool does not need them counted as missed, so a wave's instance waited. Test: TestWaveGoesOnInShrinkingPool fails without the change.

--- a/internal/jobs/machines/keeper.go
+++ b/internal/jobs/machines/keeper.go
@@ -69,8 +69,9 @@
 	loads     map[string]Load
 	orders    map[string]Orders
 	sizes     map[string]Size
-	done      map[int]int  // maintained instances by wave, as stored
-	finished  map[int]bool // waves whose end is published
+	told      time.Duration // when it was last said what waves wait for
+	done      map[int]int   // maintained instances by wave, as stored
+	finished  map[int]bool  // waves whose end is published
 	stored    map[int][]string
 }
 
@@ -218,6 +219,7 @@
 	})
 	k.orders = plan.Orders
 	k.logSizes(plan.Sizes)
+	k.logWaiting(now)
 	if err := k.record(ctx, now, plan.Actions); err != nil {
 		return k.giveBack(now, plan.Actions, err)
 	}
@@ -228,6 +230,22 @@
 	return k.report(ctx)
 }
 
+// waitLog is the time between two lines on what a wave waits for.
+const waitLog = 2 * time.Second
+
+// logWaiting tells what the instances of a wave wait for.
+func (k *Keeper) logWaiting(now time.Duration) {
+	if now-k.told < waitLog {
+		return
+	}
+	k.told = now
+	for _, number := range k.planner.Waves() {
+		if waiting := k.planner.Waiting(number); len(waiting) > 0 {
+			k.config.Logger.Info("wave goes on", zap.Int("wave", number), zap.Int("left", len(waiting)), zap.Any("waiting", waiting))
+		}
+	}
+}
+
 // logSizes leaves a line for each pool whose wanted size has changed.
 func (k *Keeper) logSizes(sizes map[string]Size) {
 	for pool, size := range sizes {
--- a/internal/jobs/machines/planner_test.go
+++ b/internal/jobs/machines/planner_test.go
@@ -263,3 +263,29 @@
 		t.Errorf("%d instances serve the backlog, 8 are to be had", got)
 	}
 }
+
+// TestWaveGoesOnInShrinkingPool empties an instance for its maintenance while others leave its pool because
+// it does not need them, which takes as long as their tasks run.
+func TestWaveGoesOnInShrinkingPool(t *testing.T) {
+	f := newFleet(map[string]int{"a": 6, "spare": 0})
+	f.loads["a"] = Load{Demand: 90_000}
+	f.tick()
+	f.loads["a"] = Load{Demand: 1000}
+	for _, m := range f.instances {
+		f.busy[m.Worker] = 1000
+	}
+	for range 20 {
+		f.carry(f.tick())
+	}
+	kept := ""
+	for _, m := range f.instances {
+		if _, leaves := f.planner.leaving[m.Name]; !leaves {
+			kept = m.Name
+		}
+	}
+	f.planner.AddWave(f.now, catalog.Wave{Number: 1, Instances: []string{kept}, Within: 30 * time.Second, AtOnce: 1}, nil)
+	f.tick()
+	if g, leaves := f.planner.leaving[kept]; !leaves || g.wave != 1 {
+		t.Errorf("%s waits for %q", kept, f.planner.Waiting(1)[kept])
+	}
+}
--- a/internal/jobs/machines/wave.go
+++ b/internal/jobs/machines/wave.go
@@ -15,6 +15,7 @@
 	done  id.Set[string]
 	down  map[string]time.Duration // instances taken down, by the time of the order
 	asked map[string]string        // worker whose life the first order for an instance was to end
+	why   map[string]string        // what each instance waits for
 }
 
 // AddWave makes a wave known; done are instances that were maintained before.
@@ -22,7 +23,7 @@
 	if _, known := p.waves[w.Number]; known {
 		return
 	}
-	p.waves[w.Number] = &wave{Wave: w, began: now, done: id.NewSet(done...), down: map[string]time.Duration{}, asked: map[string]string{}}
+	p.waves[w.Number] = &wave{Wave: w, began: now, done: id.NewSet(done...), down: map[string]time.Duration{}, asked: map[string]string{}, why: map[string]string{}}
 }
 
 // DropWave forgets a wave that was withdrawn.
@@ -89,6 +90,14 @@
 	delete(p.transit, a.Instance)
 }
 
+// Waiting tells what each instance of a wave waits for that is not maintained yet.
+func (p *Planner) Waiting(number int) map[string]string {
+	if w, ok := p.waves[number]; ok {
+		return w.why
+	}
+	return nil
+}
+
 // due reports whether an instance waits for its maintenance.
 func (p *Planner) due(name string) bool {
 	for _, w := range p.waves {
@@ -118,6 +127,7 @@
 	}
 	room := max(1, w.AtOnce) - len(w.down)
 	emptying := 0
+	w.why = map[string]string{}
 	var waiting []*catalog.Instance
 	for _, name := range w.pending() {
 		m := r.byName[name]
@@ -127,17 +137,21 @@
 			}
 			continue
 		}
+		w.why[name] = "a turn"
 		if g, leaves := r.leaving[name]; leaves && g.wave == w.Number {
 			emptying++
+			w.why[name] = "its tasks to leave"
 			if room > 0 && r.movable(m) && r.empty(m) {
 				room--
 				r.maintain(w, m)
 			}
 			continue
 		}
-		if r.movable(m) {
-			waiting = append(waiting, m)
+		if !r.movable(m) {
+			w.why[name] = "being up and at rest"
+			continue
 		}
+		waiting = append(waiting, m)
 	}
 	r.emptyNext(w, waiting, max(1, w.AtOnce)-len(w.down)-emptying)
 }
@@ -165,6 +179,7 @@
 			return
 		}
 		if !r.mayEmpty(w, m) {
+			w.why[m.Name] = "others of its pool to serve"
 			continue
 		}
 		r.leaving[m.Name] = goal{wave: w.Number, pool: m.Pool, since: r.Now}
@@ -209,7 +224,9 @@
 	}
 	away := 0
 	for _, other := range r.members[m.Pool] {
-		if _, leaves := r.leaving[other.Name]; leaves || other.State != catalog.Up || w.down[other.Name] > 0 {
+		// What leaves because its pool does not need it is not missed.
+		g, leaves := r.leaving[other.Name]
+		if leaves && g.wave != 0 || other.State != catalog.Up || w.down[other.Name] > 0 {
 			away++
 		}
 	}
