--- a/internal/jobs/machines/wave.go
+++ b/internal/jobs/machines/wave.go
@@ -165,11 +165,17 @@
 	r.plan.Actions = append(r.plan.Actions, MaintainAction{Instance: m.Name, Wave: w.Number})
 }
 
-// emptyNext chooses instances to be emptied: those that are off first, then the least busy ones of the
-// least busy pools.
+// emptyNext chooses instances to be emptied: those that are off first, then in calm pools those with tasks
+// that last, which take the longest to leave, then the least busy ones of the least busy pools.
 func (r *round) emptyNext(w *wave, waiting []*catalog.Instance, room int) {
 	slices.SortFunc(waiting, func(a, b *catalog.Instance) int {
-		if x, y := r.strain(a), r.strain(b); x != y {
+		x, y := r.strain(a), r.strain(b)
+		if x >= 0 && y >= 0 && x < calmStrain && y < calmStrain {
+			if n, m := r.hosts[a.Worker].Lasting, r.hosts[b.Worker].Lasting; n != m {
+				return m - n
+			}
+		}
+		if x != y {
 			return x - y
 		}
 		return r.hosts[a.Worker].Used - r.hosts[b.Worker].Used
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -213,6 +213,12 @@
 	if step.Lasting && h.doomed != best.doomed {
 		return best.doomed
 	}
+	if step.Lasting {
+		// A worker is emptied one task of a step at a time, so that no worker should hold most of them.
+		if a, b := h.alike(it) >= share(step), best.alike(it) >= share(step); a != b {
+			return b
+		}
+	}
 	if step.Fills {
 		if a, b := h.serving(), best.serving(); a != b {
 			return a < b
@@ -221,6 +227,12 @@
 	return false
 }
 
+// lastingHosts is how many workers the tasks of a lasting step are spread over when they have the choice.
+const lastingHosts = 2
+
+// share is how many tasks of a lasting step one worker should hold at most.
+func share(step *job.Step) int { return (step.Count + lastingHosts - 1) / lastingHosts }
+
 // alike counts the tasks of the same step on a worker.
 func (h *host) alike(it *item) int {
 	count := 0
