machines: Split the keeper by concept and drop what nothing reads

Cause: keeper.go held records, orders, log lines and the loop in 451 lines; five settings, two bounds and a flag of the pool were set and never read.

--- a/internal/jobs/instance/settings.go
+++ b/internal/jobs/instance/settings.go
@@ -22,15 +22,10 @@
 	MilliCores int           // thousandths of a core that the process may use
 	MinTTL     time.Duration // shortest time to live of a group's member
 	Memory     int64         // bytes that the process may use
-	Heartbeat  time.Duration // interval of the workers' entries
 	Grace      time.Duration // from a request to stop to the kill
 	MaxLease   time.Duration // longest lease that a worker grants
-	StopTime   time.Duration // longest time that a stop takes on a worker
 	Retention  time.Duration // how long an ended job can be asked for
 	Turn       time.Duration // quiet time before another holder orders the same instance about
-	Notice     time.Duration // time after which a task that is away counts as missing
-	Harm       time.Duration // longest time that a serving task may be over its target because of others
-	FarFactor  float64       // how much longer a task takes away from its data
 }
 
 // usualLease bounds how long the tasks of a silent worker are given up for lost.
--- /dev/null
+++ b/internal/jobs/machines/record.go
@@ -0,0 +1,172 @@
+package machines
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+)
+
+const wavePrefix = "wave/"
+
+// waveRecord is how far a wave is, as stored.
+type waveRecord struct {
+	Number   int      `cbor:"1,keyasint"`
+	Done     []string `cbor:"2,keyasint,omitempty"`
+	Finished bool     `cbor:"3,keyasint,omitempty"`
+}
+
+// recentKey is the key of the instances that were ordered about lately.
+const recentKey = "recent"
+
+// recentRecord names the instances that the holder of the claim has ordered about lately.
+type recentRecord struct {
+	Names []string `cbor:"1,keyasint,omitempty"`
+}
+
+// record stores which instances are about to be ordered about, so that a successor leaves them alone for
+// a while; orders that are not recorded are not given.
+func (k *Keeper) record(ctx context.Context, now time.Duration, actions []Action) error {
+	if len(actions) == 0 {
+		return nil
+	}
+	for _, a := range actions {
+		k.recent[instanceOf(a)] = now
+	}
+	var r recentRecord
+	for name, since := range k.recent {
+		if now-since > k.config.Turn {
+			delete(k.recent, name)
+			continue
+		}
+		r.Names = append(r.Names, name)
+	}
+	return k.append(ctx, recentKey, r)
+}
+
+func instanceOf(a Action) string {
+	switch a := a.(type) {
+	case MoveAction:
+		return a.Instance
+	case MaintainAction:
+		return a.Instance
+	}
+	return ""
+}
+
+// Recent returns the instances that a record of the keeper's table names as ordered about lately.
+func Recent(r stream.Record) ([]string, error) {
+	var recent recentRecord
+	if r.Key != recentKey || len(r.Value) == 0 {
+		return nil, nil
+	}
+	err := cbor.Unmarshal(r.Value, &recent)
+	return recent.Names, errors.Annotate(err, "decoding the recent orders for instances")
+}
+
+func (k *Keeper) load(r stream.Record) {
+	names, err := Recent(r)
+	if err != nil {
+		k.config.Logger.Error("a stored record cannot be read", zap.Error(err))
+	}
+	k.inherited = append(k.inherited, names...)
+	if !strings.HasPrefix(r.Key, wavePrefix) || len(r.Value) == 0 {
+		return
+	}
+	var w waveRecord
+	if err := cbor.Unmarshal(r.Value, &w); err != nil {
+		k.config.Logger.Error("a stored wave cannot be read", zap.String("key", r.Key), zap.Error(err))
+		return
+	}
+	k.stored[w.Number] = w.Done
+	k.done[w.Number] = len(w.Done)
+	k.finished[w.Number] = w.Finished
+}
+
+// announce takes a wave in and publishes that it runs.
+func (k *Keeper) announce(ctx context.Context, now time.Duration, w catalog.Wave) {
+	if _, known := k.planner.waves[w.Number]; known || k.finished[w.Number] {
+		return
+	}
+	k.planner.AddWave(now, w, k.stored[w.Number])
+	k.publish(ctx, w.Number, false)
+}
+
+func (k *Keeper) publish(ctx context.Context, number int, done bool) bool {
+	r, err := k.config.Codec.WaveStatus(number, done)
+	if err == nil {
+		_, err = k.config.Log.Append(ctx, k.config.Status, []stream.Record{r}, nil)
+	}
+	if err != nil {
+		k.config.Logger.Warn("could not publish the status of a wave", zap.Int("wave", number), zap.Error(err))
+		return false
+	}
+	k.config.Logger.Info("wave status published", zap.Int("wave", number), zap.Bool("done", done))
+	return true
+}
+
+// report stores how far the waves are and publishes those that have ended.
+func (k *Keeper) report(ctx context.Context) error {
+	for _, number := range k.planner.Waves() {
+		done, all := k.planner.Done(number)
+		if len(done) > k.done[number] {
+			if err := k.store(ctx, waveRecord{Number: number, Done: done}); err != nil {
+				return err
+			}
+			k.done[number] = len(done)
+		}
+		if all && !k.finished[number] && k.publish(ctx, number, true) {
+			if err := k.store(ctx, waveRecord{Number: number, Done: done, Finished: true}); err != nil {
+				return err
+			}
+			k.finished[number] = true
+		}
+	}
+	return nil
+}
+
+// store writes how far a wave is; that the log did not take it is no fault, as the same is written again.
+func (k *Keeper) store(ctx context.Context, w waveRecord) error {
+	err := k.append(ctx, fmt.Sprintf("%s%d", wavePrefix, w.Number), w)
+	var later laterError
+	if errors.As(err, &later) {
+		k.config.Logger.Warn("could not store how far a wave is", zap.Int("wave", w.Number), zap.Error(err))
+		return nil
+	}
+	return err
+}
+
+// laterError reports a record that the log did not take now.
+type laterError struct{ cause error }
+
+func (e laterError) Error() string { return "not stored yet: " + e.cause.Error() }
+
+// append stores a record under the claim; it fails with a laterError when the log did not take it now.
+func (k *Keeper) append(ctx context.Context, key string, value any) error {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		return errors.Annotatef(err, "encoding %s", key)
+	}
+	asked := k.config.Clock.Moment().Steady
+	_, err = k.config.Log.Append(ctx, Table(), []stream.Record{{Key: key, Value: data}}, &k.writer)
+	var fenced stream.FencedError
+	var sequence stream.SequenceError
+	switch {
+	case err == nil:
+		k.writer.Sequence++
+		k.proven = max(k.proven, asked)
+		return nil
+	case errors.As(err, &fenced):
+		return errors.Annotatef(err, "storing %s", key)
+	case errors.As(err, &sequence):
+		k.writer.Sequence = sequence.Expected
+	}
+	return laterError{cause: err}
+}
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -44,7 +44,6 @@
 		return int(a.key - b.key)
 	})
 	hosts := p.candidates(at)
-	p.crowded = false
 	reserved := map[*host]bool{}
 	for i := range items {
 		p.placeItem(at, &items[i], hosts, reserved)
@@ -167,7 +166,6 @@
 		}
 		h := p.choose(it, step, hosts, reserved)
 		if h == nil {
-			p.crowded = true
 			if step.Lasting {
 				reserve(step, hosts, reserved)
 				if it.entry.stuck == 0 {
@@ -312,7 +310,6 @@
 			h = p.choose(it, step, hosts, reserved)
 		}
 		if h == nil {
-			p.crowded = true
 			for _, r := range placed {
 				p.unhold(r)
 				p.release(r)
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -22,8 +22,6 @@
 	Lease     time.Duration // how long a worker runs on without a renewal
 	Inherited time.Duration // after a change of owner, how long a run may go on that nobody has seen
 	Retention time.Duration // how long an ended job can be asked for
-	StopTime  time.Duration // longest time that a stop takes on a worker
-	Harm      time.Duration // longest time that a serving task may be over its target because of others
 	Observer  Observer      // nil observes nothing
 }
 
@@ -66,7 +64,6 @@
 	reachTill    time.Duration // until when what is said of the reach holds
 	reach        int           // thousandths of a core that the pool can get beside what it has
 	questions    int           // to the advice service that are on their way
-	crowded      bool          // the last round left a task that fits nowhere
 }
 
 // New returns an empty pool.
--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -339,7 +339,7 @@
 func (w *world) takeOver() *fakeOwner {
 	w.epoch++
 	o := &fakeOwner{w: w, epoch: w.epoch, proven: w.now, cutFrom: map[string]bool{}}
-	o.pool = New(Config{Name: "p", Fence: w.epoch, Lease: testLease, Inherited: testInherited, Retention: time.Minute, StopTime: time.Second})
+	o.pool = New(Config{Name: "p", Fence: w.epoch, Lease: testLease, Inherited: testInherited, Retention: time.Minute})
 	o.pool.SetWorkers(w.moment(), w.list())
 	var all []Stored
 	for _, s := range w.log {
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -39,8 +39,6 @@
 type Settings struct {
 	Lease     time.Duration // how long a worker runs on without a renewal
 	Retention time.Duration
-	StopTime  time.Duration
-	Harm      time.Duration
 }
 
 // Config holds what a Shard needs.
@@ -155,8 +153,8 @@
 	s.pool = pool.New(pool.Config{
 		Name: s.config.Pool, Fence: s.claim.Epoch(), Lease: s.config.Settings.Lease,
 		Inherited: s.inherited(),
-		Retention: s.config.Settings.Retention, StopTime: s.config.Settings.StopTime, Harm: s.config.Settings.Harm,
-		Observer: s.config.Observer,
+		Retention: s.config.Settings.Retention,
+		Observer:  s.config.Observer,
 	})
 	s.applyView(at)
 	s.pool.Spare(at, ordered)
