--- /dev/null
+++ b/internal/jobs/shard/shard_test.go
@@ -0,0 +1,252 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+	"marigoldshed.example/marigoldshed/internal/observe/steady"
+)
+
+// fakeWorkers runs every task for a moment and notes its starts; it knows fences.
+type fakeWorkers struct {
+	mu     sync.Mutex
+	fence  int64
+	starts map[worker.Run]int
+	ends   []worker.End
+	number int64
+	log    *fakeLog
+	early  []worker.Run // starts that came before their job was stored
+}
+
+func (f *fakeWorkers) Start(_ context.Context, _ worker.Target, s worker.Start) (worker.Answer, error) {
+	stored := f.log.stored(OutputTable("p"), progressPrefix+string(s.Task.Job))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.Fence < f.fence {
+		return worker.Answer{}, worker.RefusedError{Reason: worker.Fenced}
+	}
+	f.fence = s.Fence
+	if !stored {
+		f.early = append(f.early, s.Run)
+	}
+	f.starts[s.Run]++
+	f.number++
+	f.ends = append(f.ends, worker.End{Run: s.Run, Number: f.number, How: worker.Done})
+	return worker.Answer{Clock: time.Second}, nil
+}
+
+func (l *fakeLog) stored(t stream.Table, key string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.table(t).records {
+		if r.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fakeWorkers) Stop(context.Context, worker.Target, worker.Run, int64) (worker.Answer, error) {
+	return worker.Answer{Clock: time.Second}, nil
+}
+
+func (f *fakeWorkers) Hold(_ context.Context, _ worker.Target, h worker.Hold) (worker.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h.Fence < f.fence {
+		return worker.Report{}, worker.RefusedError{Reason: worker.Fenced}
+	}
+	f.fence = h.Fence
+	report := worker.Report{Answer: worker.Answer{Clock: time.Second}}
+	for _, e := range f.ends {
+		if e.Number > h.Acked {
+			report.Ended = append(report.Ended, e)
+		}
+	}
+	return report, nil
+}
+
+func (f *fakeWorkers) Pace(context.Context, worker.Target, worker.Run, int, int64) (worker.Answer, error) {
+	return worker.Answer{}, nil
+}
+
+func newShard(log *fakeLog, workers *fakeWorkers, holder string) *Shard {
+	return New(Config{
+		Pool: "p", Holder: holder, Log: log, Workers: workers, Clock: steady.Clock{}, Logger: zap.NewNop(),
+		Settings: Settings{Lease: 4 * time.Second, Retention: time.Minute},
+		View: func() View {
+			return View{Workers: []catalog.Worker{{
+				ID: "w", Pool: "p", Address: netip.MustParseAddrPort("127.0.0.1:1"), Capacity: catalog.Amount{CPU: 8000, MemoryMB: 8000},
+			}}}
+		},
+	})
+}
+
+func someJob(i int) job.Spec {
+	return job.Spec{
+		ID: job.ID(fmt.Sprintf("%016x", i)), Queue: "q", Pool: "p", Accepted: time.Now(),
+		Policy: job.Policy{Attempts: 2, Stretch: 2, Target: time.Second},
+		Steps:  []job.Step{{Count: 2, CPU: 100, Estimate: 10 * time.Millisecond}},
+	}
+}
+
+// owner runs a shard in the background.
+type owner struct {
+	shard *Shard
+	err   chan error
+}
+
+func (o *owner) run(ctx context.Context) { o.err <- o.shard.Run(ctx) }
+
+func start(ctx context.Context, s *Shard) *owner {
+	o := &owner{shard: s, err: make(chan error, 1)}
+	go o.run(ctx)
+	return o
+}
+
+func await(t *testing.T, s *Shard, name job.ID, want job.State) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for {
+		state, known, err := s.State(ctx, name)
+		if err == nil && known && state == want {
+			return
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("job %s is %v (known: %v, %v), not %v", name, state, known, err, want)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestJobsAreStoredBeforeTheyStart hands jobs in while answers of the log get lost: each is taken once, its
+// tasks start once, and none before the log holds that.
+func TestJobsAreStoredBeforeTheyStart(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := newFakeLog()
+	workers := &fakeWorkers{starts: map[worker.Run]int{}, log: log}
+	o := start(ctx, newShard(log, workers, "a"))
+	for i := range 10 {
+		if i%3 == 1 {
+			log.set(1, false)
+		}
+		if err := o.shard.Submit(ctx, someJob(i)); err != nil {
+			t.Fatal(err)
+		}
+		if err := o.shard.Submit(ctx, someJob(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 10 {
+		await(t, o.shard, someJob(i).ID, job.Completed)
+	}
+	if len(workers.early) > 0 {
+		t.Errorf("%v started before they were stored", workers.early)
+	}
+	if len(workers.starts) != 20 {
+		t.Errorf("%d runs of 20 tasks", len(workers.starts))
+	}
+}
+
+// TestSuccessorTakesOver ends the first owner when a second claims the pool, which knows all jobs, also
+// those that only the intake holds, over several pages.
+func TestSuccessorTakesOver(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := newFakeLog()
+	workers := &fakeWorkers{starts: map[worker.Run]int{}, log: log}
+	first := start(ctx, newShard(log, workers, "a"))
+	for i := range 5 {
+		if err := first.shard.Submit(ctx, someJob(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	spec := someJob(5)
+	record, err := SpecRecord(&spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(ctx, IntakeTable("p"), []stream.Record{record}, nil); err != nil {
+		t.Fatal(err)
+	}
+	second := start(ctx, newShard(log, workers, "b"))
+	for i := range 6 {
+		await(t, second.shard, someJob(i).ID, job.Completed)
+	}
+	var fenced stream.FencedError
+	select {
+	case err := <-first.err:
+		if !errors.As(err, &fenced) {
+			t.Errorf("the first owner ended with %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the first owner goes on")
+	}
+	if _, _, err := first.shard.State(ctx, spec.ID); !errors.As(err, new(EndedError)) {
+		t.Errorf("the first owner still answers: %v", err)
+	}
+	for run, n := range workers.starts {
+		if n != 1 {
+			t.Errorf("%v was started %d times", run, n)
+		}
+	}
+}
+
+// TestUnknownJobs says that a job is not there only after a look at the newest intake.
+func TestUnknownJobs(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := newFakeLog()
+	o := start(ctx, newShard(log, &fakeWorkers{starts: map[worker.Run]int{}, log: log}, "a"))
+	if _, known, err := o.shard.State(ctx, "00000000000000aa"); known || err != nil {
+		t.Errorf("a job that nobody handed in: %v, %v", known, err)
+	}
+	spec := someJob(1)
+	record, err := SpecRecord(&spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(ctx, IntakeTable("p"), []stream.Record{record}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, known, err := o.shard.State(ctx, spec.ID); !known || err != nil {
+		t.Errorf("a job that was just stored by another instance: %v, %v", known, err)
+	}
+	if known, err := o.shard.Cancel(ctx, "00000000000000aa"); known || err != nil {
+		t.Errorf("cancelling a job that nobody handed in: %v, %v", known, err)
+	}
+}
+
+// TestStoreDown takes no job while the log is down and goes on when it is back.
+func TestStoreDown(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := newFakeLog()
+	workers := &fakeWorkers{starts: map[worker.Run]int{}, log: log}
+	o := start(ctx, newShard(log, workers, "a"))
+	if err := o.shard.Submit(ctx, someJob(1)); err != nil {
+		t.Fatal(err)
+	}
+	log.set(0, true)
+	short, stop := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer stop()
+	if err := o.shard.Submit(short, someJob(2)); err == nil {
+		t.Error("a job was taken while the log was down")
+	}
+	log.set(0, false)
+	await(t, o.shard, someJob(1).ID, job.Completed)
+	await(t, o.shard, someJob(2).ID, job.Completed)
+}
