machines: Count what an earlier keeper has taken down

Test: TestWaveAfterTakeover fails without the change (3 taken down beside two others of 3) and passes with it.

--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -98,6 +98,7 @@
 	wanted  map[string]*demand
 	barred  map[[2]string]bool // instances and pools between which the platform allows no move
 	busy    map[string]time.Duration
+	rests   map[string]time.Duration // instances that an earlier keeper has ordered about, until when it may show
 	gone    map[string]time.Duration // workers whose instances were moved or taken down, by when
 	worked  bool                     // tasks that do not last have asked for room
 }
@@ -106,7 +107,7 @@
 func NewPlanner() *Planner {
 	return &Planner{
 		waves: map[int]*wave{}, leaving: map[string]goal{}, transit: map[string]transit{},
-		wanted: map[string]*demand{}, barred: map[[2]string]bool{}, busy: map[string]time.Duration{},
+		wanted: map[string]*demand{}, barred: map[[2]string]bool{}, busy: map[string]time.Duration{}, rests: map[string]time.Duration{},
 		gone: map[string]time.Duration{},
 	}
 }
@@ -127,8 +128,11 @@
 	hosts   map[string]Host                // by worker
 }
 
-// Rest leaves an instance alone until a time.
-func (p *Planner) Rest(name string, until time.Duration) { p.busy[name] = max(p.busy[name], until) }
+// Rest leaves an instance alone until a time, since an earlier keeper has ordered it about.
+func (p *Planner) Rest(name string, until time.Duration) {
+	p.busy[name] = max(p.busy[name], until)
+	p.rests[name] = until
+}
 
 // Tick decides one round.
 func (p *Planner) Tick(in Input) Plan {
--- a/internal/jobs/machines/planner_test.go
+++ b/internal/jobs/machines/planner_test.go
@@ -289,3 +289,28 @@
 		t.Errorf("%s waits for %q", kept, f.planner.Waiting(1)[kept])
 	}
 }
+
+// TestWaveAfterTakeover counts what an earlier keeper has taken down: instances that the list shows in their
+// maintenance, and those that it ordered about lately, which the list may not show yet.
+func TestWaveAfterTakeover(t *testing.T) {
+	f := newFleet(map[string]int{"a": 2, "spare": 6})
+	f.instances[2].State = catalog.InUpkeep // spare0
+	f.planner.Rest("spare1", f.now+3*time.Second)
+	var names []string
+	for _, m := range f.instances[2:] {
+		names = append(names, m.Name)
+	}
+	f.planner.AddWave(f.now, catalog.Wave{Number: 1, Instances: names, Within: 30 * time.Second, AtOnce: 3}, nil)
+	ordered := 0
+	for range 5 {
+		for _, a := range f.tick().Actions {
+			if m, ok := a.(MaintainAction); ok {
+				ordered++
+				f.planner.Maintained(f.now, m, Carried)
+			}
+		}
+	}
+	if ordered != 1 {
+		t.Errorf("%d instances are taken down beside two others, 3 may be down", ordered)
+	}
+}
--- a/internal/jobs/machines/wave.go
+++ b/internal/jobs/machines/wave.go
@@ -125,7 +125,8 @@
 			delete(w.down, name)
 		}
 	}
-	room := max(1, w.AtOnce) - len(w.down)
+	down := r.downOf(w)
+	room := max(1, w.AtOnce) - down
 	emptying := 0
 	w.why = map[string]string{}
 	var waiting []*catalog.Instance
@@ -153,7 +154,23 @@
 		}
 		waiting = append(waiting, m)
 	}
-	r.emptyNext(w, waiting, max(1, w.AtOnce)-len(w.down)-emptying)
+	r.emptyNext(w, waiting, max(1, w.AtOnce)-down-emptying)
+}
+
+// downOf counts the instances of a wave that are down or may be: those of this keeper, those that the list
+// shows in their maintenance, and those that an earlier keeper ordered about lately.
+func (r *round) downOf(w *wave) int {
+	down := len(w.down)
+	for _, name := range w.Instances {
+		m := r.byName[name]
+		if _, own := w.down[name]; own || m == nil {
+			continue
+		}
+		if m.State == catalog.InUpkeep || r.Now < r.rests[name] {
+			down++
+		}
+	}
+	return down
 }
 
 func (r *round) maintain(w *wave, m *catalog.Instance) {
