--- a/internal/jobs/catalog/catalog.go
+++ b/internal/jobs/catalog/catalog.go
@@ -100,16 +100,6 @@
 	return nil
 }
 
-// Pool returns a pool by its name, or nil.
-func (c *Config) Pool(name string) *Pool {
-	for i := range c.Pools {
-		if c.Pools[i].Name == name {
-			return &c.Pools[i]
-		}
-	}
-	return nil
-}
-
 // Serving returns the names of the pools that run work, in order.
 func (c *Config) Serving() []string {
 	var names []string
--- a/internal/jobs/claim/claim.go
+++ b/internal/jobs/claim/claim.go
@@ -77,9 +77,6 @@
 // Epoch returns the number of the claim.
 func (c *Claim) Epoch() int64 { return c.epoch }
 
-// First reports whether no owner has claimed the table before.
-func (c *Claim) First() bool { return c.epoch == 1 }
-
 // Prove asks the log whether this claim is still the newest; a stream.FencedError says that it is not.
 func (c *Claim) Prove(ctx context.Context) error {
 	return c.config.Log.Fence(ctx, c.config.Table, c.epoch)
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -9,8 +9,8 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
-// clockDrift is the most by which a worker's clock is slow, as a part of the time.
-const clockDrift = 0.02
+// ClockDrift is the most by which a worker's clock is slow, as a part of the time.
+const ClockDrift = 0.02
 
 // leaseSlack covers rounding and the way of an order, on top of a lease.
 const leaseSlack = 150 * time.Millisecond
@@ -63,7 +63,7 @@
 
 // extend notes that a lease may have been given now.
 func (h *host) extend(now, lease time.Duration) {
-	drift := time.Duration(clockDrift * float64(now-h.clockAt+lease) * 1.1)
+	drift := time.Duration(ClockDrift * float64(now-h.clockAt+lease) * 1.1)
 	h.leaseEnd = max(h.leaseEnd, now+lease+drift+leaseSlack)
 }
 
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -73,12 +73,12 @@
 		s.placed = at.Steady
 		s.pool.Place(at)
 	}
-	s.store(ctx, at, fatal)
+	s.store(ctx, fatal)
 	s.carryOut(ctx)
 }
 
 // store writes what has changed, one batch at a time.
-func (s *Shard) store(ctx context.Context, at pool.Moment, fatal chan error) {
+func (s *Shard) store(ctx context.Context, fatal chan error) {
 	if s.writing {
 		return
 	}
@@ -93,7 +93,7 @@
 		return
 	}
 	s.writing = true
-	w := &write{shard: s, batch: batch, records: append(s.handedIn, records...), callers: s.callers, writer: s.writer, sent: at.Steady}
+	w := &write{shard: s, batch: batch, records: append(s.handedIn, records...), callers: s.callers, writer: s.writer}
 	s.handedIn, s.callers = nil, nil
 	s.writer.Sequence++
 	go w.run(ctx, fatal)
@@ -130,7 +130,6 @@
 	records []stream.Record
 	callers []chan struct{} // closed once the log has the batch
 	writer  stream.Writer
-	sent    time.Duration
 }
 
 func (w *write) run(ctx context.Context, fatal chan error) {
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -32,9 +32,6 @@
 	inheritedSlack = 500 * time.Millisecond // for orders on their way
 )
 
-// clockDrift is the most by which a worker's clock is slow, as a part of the time.
-const clockDrift = 0.02
-
 // Settings are the bounds that the platform states.
 type Settings struct {
 	Lease     time.Duration // how long a worker runs on without a renewal
@@ -175,7 +172,7 @@
 // inherited returns how long a run of an earlier owner may go on that nobody has seen: its last lease, and
 // before that the time for which the owner itself may not have heard of this one.
 func (s *Shard) inherited() time.Duration {
-	lease := time.Duration(float64(s.config.Settings.Lease)*(1+2*clockDrift)) + inheritedSlack
+	lease := time.Duration(float64(s.config.Settings.Lease)*(1+2*pool.ClockDrift)) + inheritedSlack
 	if s.config.Released {
 		return lease
 	}
