cbor: Keep the fractions of seconds in what is stored and passed on

Cause: times were encoded as whole seconds, in the log and between instances. A scheduled job that came by another instance started up to a second before its time, and any such job looked up to a second older than it is, so that its due time, its place in the order and its admission were wrong. The test failed first. The three places that encoded share one package now.

--- a/internal/jobs/job/job_test.go
+++ b/internal/jobs/job/job_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"testing"
 	"time"
+
+	"marigoldshed.example/marigoldshed/internal/encoding/cbor"
 )
 
 func twoSteps() Spec {
@@ -106,12 +108,12 @@
 	running := &j.Occurrences[1].Steps[0][1]
 	j.Start(running, "w")
 	running.Failures, running.Checkpoint, running.Leaving = 1, "c", true
-	data, err := Encode(j.Progress())
+	data, err := cbor.Marshal(j.Progress())
 	if err != nil {
 		t.Fatal(err)
 	}
 	var stored Progress
-	if err := Decode(data, &stored); err != nil {
+	if err := cbor.Unmarshal(data, &stored); err != nil {
 		t.Fatal(err)
 	}
 	again := New(spec)
--- a/internal/jobs/job/progress.go
+++ b/internal/jobs/job/progress.go
@@ -1,11 +1,6 @@
 package job
 
-import (
-	"time"
-
-	"github.com/fxamacker/cbor/v2"
-	"github.com/juju/errors"
-)
+import "time"
 
 // Progress is what is stored of a job beside its Spec: all that a successor must know to go on with it.
 type Progress struct {
@@ -107,14 +102,3 @@
 		t.Leaving = stored.Leaving
 	}
 }
-
-// Encode returns a stored form of a value of this package.
-func Encode(value any) ([]byte, error) {
-	data, err := cbor.Marshal(value)
-	return data, errors.Annotatef(err, "encoding %T", value)
-}
-
-// Decode reads back what Encode returned.
-func Decode(data []byte, value any) error {
-	return errors.Annotatef(cbor.Unmarshal(data, value), "decoding %T", value)
-}
--- a/internal/jobs/machines/record.go
+++ b/internal/jobs/machines/record.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"marigoldshed.example/marigoldshed/internal/encoding/cbor"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
@@ -152,7 +152,7 @@
 func (k *Keeper) append(ctx context.Context, key string, value any) error {
 	data, err := cbor.Marshal(value)
 	if err != nil {
-		return errors.Annotatef(err, "encoding %s", key)
+		return errors.Annotate(err, key)
 	}
 	asked := k.config.Clock.Moment().Steady
 	_, err = k.config.Log.Append(ctx, Table(), []stream.Record{{Key: key, Value: data}}, &k.writer)
--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"marigoldshed.example/marigoldshed/internal/encoding/cbor"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
@@ -420,9 +421,9 @@
 		}
 		for _, s := range b.Jobs {
 			progress := s.Progress
-			if data, err := job.Encode(progress); err == nil {
+			if data, err := cbor.Marshal(progress); err == nil {
 				var copied job.Progress
-				if job.Decode(data, &copied) == nil {
+				if cbor.Unmarshal(data, &copied) == nil {
 					o.w.log[s.ID].Progress = &copied
 				}
 			}
--- a/internal/jobs/shard/record.go
+++ b/internal/jobs/shard/record.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"marigoldshed.example/marigoldshed/internal/encoding/cbor"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
@@ -20,7 +21,7 @@
 
 // SpecRecord returns the record that hands a job in.
 func SpecRecord(spec *job.Spec) (stream.Record, error) {
-	data, err := job.Encode(spec)
+	data, err := cbor.Marshal(spec)
 	return stream.Record{Key: specPrefix + string(spec.ID), Value: data}, err
 }
 
@@ -30,7 +31,7 @@
 }
 
 func progressRecord(s pool.StoredJob) (stream.Record, error) {
-	data, err := job.Encode(s.Progress)
+	data, err := cbor.Marshal(s.Progress)
 	return stream.Record{Key: progressPrefix + string(s.ID), Value: data}, err
 }
 
@@ -41,7 +42,7 @@
 		return
 	}
 	var progress job.Progress
-	if err := job.Decode(r.Value, &progress); err != nil {
+	if err := cbor.Unmarshal(r.Value, &progress); err != nil {
 		s.config.Logger.Error("a stored progress cannot be read", zap.String("job", name), zap.Error(err))
 		return
 	}
@@ -67,7 +68,7 @@
 	if !strings.HasPrefix(r.Key, specPrefix) {
 		return spec, false
 	}
-	if err := job.Decode(r.Value, &spec); err != nil {
+	if err := cbor.Unmarshal(r.Value, &spec); err != nil {
 		s.config.Logger.Error("a stored job cannot be read", zap.String("key", r.Key), zap.Error(err))
 		return spec, false
 	}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -1,9 +1,6 @@
 package peer
 
-import (
-	"github.com/fxamacker/cbor/v2"
-	"github.com/juju/errors"
-)
+import "marigoldshed.example/marigoldshed/internal/encoding/cbor"
 
 // codec carries messages as CBOR over connect.
 type codec struct{}
@@ -13,11 +10,10 @@
 
 // Marshal encodes a message.
 func (codec) Marshal(message any) ([]byte, error) {
-	data, err := cbor.Marshal(message)
-	return data, errors.Annotatef(err, "encoding %T", message)
+	return cbor.Marshal(message)
 }
 
 // Unmarshal decodes a message.
 func (codec) Unmarshal(data []byte, message any) error {
-	return errors.Annotatef(cbor.Unmarshal(data, message), "decoding %T", message)
+	return cbor.Unmarshal(data, message)
 }
