instance: Say that a job does not run only when no owner can have it

Now the answer is 504 when an owner may have taken the job. An owner whose log has not answered for a second takes nothing in and says so, a connection that never came about counts as not taken, and when this instance has not heard the store for 1.5 s either, the caller is told at once that the job does not run.

--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -14,6 +14,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/peer"
 )
 
 // Times of callers' calls.
@@ -74,24 +75,38 @@
 	if err == nil || errors.As(err, &full) {
 		return err
 	}
+	var none shard.NotTakenError
+	maybe := !errors.As(err, &none)
+	if !maybe && n.storeSilent() {
+		return NotReadyError{Reason: "the store does not answer", Retry: retryAfter}
+	}
 	record, err := shard.SpecRecord(&spec)
 	if err != nil {
 		return err
 	}
-	return n.store(ctx, shard.IntakeTable(q.Pool), record)
+	return n.store(ctx, shard.IntakeTable(q.Pool), record, maybe)
+}
+
+// storePatience is how long the store may be silent here before a job that no owner has taken is refused at once.
+const storePatience = 1500 * time.Millisecond
+
+func (n *Instance) storeSilent() bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.config.Clock.Moment().Steady-n.heard > storePatience
 }
 
 // ownerTimeout bounds the time in which an owner stores what it is handed.
 const ownerTimeout = 1200 * time.Millisecond
 
-// submitToOwner hands a job to the owner of its pool; after an error it may be stored nonetheless, and
-// is stored once however often it is handed in.
+// submitToOwner hands a job to the owner of its pool. A FullError or a shard.NotTakenError says that the owner
+// has not taken it; after any other error it may be stored nonetheless, once however often it is handed in.
 func (n *Instance) submitToOwner(ctx context.Context, spec job.Spec) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	owner, here, err := n.owner(spec.Pool)
 	if err != nil {
-		return err
+		return shard.NotTakenError{Reason: err.Error()}
 	}
 	if here != nil {
 		err := here.Submit(ctx, spec)
@@ -102,8 +117,13 @@
 		return err
 	}
 	taken, err := n.config.Peers.Submit(ctx, owner, spec)
-	if err == nil && taken.Full {
+	switch {
+	case peer.Unreached(err):
+		return shard.NotTakenError{Reason: err.Error()}
+	case err == nil && taken.Full:
 		return FullError{Retry: taken.Wait}
+	case err == nil && taken.None:
+		return shard.NotTakenError{Reason: "the owner can store nothing"}
 	}
 	return err
 }
@@ -143,9 +163,9 @@
 	return false, nil
 }
 
-// store appends a record that nothing fences, directly or by another instance.
-func (n *Instance) store(ctx context.Context, t stream.Table, r stream.Record) error {
-	unsure := false
+// store appends a record that nothing fences, directly or by another instance; unsure tells that it may
+// have been taken elsewhere already.
+func (n *Instance) store(ctx context.Context, t stream.Table, r stream.Record, unsure bool) error {
 	var last error
 	for try := 0; ctx.Err() == nil; try++ {
 		_, err := n.config.Log.Append(ctx, t, []stream.Record{r}, nil)
@@ -296,7 +316,7 @@
 		return NoJobError{Job: name}
 	}
 	// An owner cannot be asked; a wish for a job that is not there does no harm.
-	return n.store(ctx, shard.IntakeTable(q.Pool), shard.CancelRecord(name))
+	return n.store(ctx, shard.IntakeTable(q.Pool), shard.CancelRecord(name), true)
 }
 
 // Pending returns how many jobs of a queue have not begun.
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -39,12 +39,16 @@
 func (n *Instance) TakeSubmit(ctx context.Context, spec job.Spec) (relay.Taken, error) {
 	s, err := n.own(spec.Pool)
 	if err != nil {
-		return relay.Taken{}, err
+		return relay.Taken{None: true}, nil
 	}
 	err = s.Submit(ctx, spec)
 	var full pool.FullError
-	if errors.As(err, &full) {
+	var none shard.NotTakenError
+	switch {
+	case errors.As(err, &full):
 		return relay.Taken{Full: true, Wait: full.Wait}, nil
+	case errors.As(err, &none):
+		return relay.Taken{None: true}, nil
 	}
 	return relay.Taken{}, err
 }
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -29,10 +29,12 @@
 	Job  job.ID `cbor:"2,keyasint"`
 }
 
-// Taken answers a job that was handed in; Full tells that it was refused, and Wait when to come back.
+// Taken answers a job that was handed in; Full tells that it was refused, and Wait when to come back. None
+// tells that the owner can store nothing now and has not taken the job.
 type Taken struct {
 	Full bool          `cbor:"1,keyasint,omitempty"`
 	Wait time.Duration `cbor:"2,keyasint,omitempty"`
+	None bool          `cbor:"3,keyasint,omitempty"`
 }
 
 // State answers a Question, also one that asked for a cancellation.
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -92,7 +92,7 @@
 		s.fail(fatal, err)
 		return
 	}
-	s.writing = true
+	s.writing, s.wrote = true, s.config.Clock.Moment().Steady
 	w := &write{shard: s, batch: batch, records: append(s.handedIn, records...), callers: s.callers, writer: s.writer}
 	s.handedIn, s.callers = nil, nil
 	s.writer.Sequence++
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -74,6 +74,7 @@
 
 	writer    stream.Writer
 	writing   bool
+	wrote     time.Duration // steady time at which the newest batch was first sent
 	proven    time.Duration // steady time at which the newest answered proof was sent
 	proving   bool
 	placed    time.Duration
--- a/peer/client.go
+++ b/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -70,6 +71,12 @@
 	return Call[Ask, Told](ctx, c, to, askPath, &ask)
 }
 
+// Unreached reports whether a call failed before its message could be sent, so that it had no effect.
+func Unreached(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
 // Call sends a message to a procedure of a member and returns its answer.
 func Call[Q, A any](ctx context.Context, c *Client, to netip.AddrPort, path string, message *Q) (A, error) {
 	var none A
