jobs: Spend a full pool's room on jobs in time, deal rooms and limits by need

In a surge beyond the room each was begun when its time was just over: in a test in fake time 0 of 75 jobs end in time. Now a pool chooses the jobs that its room is spent on (feasible.go): 29 to 30 of 75, with 32 as the bound of the room; within it teams get room by their weights. - A pool that surged first kept all instances; another one asked for 1,383 and had 16. Now what there is is rationed (ration.go). - A team's upper limit was cut evenly over pools, so that it could use a fourth of it in the pool of its turn: 169 of 169 waiting tasks were held back by it at one moment. Now the keeper deals parts of it by need (limit), a part rises only by what is surely free elsewhere. A trial of keeping workers free for gangs (in fake time) showed no gain and was taken out.

--- a/commands/run.go
+++ b/commands/run.go
@@ -35,9 +35,9 @@
 	runHeaderTimeout = 3 * time.Second
 	runIdleTimeout   = 15 * time.Second
 	runHeaderBytes   = 16 << 10
-	runWorkerConns   = 6   // connections to one worker
-	runIdleConns     = 600 // connections kept open
-	memoryShare      = 0.7 // part of the allowed memory at which garbage is collected harder
+	runWorkerConns   = 6    // connections to one worker
+	runIdleConns     = 2000 // connections kept open
+	memoryShare      = 0.7  // part of the allowed memory at which garbage is collected harder
 )
 
 // Times of a graceful stop, as parts of the time until the kill.
--- a/internal/jobs/catalog/catalog.go
+++ b/internal/jobs/catalog/catalog.go
@@ -148,6 +148,7 @@
 	DataCentre id.DataCentre
 	Capacity   Amount
 	Rack       string
+	Labels     []string
 }
 
 // InstanceState is what an instance is doing.
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -145,7 +145,7 @@
 func (n *Instance) view(pool string) shard.View {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	v := shard.View{Evacuated: id.Set[id.DataCentre]{}, Limits: map[string]catalog.Amount{}}
+	v := shard.View{Evacuated: id.Set[id.DataCentre]{}, Limits: map[string]catalog.Amount{}, Weights: map[string]int{}}
 	for dc := range n.evacuated {
 		v.Evacuated.Add(dc)
 	}
@@ -157,23 +157,14 @@
 	if n.catalog == nil {
 		return v
 	}
-	parts := max(1, len(n.catalog.Serving()))
+	v.Pools = len(n.catalog.Serving())
 	for _, t := range n.catalog.Teams {
-		v.Limits[t.Name] = catalog.Amount{
-			CPU: part(t.Cap.CPU, parts), MemoryMB: part(t.Cap.MemoryMB, parts), Accelerators: part(t.Cap.Accelerators, parts),
-		}
+		v.Weights[t.Name] = t.Weight
+		v.Limits[t.Name] = t.Cap
 	}
 	return v
 }
 
-// part returns one pool's share of a limit; a limit that is set never turns into none.
-func part(limit, parts int) int {
-	if limit == 0 {
-		return 0
-	}
-	return max(1, limit/parts)
-}
-
 // refreshShards has the pools that run here look at what is published.
 func (n *Instance) refreshShards() {
 	n.mu.RLock()
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -38,10 +38,11 @@
 // TakeSubmit stores a job of a pool that runs here.
 func (n *Instance) TakeSubmit(ctx context.Context, spec job.Spec) (relay.Taken, error) {
 	s, err := n.own(spec.Pool)
-	if err != nil {
-		return relay.Taken{None: true}, nil
+	if err == nil {
+		err = s.Submit(ctx, spec)
+	} else {
+		err = shard.NotTakenError{Reason: err.Error()}
 	}
-	err = s.Submit(ctx, spec)
 	var full pool.FullError
 	var none shard.NotTakenError
 	switch {
--- a/internal/jobs/instance/settings.go
+++ b/internal/jobs/instance/settings.go
@@ -26,6 +26,7 @@
 	MaxLease   time.Duration // longest lease that a worker grants
 	Retention  time.Duration // how long an ended job can be asked for
 	Turn       time.Duration // quiet time before another holder orders the same instance about
+	Far        float64       // how many times as long a task takes away from its data, 0 when not known
 }
 
 // usualLease bounds how long the tasks of a silent worker are given up for lost.
--- a/internal/jobs/job/job.go
+++ b/internal/jobs/job/job.go
@@ -194,15 +194,19 @@
 
 // Remaining returns the length of the longest chain of steps that are not done, by their estimates.
 func (j *Job) Remaining(o *Occurrence) time.Duration {
+	return j.Longest(o, func(step int) time.Duration { return j.Spec.Steps[step].Estimate })
+}
+
+// Longest returns the length of the longest chain of steps that are not done, by given lengths.
+func (j *Job) Longest(o *Occurrence, length func(step int) time.Duration) time.Duration {
 	var longest time.Duration
 	lengths := make([]time.Duration, len(j.Spec.Steps))
 	for i := range j.Spec.Steps {
-		step := &j.Spec.Steps[i]
-		for _, before := range step.After {
+		for _, before := range j.Spec.Steps[i].After {
 			lengths[i] = max(lengths[i], lengths[before])
 		}
 		if o.left[i] > 0 {
-			lengths[i] += step.Estimate
+			lengths[i] += length(i)
 		}
 		longest = max(longest, lengths[i])
 	}
--- a/internal/jobs/machines/keeper.go
+++ b/internal/jobs/machines/keeper.go
@@ -11,6 +11,7 @@
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/claim"
+	"marigoldshed.example/marigoldshed/internal/jobs/limit"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
@@ -57,6 +58,8 @@
 	claim   *claim.Claim
 	writer  stream.Writer
 
+	dealer    *limit.Dealer
+	round     int64
 	outcomes  chan func(now time.Duration) // run by loop
 	proven    time.Duration
 	recent    map[string]time.Duration // instances that were ordered about lately
@@ -75,7 +78,7 @@
 // NewKeeper returns a keeper that is to be run.
 func NewKeeper(c KeeperConfig) *Keeper {
 	return &Keeper{
-		config: c, planner: NewPlanner(), outcomes: make(chan func(time.Duration), 256), loads: map[string]Load{},
+		config: c, planner: NewPlanner(), dealer: limit.NewDealer(), outcomes: make(chan func(time.Duration), 256), loads: map[string]Load{},
 		orders: map[string]Orders{}, done: map[int]int{}, finished: map[int]bool{}, stored: map[int][]string{}, recent: map[string]time.Duration{},
 	}
 }
@@ -184,19 +187,22 @@
 func (k *Keeper) ask(ctx context.Context, pools []string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	k.round++
+	parts := k.dealer.Deal(pools)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	loads := map[string]Load{}
 	for _, pool := range pools {
 		wait.Go(func() {
 			orders := k.orders[pool]
-			orders.Fence = k.claim.Epoch()
+			orders.Fence, orders.Turn, orders.Parts = k.claim.Epoch(), k.round, parts[pool]
 			load, err := k.config.Ask(ctx, pool, orders)
 			if err != nil {
 				k.config.Logger.Debug("a pool does not answer", zap.String("pool", pool), zap.Error(err))
 				return
 			}
 			mu.Lock()
+			k.dealer.Hear(pool, load.Claims)
 			loads[pool] = load
 			mu.Unlock()
 		})
--- /dev/null
+++ b/internal/jobs/machines/label_test.go
@@ -0,0 +1,73 @@
+package machines
+
+import (
+	"fmt"
+	"testing"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+)
+
+// labelled gives every other instance of a fleet a label, and each three neighbours a rack.
+func labelled(f *fleet) {
+	for i := range f.instances {
+		f.instances[i].Labels = []string{[]string{"a", "b"}[i%2]}
+		f.instances[i].Rack = fmt.Sprintf("r%d", i/3)
+	}
+}
+
+func (f *fleet) count(pool string, has func(m catalog.Instance) bool) int {
+	count := 0
+	for _, m := range f.instances {
+		if m.Pool == pool && has(m) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestLabelledWork replays little work that only instances with a label can run, in a pool that has shrunk: one with
+// the label comes or stays, and the pool takes no others for its sake.
+func TestLabelledWork(t *testing.T) {
+	for _, label := range []string{"a", "b"} {
+		f := newFleet(map[string]int{"p": 6, "q": 4, "spare": 2})
+		labelled(f)
+		f.loads["p"], f.loads["q"] = Load{Demand: 1000}, Load{Demand: 1000}
+		for range 30 {
+			f.carry(f.tick())
+		}
+		f.loads["p"] = Load{Demand: 20_000, Labels: map[string]int{label: 20_000}}
+		for range 30 {
+			f.carry(f.tick())
+		}
+		has := func(m catalog.Instance) bool { return m.Labels[0] == label }
+		if got, all := f.count("p", has), f.size("p"); got < 2 || all > 3 {
+			t.Errorf("%d of %d instances of the pool have label %s", got, all, label)
+		}
+	}
+}
+
+// TestLabelThatNoInstanceHas checks that a pool does not take one instance after the other for a label in vain.
+func TestLabelThatNoInstanceHas(t *testing.T) {
+	f := newFleet(map[string]int{"p": 6, "spare": 6})
+	labelled(f)
+	f.loads["p"] = Load{Demand: 16_000, Labels: map[string]int{"c": 16_000}}
+	for range 40 {
+		f.carry(f.tick())
+	}
+	if got := f.size("p"); got != minInstances {
+		t.Errorf("the pool has %d instances", got)
+	}
+}
+
+// TestWorkNearItsData replays a surge whose data is on one rack: instances of that rack are brought first.
+func TestWorkNearItsData(t *testing.T) {
+	f := newFleet(map[string]int{"p": 2, "spare": 10})
+	labelled(f)
+	f.loads["p"] = Load{Demand: 50_000, Racks: map[string]int{"r3": 30_000}}
+	for range 10 {
+		f.carry(f.tick())
+	}
+	if got := f.count("p", func(m catalog.Instance) bool { return m.Rack == "r3" }); got < 2 {
+		t.Errorf("%d instances of the pool are on the rack", got)
+	}
+}
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -6,6 +6,7 @@
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/limit"
 )
 
 // Load tells how the work of a pool stands.
@@ -17,6 +18,10 @@
 	Spread  int    `cbor:"5,keyasint,omitempty"` // workers needed because few tasks of a step may share one
 	Stuck   int    `cbor:"6,keyasint,omitempty"` // tasks that last and found no worker
 	Late    int    `cbor:"7,keyasint,omitempty"` // thousandths of a core for ready tasks that can only be late
+
+	Claims limit.Claims   `cbor:"8,keyasint,omitempty"`  // of the teams with a limit
+	Labels map[string]int `cbor:"9,keyasint,omitempty"`  // the part of the demand that only instances with a label can meet
+	Racks  map[string]int `cbor:"10,keyasint,omitempty"` // the part of it whose data is on a rack
 }
 
 // Host is a worker of a pool.
@@ -31,10 +36,14 @@
 // Orders is what a pool is asked to do with its workers.
 type Orders struct {
 	Reach int      `cbor:"5,keyasint,omitempty"` // thousandths of a core that the pool can get beside what it has
+	Turn  int64    `cbor:"7,keyasint,omitempty"` // number of the round; an order of an earlier one that comes late is refused
+	Soon  int      `cbor:"6,keyasint,omitempty"` // those that are on their way, or will be by its part of what there is
 	Fence int64    `cbor:"4,keyasint,omitempty"` // of the keeper that gives them; lower ones are refused
 	Leave []string `cbor:"1,keyasint,omitempty"` // workers to be emptied
 	Later []string `cbor:"2,keyasint,omitempty"` // workers to be emptied soon, where nothing that lasts should start
 	Gone  []string `cbor:"3,keyasint,omitempty"` // workers whose instances were moved or taken down
+
+	Parts limit.Parts `cbor:"8,keyasint,omitempty"` // of the teams' limits; nil leaves them as they are
 }
 
 // Action is an order for an instance; its outcome comes back as an event.
@@ -287,7 +296,7 @@
 		for w := range r.gone {
 			o.Gone = append(o.Gone, w)
 		}
-		o.Reach = r.reach(pool)
+		o.Reach, o.Soon = r.reach(pool), r.coming(pool)
 		slices.Sort(o.Leave)
 		r.plan.Orders[pool] = o
 	}
--- /dev/null
+++ b/internal/jobs/machines/ration_test.go
@@ -0,0 +1,50 @@
+package machines
+
+import (
+	"maps"
+	"testing"
+)
+
+func TestRation(t *testing.T) {
+	tests := []struct {
+		name          string
+		needs, floors map[string]int
+		total         int
+		want          map[string]int
+	}{
+		{"enough for all", map[string]int{"a": 4, "b": 3}, nil, 9, map[string]int{"a": 4, "b": 3}},
+		{"two short pools halve what there is", map[string]int{"a": 90, "b": 30}, nil, 20, map[string]int{"a": 10, "b": 10}},
+		{"a small need is met whole", map[string]int{"a": 90, "b": 30, "c": 4}, nil, 24, map[string]int{"a": 10, "b": 10, "c": 4}},
+		{"tasks that last keep their room", map[string]int{"a": 90, "b": 90}, map[string]int{"b": 14}, 20, map[string]int{"a": 6, "b": 14}},
+		{"an odd one goes to the larger need", map[string]int{"a": 9, "b": 90}, nil, 11, map[string]int{"a": 5, "b": 6}},
+		{"less than the floors", map[string]int{"a": 9, "b": 9}, map[string]int{"a": 5, "b": 5}, 6, map[string]int{"a": 5, "b": 5}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := ration(test.needs, test.floors, test.total); !maps.Equal(got, test.want) {
+				t.Errorf("%v of %d are dealt out as %v, not %v", test.needs, test.total, got, test.want)
+			}
+		})
+	}
+}
+
+// TestSecondSurge replays a surge that takes all room, and a second one in another pool while it goes on: both
+// get half of it, and a third pool keeps the little that it needs.
+func TestSecondSurge(t *testing.T) {
+	f := newFleet(map[string]int{"a": 8, "b": 8, "c": 4, "spare": 4})
+	f.loads["a"] = Load{Demand: 500_000}
+	f.loads["b"], f.loads["c"] = Load{Demand: 10_000}, Load{Demand: 40_000}
+	for range 20 {
+		f.carry(f.tick())
+	}
+	if a, b, c := f.size("a"), f.size("b"), f.size("c"); a != 19 || b != 2 || c != 3 {
+		t.Fatalf("the pool in need has %d instances, the others %d and %d", a, b, c)
+	}
+	f.loads["b"] = Load{Demand: 300_000}
+	for range 10 {
+		f.carry(f.tick())
+	}
+	if a, b, c := f.size("a"), f.size("b"), f.size("c"); a < 10 || b < 10 || c != 3 {
+		t.Errorf("the two pools in need have %d and %d instances, the third %d", a, b, c)
+	}
+}
--- a/internal/jobs/machines/size.go
+++ b/internal/jobs/machines/size.go
@@ -26,16 +26,12 @@
 	if r.Spare == "" {
 		return
 	}
+	r.measure()
 	var short []string
 	missing := map[string]int{}
 	deficit := -r.idle()
-	for pool, load := range r.Loads {
-		if pool == r.Spare {
-			continue
-		}
-		needed, held := r.size(pool, load)
-		size := Size{Wanted: held, Needed: needed, Present: r.present(pool)}
-		r.plan.Sizes[pool] = size
+	for pool, size := range r.plan.Sizes {
+		needed := size.Needed
 		if gap := needed - size.Present; gap > 0 {
 			missing[pool] = gap - r.recall(pool, gap)
 			deficit += missing[pool]
@@ -56,11 +52,44 @@
 	for _, pool := range short {
 		r.fill(pool, missing[pool])
 	}
+	for pool := range r.plan.Sizes {
+		r.fillLabels(pool)
+	}
 	if deficit <= 0 {
 		r.serveLate()
 	}
 }
 
+// measure finds the sizes of the pools, cut to what there is.
+func (r *round) measure() {
+	needs, floors, wanted := map[string]int{}, map[string]int{}, map[string]int{}
+	for pool, load := range r.Loads {
+		if pool == r.Spare {
+			continue
+		}
+		needs[pool], wanted[pool] = r.size(pool, load)
+		floors[pool] = max(minInstances, load.Spread, ceil(load.Lasting*headroom/percent, max(1, r.capacity().CPU)))
+	}
+	for pool, part := range ration(needs, floors, r.serving()) {
+		held := wanted[pool]
+		if part < needs[pool] {
+			held = part
+		}
+		r.plan.Sizes[pool] = Size{Wanted: held, Needed: part, Present: r.present(pool)}
+	}
+}
+
+// serving counts the instances that serve a pool, will shortly or could.
+func (r *round) serving() int {
+	count := 0
+	for _, m := range r.Instances {
+		if m.State != catalog.Down && !r.Evacuated.Has(m.DataCentre) {
+			count++
+		}
+	}
+	return count
+}
+
 // serveLate brings instances that no pool needs to those with work that can only be late.
 func (r *round) serveLate() {
 	for pool, load := range r.Loads {
@@ -156,35 +185,74 @@
 // shed begins to empty the instances of a pool that have the least to do.
 func (r *round) shed(pool string, most int) {
 	var free []*catalog.Instance
+	short := r.shortageOf(pool)
 	for _, m := range r.members[pool] {
+		if short.needs(m) {
+			continue
+		}
 		if _, leaves := r.leaving[m.Name]; !leaves && r.movable(m) && r.usable(m) && r.hosts[m.Worker].Lasting == 0 {
 			free = append(free, m)
 		}
 	}
-	slices.SortFunc(free, func(a, b *catalog.Instance) int { return r.hosts[a.Worker].Used - r.hosts[b.Worker].Used })
+	slices.SortFunc(free, func(a, b *catalog.Instance) int {
+		if x, y := short.likes(a), short.likes(b); x != y {
+			if y {
+				return -1
+			}
+			return 1
+		}
+		return r.hosts[a.Worker].Used - r.hosts[b.Worker].Used
+	})
 	for _, m := range free[:min(most, len(free))] {
 		r.leaving[m.Name] = goal{pool: pool, since: r.Now}
 	}
 }
 
-// fill brings instances into a pool: those that are off, then those that another pool can spare.
+// fill brings instances into a pool, those first that its work needs most.
 func (r *round) fill(pool string, missing int) {
-	for _, m := range r.Instances {
-		if missing <= 0 {
-			return
-		}
-		m := r.byName[m.Name]
-		g, leaves := r.leaving[m.Name]
-		spare := m.Pool == r.Spare && !leaves
-		surplus := m.Pool != pool && leaves && g.wave == 0 && r.empty(m)
-		if !spare && !surplus || !r.movable(m) || r.Evacuated.Has(m.DataCentre) || r.barred[[2]string{m.Name, pool}] {
-			continue
+	if missing <= 0 {
+		return
+	}
+	var offered []*catalog.Instance
+	for i := range r.Instances {
+		if m := &r.Instances[i]; r.offered(m, pool) {
+			offered = append(offered, m)
+		}
+	}
+	short := r.shortageOf(pool)
+	for ; missing > 0 && len(offered) > 0; missing-- {
+		best := 0
+		for i := range offered {
+			if short.worth(offered[i]) > short.worth(offered[best]) {
+				best = i
+			}
 		}
-		r.move(m, pool)
-		missing--
+		short.take(offered[best])
+		r.move(offered[best], pool)
+		offered = slices.Delete(offered, best, best+1)
 	}
 }
 
+// fillLabels brings instances into a pool whose tasks can run nowhere else, however many others it has.
+func (r *round) fillLabels(pool string) {
+	short := r.shortageOf(pool)
+	for i := range r.Instances {
+		m := &r.Instances[i]
+		if short.lacksLabel(m) && r.offered(m, pool) {
+			short.take(m)
+			r.move(m, pool)
+		}
+	}
+}
+
+// offered reports whether an instance can be moved into a pool: one that is off, or that another pool can spare.
+func (r *round) offered(m *catalog.Instance, pool string) bool {
+	g, leaves := r.leaving[m.Name]
+	spare := m.Pool == r.Spare && !leaves
+	surplus := m.Pool != pool && leaves && g.wave == 0 && r.empty(m)
+	return (spare || surplus) && r.movable(m) && !r.Evacuated.Has(m.DataCentre) && !r.barred[[2]string{m.Name, pool}]
+}
+
 // finishLeaving turns off the instances that no pool needs.
 func (r *round) finishLeaving() {
 	if r.Spare == "" {
@@ -215,3 +283,16 @@
 	}
 	return count * r.capacity().CPU
 }
+
+// coming returns the processors of the instances that are on their way to a pool, or will be by its part of what
+// there is, in thousandths of a core.
+func (r *round) coming(pool string) int {
+	count := 0
+	for _, m := range r.members[pool] {
+		if r.inTransit(m.Name) || m.State != catalog.Up {
+			count++
+		}
+	}
+	size := r.plan.Sizes[pool]
+	return max(count, size.Needed-(size.Present-count)) * r.capacity().CPU
+}
--- a/internal/jobs/pool/admit.go
+++ b/internal/jobs/pool/admit.go
@@ -42,8 +42,11 @@
 	return nil
 }
 
-// SetReach notes how many thousandths of a core the pool can get beside what it has.
-func (p *Pool) SetReach(at Moment, cpu int) { p.reach, p.reachTill = cpu, at.Steady+reachLife }
+// SetReach notes how many thousandths of a core the pool can get beside what it has, at the expense of others
+// perhaps, and how many of them are on their way to it.
+func (p *Pool) SetReach(at Moment, cpu, soon int) {
+	p.reach, p.soon, p.reachTill = cpu, soon, at.Steady+reachLife
+}
 
 // reachLife is how long what was said of a pool's reach holds.
 const reachLife = time.Second
--- a/internal/jobs/pool/admit_test.go
+++ b/internal/jobs/pool/admit_test.go
@@ -19,7 +19,7 @@
 	if err := p.Admit(at, &first); err != nil {
 		t.Errorf("a job is refused before it is known what the pool can get: %v", err)
 	}
-	p.SetReach(at, 0)
+	p.SetReach(at, 0, 0)
 	taken := 0
 	var full FullError
 	for i := range 200 {
@@ -46,7 +46,7 @@
 	if err := p.Admit(at, &known); err != nil {
 		t.Errorf("a job that was taken is refused when it comes again: %v", err)
 	}
-	p.SetReach(at, 64_000)
+	p.SetReach(at, 64_000, 0)
 	more := shortJob(8)
 	more.ID = "00000000000000ff"
 	if err := p.Admit(at, &more); err != nil {
--- /dev/null
+++ b/internal/jobs/pool/feasible.go
@@ -0,0 +1,326 @@
+package pool
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// packing is the part of the room that tasks of uneven size and length can use.
+const packing = 0.9
+
+// uneven is the length of the longest of a step's tasks as a multiple of their estimate.
+const uneven = 1.4
+
+// planLife is how long a choice of jobs holds while none comes in.
+const planLife = 40 * time.Millisecond
+
+// choose decides which jobs the room is spent on, for a surge that brings more than the pool holds. Serving
+// by the latest start alone makes nearly all of them late there: each is begun when its time is just over.
+// So the jobs are gone through in the order of their due times, and where the work up to one of them
+// does not fit, the newest jobs are passed over of the team that has the most work for its weight; what has
+// begun goes on. The same is done with the rest for the time until which a late end is of use.
+func (p *Pool) choose(at Moment) {
+	if !p.unplanned && at.Steady-p.planned < planLife {
+		return
+	}
+	p.planned, p.unplanned = at.Steady, false
+	claims := p.claims(at)
+	room := p.room(at)
+	var before time.Duration
+	for len(claims) > 0 {
+		n := 0
+		for n < len(claims) && claims[n].rank == claims[0].rank {
+			n++
+		}
+		rest := p.fit(at, room, before, claims[:n], timely)
+		p.fit(at, room, before+workOf(claims[:n], timely), rest, tardy)
+		for _, c := range rest {
+			if at.Steady+c.chain <= c.due {
+				c.entry.chance = tight
+			}
+		}
+		before += workOf(claims[:n], tardy)
+		claims = claims[n:]
+	}
+}
+
+// claim is a job's claim on the room of the pool.
+type claim struct {
+	entry *entry
+	rank  int
+	due   time.Duration // steady time
+	chain time.Duration // time that it takes from now on with room for all of it
+	work  time.Duration // of a thousandth of a core
+	begun bool
+}
+
+// end returns when the job must have ended for a chance.
+func (c *claim) end(as chance) time.Duration {
+	if as == tardy {
+		return c.due + (lateFactor-1)*c.entry.job.Spec.Objective()
+	}
+	return c.due
+}
+
+// claims returns the jobs that run once and end, by priority and due time.
+func (p *Pool) claims(at Moment) []claim {
+	var claims []claim
+	for _, e := range p.active {
+		if e.job.State.Ended() || e.job.Spec.Times > 0 || e.job.Spec.Lasting() {
+			continue
+		}
+		c := claim{entry: e, rank: e.job.Spec.Policy.Priority, due: e.due, begun: e.job.Begun}
+		c.chain, c.work = p.outlook(at, e)
+		e.chance = hopeless
+		claims = append(claims, c)
+	}
+	slices.SortStableFunc(claims, func(a, b claim) int {
+		if a.rank != b.rank {
+			return a.rank - b.rank
+		}
+		return int(a.due - b.due)
+	})
+	return claims
+}
+
+// outlook returns how long a job takes from now on with room for all of it, and its work that is left.
+func (p *Pool) outlook(at Moment, e *entry) (chain, work time.Duration) {
+	o := e.job.Occurrences[0]
+	lengths := make([]time.Duration, len(o.Steps))
+	for s := range o.Steps {
+		step := &e.job.Spec.Steps[s]
+		if o.Left(s) == 0 {
+			continue
+		}
+		for i := range o.Steps[s] {
+			t := &o.Steps[s][i]
+			if t.Done {
+				continue
+			}
+			left := step.Estimate
+			if r := p.runOf(t); r != nil && r.began > 0 {
+				left = max(left/8, left-(at.Steady-r.began))
+			}
+			lengths[s] = max(lengths[s], left)
+			work += time.Duration(step.CPU) * left
+		}
+	}
+	return e.job.Longest(o, func(step int) time.Duration { return lengths[step] }), work
+}
+
+// roomAhead is the room of a pool by when it is there, in thousandths of a core.
+type roomAhead struct{ now, soon int }
+
+// room returns what the pool has for tasks that end, and what is on its way to it. What other pools may yet
+// give up is left out: in a surge of several pools each would count it.
+func (p *Pool) room(at Moment) roomAhead {
+	var r roomAhead
+	for _, h := range p.workers {
+		if !p.counts(at, h) {
+			continue
+		}
+		r.now += h.info.Capacity.CPU
+		for _, run := range h.runs {
+			if run.step.Lasting {
+				r.now -= run.need.CPU
+			}
+		}
+	}
+	if at.Steady <= p.reachTill {
+		r.soon = p.soon
+	}
+	return r
+}
+
+// until returns the work that the room can do in a time.
+func (r roomAhead) until(left time.Duration) time.Duration {
+	work := time.Duration(r.now) * max(0, left)
+	work += time.Duration(r.soon) * max(0, left-forecastLead)
+	return time.Duration(packing * float64(work))
+}
+
+// fit gives a chance to the jobs that fit and returns the others.
+func (p *Pool) fit(at Moment, room roomAhead, before time.Duration, claims []claim, as chance) []claim {
+	sum := before
+	teams := map[string]*teamClaims{}
+	var passed []claim
+	for _, c := range claims {
+		end := c.end(as) - at.Steady
+		start := end - c.chain
+		if !c.begun {
+			start -= time.Duration((uneven - 1) * float64(c.chain))
+		}
+		if start < 0 {
+			passed = append(passed, c)
+			continue
+		}
+		t := teams[c.entry.job.Spec.Team]
+		if t == nil {
+			t = &teamClaims{weight: p.weight(c.entry.job.Spec.Team), limit: p.team(c.entry.job.Spec.Team).cap.CPU}
+			teams[c.entry.job.Spec.Team] = t
+		}
+		t.add(c)
+		c.entry.chance = as
+		ahead := sum
+		sum += c.work
+		pass := func(t *teamClaims) {
+			dropped := t.drop()
+			dropped.entry.chance = hopeless
+			sum -= dropped.work
+			ahead -= dropped.work
+			passed = append(passed, dropped)
+		}
+		for t.beyond(end) && len(t.waiting) > 0 {
+			pass(t)
+		}
+		for ahead > room.until(start) || sum > room.until(end) {
+			most := busiest(teams)
+			if most == nil {
+				break
+			}
+			pass(most)
+		}
+	}
+	return passed
+}
+
+// workOf returns the work of the jobs whose chance is at least as good as one.
+func workOf(claims []claim, least chance) time.Duration {
+	var sum time.Duration
+	for _, c := range claims {
+		if c.entry.chance <= least {
+			sum += c.work
+		}
+	}
+	return sum
+}
+
+// teamClaims are the claims of one team that fit so far; the heap holds those that have not begun, newest first.
+type teamClaims struct {
+	weight  float64
+	limit   int // thousandths of a core that the team may use, 0 for no limit
+	work    time.Duration
+	waiting newest
+}
+
+// beyond reports whether the team's limit holds back some of its work for longer than a time.
+func (t *teamClaims) beyond(left time.Duration) bool {
+	return t.limit > 0 && t.work > roomAhead{now: t.limit}.until(left)
+}
+
+func (t *teamClaims) add(c claim) {
+	t.work += c.work
+	if !c.begun {
+		heap.Push(&t.waiting, c)
+	}
+}
+
+func (t *teamClaims) drop() claim {
+	c := heap.Pop(&t.waiting).(claim)
+	t.work -= c.work
+	return c
+}
+
+// busiest returns the team with the most work for its weight among those of which a job can wait.
+func busiest(teams map[string]*teamClaims) *teamClaims {
+	var best *teamClaims
+	var name string
+	for team, t := range teams {
+		if len(t.waiting) == 0 {
+			continue
+		}
+		a, b := 0.0, 0.0
+		if best != nil {
+			a, b = float64(t.work)/t.weight, float64(best.work)/best.weight
+		}
+		if best == nil || a > b || a == b && team < name {
+			best, name = t, team
+		}
+	}
+	return best
+}
+
+// newest is a heap of claims whose jobs came last.
+type newest []claim
+
+func (n newest) Len() int           { return len(n) }
+func (n newest) Less(i, j int) bool { return n[i].entry.arrived > n[j].entry.arrived }
+func (n newest) Swap(i, j int)      { n[i], n[j] = n[j], n[i] }
+
+// Push adds a claim.
+func (n *newest) Push(x any) { *n = append(*n, x.(claim)) }
+
+// Pop takes the last claim.
+func (n *newest) Pop() any {
+	old := *n
+	last := old[len(old)-1]
+	*n = old[:len(old)-1]
+	return last
+}
+
+// SetWeights replaces the teams' shares of the pool when it is full.
+func (p *Pool) SetWeights(weights map[string]int) { p.weights = weights }
+
+// weight returns a team's share, and that of a usual team where none is set.
+func (p *Pool) weight(team string) float64 {
+	if w := p.weights[team]; w > 0 {
+		return float64(w)
+	}
+	if len(p.weights) == 0 {
+		return 1
+	}
+	sum := 0
+	for _, w := range p.weights {
+		sum += w
+	}
+	return max(1, float64(sum)/float64(len(p.weights)))
+}
+
+// Standing is how the work of a pool stands, for logs and metrics.
+type Standing struct {
+	Timely, Tardy, Hopeless int // jobs that run once and have not ended
+	Room, Used              int // thousandths of a core
+	Workers                 int // that may get new work
+	Waiting, Capped         int // ready tasks, and those of them that their team's limit holds back
+}
+
+// Standing returns how the work of the pool stands.
+func (p *Pool) Standing(at Moment) Standing {
+	var s Standing
+	for _, e := range p.active {
+		if e.job.State.Ended() || e.job.Spec.Times > 0 || e.job.Spec.Lasting() {
+			continue
+		}
+		switch e.chance {
+		case timely:
+			s.Timely++
+		case tight, tardy:
+			s.Tardy++
+		case hopeless:
+			s.Hopeless++
+		}
+	}
+	for _, it := range p.waiting(at) {
+		step := &it.entry.job.Spec.Steps[it.step]
+		count := 0
+		for i := range it.repeat.Steps[it.step] {
+			if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
+				count++
+			}
+		}
+		s.Waiting += count
+		if !p.team(it.entry.job.Spec.Team).admits(fullNeed(step)) {
+			s.Capped += count
+		}
+	}
+	for _, h := range p.workers {
+		if !p.usable(at, h) {
+			continue
+		}
+		s.Workers++
+		s.Room += h.info.Capacity.CPU
+		s.Used += h.used.CPU
+	}
+	return s
+}
--- /dev/null
+++ b/internal/jobs/pool/gang.go
@@ -0,0 +1,127 @@
+package pool
+
+import (
+	"slices"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+)
+
+// placeGang starts all members of a gang, or none.
+func (p *Pool) placeGang(at Moment, it *item, hosts []*host, o *offer) {
+	step := &it.entry.job.Spec.Steps[it.step]
+	tasks := it.repeat.Steps[it.step]
+	latest := 0
+	for i := range tasks {
+		if tasks[i].Placed() {
+			return
+		}
+		latest = max(latest, tasks[i].Run)
+	}
+	for _, group := range gangHosts(step, hosts) {
+		if p.placeMembers(at, it, latest, group, o) {
+			return
+		}
+	}
+}
+
+// gangHosts returns the sets of workers that a gang may be placed on, the best first: whole racks that can hold it
+// where it should stay on one, else all workers.
+func gangHosts(step *job.Step, hosts []*host) [][]*host {
+	if !step.SameRack {
+		return [][]*host{hosts}
+	}
+	racks := map[string][]*host{}
+	for _, h := range hosts {
+		racks[h.info.Rack] = append(racks[h.info.Rack], h)
+	}
+	var groups [][]*host
+	for _, group := range racks {
+		if holdsGang(step, group) {
+			groups = append(groups, group)
+		}
+	}
+	slices.SortFunc(groups, func(a, b []*host) int {
+		if x, y := freeCPU(a), freeCPU(b); x != y {
+			return y - x
+		}
+		return compareText(a[0].info.Rack, b[0].info.Rack)
+	})
+	if len(groups) == 0 {
+		return [][]*host{hosts}
+	}
+	return groups
+}
+
+func freeCPU(hosts []*host) int {
+	sum := 0
+	for _, h := range hosts {
+		sum += h.free().CPU
+	}
+	return sum
+}
+
+// holdsGang reports whether workers could hold a gang if nothing ran there but what lasts.
+func holdsGang(step *job.Step, hosts []*host) bool {
+	members := 0
+	for _, h := range hosts {
+		members += h.members(step)
+	}
+	return members >= step.Count
+}
+
+// members returns how many tasks of a step a worker could hold if nothing ran there but what lasts.
+func (h *host) members(step *job.Step) int {
+	if !h.info.Has(step.Label) {
+		return 0
+	}
+	room := h.info.Capacity
+	for _, r := range h.runs {
+		if r.step.Lasting {
+			room = room.Minus(r.need)
+		}
+	}
+	count := held(room, needOf(step))
+	if step.PerWorker > 0 {
+		count = min(count, step.PerWorker)
+	}
+	return count
+}
+
+// held returns how often a need goes into a room.
+func held(room, need catalog.Amount) int {
+	count := maxMembers
+	for _, pair := range [...][2]int{{room.CPU, need.CPU}, {room.MemoryMB, need.MemoryMB}, {room.Accelerators, need.Accelerators}} {
+		if pair[1] > 0 {
+			count = min(count, max(0, pair[0])/pair[1])
+		}
+	}
+	return count
+}
+
+// maxMembers bounds the members that need no room.
+const maxMembers = 1000
+
+// placeMembers starts all members of a gang on some workers, or none.
+func (p *Pool) placeMembers(at Moment, it *item, latest int, hosts []*host, o *offer) bool {
+	step := &it.entry.job.Spec.Steps[it.step]
+	tasks := it.repeat.Steps[it.step]
+	var placed []*run
+	for i := range tasks {
+		tasks[i].Run = latest
+		var h *host
+		if p.team(it.entry.job.Spec.Team).admits(fullNeed(step)) {
+			h = p.hostFor(it, step, hosts, o)
+		}
+		if h == nil {
+			for _, r := range placed {
+				p.unhold(r)
+				p.release(r)
+				r.task.Run = latest
+			}
+			return false
+		}
+		placed = append(placed, p.place(at, it.entry, &tasks[i], h))
+	}
+	return true
+}
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -23,6 +23,7 @@
 // Tick decides what is due: looks, repeated stops, and runs whose lease has surely lapsed.
 func (p *Pool) Tick(at Moment) {
 	p.expireCordons(at)
+	p.expireParts(at)
 	for name, h := range p.workers {
 		p.lapse(at, h)
 		if !h.listed && len(h.runs) == 0 && h.stored <= h.acked {
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"marigoldshed.example/marigoldshed/common/id"
-	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 )
 
@@ -22,6 +21,7 @@
 	Lease     time.Duration // how long a worker runs on without a renewal
 	Inherited time.Duration // after a change of owner, how long a run may go on that nobody has seen
 	Retention time.Duration // how long an ended job can be asked for
+	Far       float64       // how many times as long a task takes away from its data, 0 when not known
 	Observer  Observer      // nil observes nothing
 }
 
@@ -39,6 +39,7 @@
 	stored  job.State // newest state that the log holds
 	arrived time.Duration
 	due     time.Duration        // steady time at which the job is late
+	chance  chance               // what there is room for
 	gone    time.Duration        // steady time at which it is forgotten, 0 while it goes on
 	advice  map[job.Name]*advice // by step, for advised queues
 	rescues map[job.Name]int     // runs that were ended because they took too long
@@ -53,6 +54,8 @@
 	cancelled    map[job.ID]time.Duration
 	workers      map[string]*host
 	teams        map[string]*team
+	floor        int           // part of every team's limit that is this pool's when nothing was dealt to it
+	partsTill    time.Duration // until when the parts that were dealt hold, 0 for none
 	evacuated    id.Set[id.DataCentre]
 	changed      map[job.ID]struct{} // jobs whose progress is to be stored
 	held         []*run              // runs that may be started once they are stored
@@ -61,9 +64,13 @@
 	dropped      []job.ID // jobs to be removed from the log
 	cordonedTill time.Duration
 	arrivals     arrivals
-	reachTill    time.Duration // until when what is said of the reach holds
-	reach        int           // thousandths of a core that the pool can get beside what it has
-	questions    int           // to the advice service that are on their way
+	weights      map[string]int // shares of the teams when the pool is full
+	planned      time.Duration  // when it was last chosen which jobs the room is spent on
+	unplanned    bool           // a job has come in since
+	reachTill    time.Duration  // until when what is said of the reach holds
+	reach        int            // thousandths of a core that the pool can get beside what it has
+	soon         int            // those of them that are on their way
+	questions    int            // to the advice service that are on their way
 }
 
 // New returns an empty pool.
@@ -77,41 +84,6 @@
 	}
 }
 
-// team is the part of a team's upper limit that this pool may use.
-type team struct {
-	cap  catalog.Amount // a zero field is no limit
-	used catalog.Amount
-}
-
-func (t *team) admits(need catalog.Amount) bool {
-	if t.used == (catalog.Amount{}) {
-		return true
-	}
-	sum := t.used.Plus(need)
-	return within(sum.CPU, t.cap.CPU) && within(sum.MemoryMB, t.cap.MemoryMB) && within(sum.Accelerators, t.cap.Accelerators)
-}
-
-func within(amount, limit int) bool { return limit == 0 || amount <= limit }
-
-func (p *Pool) team(name string) *team {
-	t, ok := p.teams[name]
-	if !ok {
-		t = &team{}
-		p.teams[name] = t
-	}
-	return t
-}
-
-// SetLimits replaces the upper limits of the teams by this pool's parts of them.
-func (p *Pool) SetLimits(limits map[string]catalog.Amount) {
-	for name := range p.teams {
-		p.teams[name].cap = limits[name]
-	}
-	for name, limit := range limits {
-		p.team(name).cap = limit
-	}
-}
-
 // SetEvacuated replaces the data centres that get no new work.
 func (p *Pool) SetEvacuated(out id.Set[id.DataCentre]) { p.evacuated = out }
 
@@ -140,6 +112,7 @@
 	e.due = e.arrived + j.Spec.Objective()
 	p.jobs[j.Spec.ID] = e
 	p.active = append(p.active, e)
+	p.unplanned = true
 	return e
 }
 
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -80,11 +80,6 @@
 	return r
 }
 
-// fullNeed is what a task counts for against its team's limit.
-func fullNeed(s *job.Step) catalog.Amount {
-	return catalog.Amount{CPU: s.CPU, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators}
-}
-
 // release frees what a run held.
 func (p *Pool) release(r *run) {
 	delete(r.host.runs, r.id)
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/limit"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
@@ -197,6 +199,9 @@
 	Memory  int // megabytes that all of them ask for
 	Spread  int // workers that the widest step needs because few of its tasks may share one
 	Stuck   int // tasks that last and found no worker
+	Claims  limit.Claims
+	Labels  map[string]int // the part of the demand that only workers with a label can meet
+	Racks   map[string]int // the part of it whose data is on a rack
 }
 
 // HostLoad is a worker with what it carries.
@@ -216,12 +221,14 @@
 
 // Load returns how the work of the pool stands.
 func (p *Pool) Load(at Moment) Load {
-	var l Load
+	l := Load{Labels: map[string]int{}, Racks: map[string]int{}}
+	wishes := map[string]catalog.Amount{}
 	for _, it := range p.waiting(at) {
 		step := &it.entry.job.Spec.Steps[it.step]
 		for i := range it.repeat.Steps[it.step] {
 			if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
 				l.wait(at, &it, step)
+				wishes[it.entry.job.Spec.Team] = wishes[it.entry.job.Spec.Team].Plus(fullNeed(step))
 				if step.Lasting && it.entry.stuck > 0 && at.Steady-it.entry.stuck > stuckAfter {
 					l.Stuck++
 				}
@@ -238,6 +245,7 @@
 		}
 		l.Hosts = append(l.Hosts, load)
 	}
+	l.Claims = p.limitClaims(wishes)
 	l.Demand = max(l.Demand, p.arrivals.forecast(at.Steady))
 	return l
 }
@@ -253,8 +261,9 @@
 		return
 	}
 	l.Memory += step.MemoryMB
-	if it.chance != timely {
+	if it.key < at.Steady {
 		l.Late += step.CPU
+		l.place(step, step.CPU)
 		return
 	}
 	waves := 1.0
@@ -262,11 +271,24 @@
 		slack := it.key - at.Steady // until its latest start
 		waves += urgency * float64(max(0, slack)) / float64(step.Estimate)
 	}
-	l.Demand += int(float64(step.CPU) / waves)
+	cpu := int(float64(step.CPU) / waves)
+	l.Demand += cpu
+	l.place(step, cpu)
+}
+
+// place notes where demand can be met, or is best met.
+func (l *Load) place(step *job.Step, cpu int) {
+	if step.Label != "" {
+		l.Labels[step.Label] += max(1, cpu)
+	}
+	if step.Rack != "" {
+		l.Racks[step.Rack] += max(1, cpu)
+	}
 }
 
 func (l *Load) add(step *job.Step) {
 	l.Memory += step.MemoryMB
+	l.place(step, step.CPU)
 	if step.PerWorker > 0 && step.Lasting {
 		l.Spread = max(l.Spread, (step.Count+step.PerWorker-1)/step.PerWorker)
 	}
--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -33,9 +33,10 @@
 	failed  map[job.Name]int
 	places  map[job.Name]int // runs at this moment
 	fails   float64
-	leaving []string            // workers that are to be emptied
-	parting map[worker.Run]bool // runs whose stop was ordered
-	at      map[job.Name]string // worker of a run at this moment
+	leaving []string                 // workers that are to be emptied
+	parting map[worker.Run]bool      // runs whose stop was ordered
+	at      map[job.Name]string      // worker of a run at this moment
+	ended   map[job.ID]time.Duration // when a job's end was stored
 }
 
 // faults are the chances of what may happen to a single order.
@@ -66,6 +67,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, log: map[job.ID]*Stored{},
 		work: map[job.Name]time.Duration{}, done: map[job.Name]bool{}, acked: map[job.Name]bool{}, failed: map[job.Name]int{}, places: map[job.Name]int{}, parting: map[worker.Run]bool{}, at: map[job.Name]string{},
+		ended: map[job.ID]time.Duration{},
 	}
 	for i := range workers {
 		w.addWorker(fmt.Sprintf("w%d", i))
@@ -425,6 +427,7 @@
 				var copied job.Progress
 				if cbor.Unmarshal(data, &copied) == nil {
 					o.w.log[s.ID].Progress = &copied
+					o.w.noteEnd(s.ID, copied.State)
 				}
 			}
 		}
@@ -435,6 +438,12 @@
 	})
 }
 
+func (w *world) noteEnd(name job.ID, state job.State) {
+	if _, known := w.ended[name]; state.Ended() && !known {
+		w.ended[name] = w.now
+	}
+}
+
 var errLost = errors.New("no answer")
 
 func (o *fakeOwner) send() {
--- a/internal/jobs/shard/ask.go
+++ b/internal/jobs/shard/ask.go
@@ -69,13 +69,14 @@
 	var load machines.Load
 	refused := false
 	err := s.do(ctx, func(at pool.Moment) {
-		if refused = o.Fence < s.keeper; refused {
+		if refused = o.Fence < s.keeper || o.Fence == s.keeper && o.Turn < s.keeperTurn; refused {
 			return
 		}
-		s.keeper = o.Fence
+		s.keeper, s.keeperTurn = o.Fence, o.Turn
 		s.pool.SetCordoned(at, o.Leave, o.Later)
 		s.pool.Retire(o.Gone)
-		s.pool.SetReach(at, o.Reach)
+		s.pool.SetParts(at, o.Parts)
+		s.pool.SetReach(at, o.Reach, o.Soon)
 		load = loadOf(s.pool.Load(at))
 		s.wantPlace = true
 	})
@@ -86,7 +87,7 @@
 }
 
 func loadOf(l pool.Load) machines.Load {
-	load := machines.Load{Demand: l.Demand, Late: l.Late, Lasting: l.Lasting, Memory: l.Memory, Spread: l.Spread, Stuck: l.Stuck}
+	load := machines.Load{Demand: l.Demand, Late: l.Late, Lasting: l.Lasting, Memory: l.Memory, Spread: l.Spread, Stuck: l.Stuck, Claims: l.Claims, Labels: l.Labels, Racks: l.Racks}
 	for _, h := range l.Hosts {
 		load.Hosts = append(load.Hosts, machines.Host{Worker: h.Worker, Used: h.Used, Lasting: h.Lasting, Empty: h.Empty, Usable: h.Usable})
 	}
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -73,10 +73,34 @@
 		s.placed = at.Steady
 		s.pool.Place(at)
 	}
+	s.logStanding(at)
 	s.store(ctx, fatal)
 	s.carryOut(ctx)
 }
 
+// logStanding says now and then how the work stands while some of it cannot be in time.
+func (s *Shard) logStanding(at pool.Moment) {
+	if at.Steady-s.told < standingInterval {
+		return
+	}
+	s.told = at.Steady
+	st := s.pool.Standing(at)
+	if st.Tardy+st.Hopeless == 0 {
+		return
+	}
+	s.config.Logger.Info("pool has more work than room", zap.String("pool", s.config.Pool), zap.Int("timely", st.Timely),
+		zap.Int("late", st.Tardy), zap.Int("hopeless", st.Hopeless), zap.Int("workers", st.Workers), zap.Int("room", st.Room),
+		zap.Int("used", st.Used), zap.Int("waiting", st.Waiting), zap.Int("capped", st.Capped), zap.Duration("log_waits", s.logWait(at)))
+}
+
+// logWait returns how long the batch that is on its way has waited for the log.
+func (s *Shard) logWait(at pool.Moment) time.Duration {
+	if !s.writing {
+		return 0
+	}
+	return at.Steady - s.wrote
+}
+
 // store writes what has changed, one batch at a time.
 func (s *Shard) store(ctx context.Context, fatal chan error) {
 	if s.writing {
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -14,6 +14,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/limit"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
@@ -22,20 +23,22 @@
 
 // Times of an owner.
 const (
-	tickInterval   = 25 * time.Millisecond
-	placeInterval  = 8 * time.Millisecond // between two rounds of placing, so that ends come together
-	renewInterval  = time.Second          // between two proofs to the log that no successor has claimed
-	ownerTimeout   = 4 * time.Second      // without a proof, after which nothing is ordered any more
-	intakeWait     = time.Second          // longest wait for new jobs in one read
-	paceInterval   = 200 * time.Millisecond
-	eventQueue     = 256
-	inheritedSlack = 500 * time.Millisecond // for orders on their way
+	tickInterval     = 25 * time.Millisecond
+	placeInterval    = 8 * time.Millisecond // between two rounds of placing, so that ends come together
+	renewInterval    = time.Second          // between two proofs to the log that no successor has claimed
+	ownerTimeout     = 4 * time.Second      // without a proof, after which nothing is ordered any more
+	intakeWait       = time.Second          // longest wait for new jobs in one read
+	paceInterval     = 200 * time.Millisecond
+	standingInterval = time.Second // between two lines on how the work stands
+	eventQueue       = 256
+	inheritedSlack   = 500 * time.Millisecond // for orders on their way
 )
 
 // Settings are the bounds that the platform states.
 type Settings struct {
 	Lease     time.Duration // how long a worker runs on without a renewal
 	Retention time.Duration
+	Far       float64 // how many times as long a task takes away from its data
 }
 
 // Config holds what a Shard needs.
@@ -57,7 +60,9 @@
 type View struct {
 	Workers   []catalog.Worker
 	Evacuated id.Set[id.DataCentre]
-	Limits    map[string]catalog.Amount // this pool's part of each team's upper limit
+	Limits    map[string]catalog.Amount // each team's upper limit, over all pools
+	Pools     int                       // that share these limits
+	Weights   map[string]int            // the teams' shares when the pool is full
 }
 
 // Shard is one pool under this instance.
@@ -72,19 +77,21 @@
 	started chan struct{} // closed once the pool answers questions
 	ended   chan struct{} // closed once nothing answers any more
 
-	writer    stream.Writer
-	writing   bool
-	wrote     time.Duration // steady time at which the newest batch was first sent
-	proven    time.Duration // steady time at which the newest answered proof was sent
-	proving   bool
-	placed    time.Duration
-	paced     time.Duration
-	wantPlace bool
-	keeper    int64           // highest fence of a keeper that has given orders for workers
-	tail      int64           // next offset of the intake
-	handedIn  []stream.Record // jobs and cancellations that go into the next batch
-	callers   []chan struct{} // closed once that batch is stored
-	direct    sync.Map        // ids of jobs that stand in the intake
+	writer     stream.Writer
+	writing    bool
+	wrote      time.Duration // steady time at which the newest batch was first sent
+	proven     time.Duration // steady time at which the newest answered proof was sent
+	proving    bool
+	placed     time.Duration
+	paced      time.Duration
+	told       time.Duration // when it was last said how the work stands
+	wantPlace  bool
+	keeper     int64           // highest fence of a keeper that has given orders for workers
+	keeperTurn int64           // its newest round
+	tail       int64           // next offset of the intake
+	handedIn   []stream.Record // jobs and cancellations that go into the next batch
+	callers    []chan struct{} // closed once that batch is stored
+	direct     sync.Map        // ids of jobs that stand in the intake
 }
 
 // New returns a shard that is to be run.
@@ -152,6 +159,7 @@
 		Name: s.config.Pool, Fence: s.claim.Epoch(), Lease: s.config.Settings.Lease,
 		Inherited: s.inherited(),
 		Retention: s.config.Settings.Retention,
+		Far:       s.config.Settings.Far,
 		Observer:  s.config.Observer,
 	})
 	s.applyView(at)
@@ -221,6 +229,7 @@
 	v := s.config.View()
 	s.pool.SetWorkers(at, v.Workers)
 	s.pool.SetEvacuated(v.Evacuated)
-	s.pool.SetLimits(v.Limits)
+	s.pool.SetLimits(v.Limits, limit.Floor(v.Pools))
+	s.pool.SetWeights(v.Weights)
 	s.wantPlace = true
 }
