--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -14,6 +14,7 @@
 const (
 	lookWait   = time.Second            // longest wait for an end, well inside a lease
 	lookGap    = 110 * time.Millisecond // after a look that brought an end, so that several come at once
+	looksASec  = 900                    // that an owner takes in at most, which stretches that gap in large pools
 	silentGap  = 250 * time.Millisecond // between looks at a worker that does not answer
 	maxBackoff = 3                      // doublings of that gap for a worker that runs nothing
 	fencedGap  = time.Second            // after a look that a higher fence refused
@@ -136,7 +137,7 @@
 	h.lookSent = max(h.lookSent, a.Sent)
 	h.nextLook = at.Steady
 	if p.takeEnds(at, h, report.Ended) {
-		h.nextLook = at.Steady + lookGap
+		h.nextLook = at.Steady + max(lookGap, time.Duration(len(p.workers))*time.Second/looksASec)
 	}
 	present := p.takeRunning(at, h, report.Running)
 	if len(report.Ended) < fullReport {
