--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -70,6 +70,7 @@
 
 // owned is a unit that this instance runs.
 type owned struct {
+	runner runner
 	shard  *shard.Shard // nil for the keeper of the instances
 	cancel context.CancelFunc
 	done   chan struct{}
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -64,13 +64,15 @@
 	return relay.State{Known: known, State: job.Cancelled}, err
 }
 
-// TakeOwns tells another instance whether a pool runs here with a fresh proof.
+// TakeOwns tells another instance whether a unit runs here with a fresh proof.
 func (n *Instance) TakeOwns(ctx context.Context, p relay.Pool) (relay.Owns, error) {
-	s, err := n.own(p.Pool)
-	if err != nil {
-		return relay.Owns{}, err
+	n.mu.RLock()
+	o, ok := n.shards[p.Pool]
+	n.mu.RUnlock()
+	if !ok {
+		return relay.Owns{}, shard.EndedError{Pool: p.Pool}
 	}
-	fresh, err := s.Fresh(ctx)
+	fresh, err := o.runner.Fresh(ctx)
 	return relay.Owns{Fresh: fresh}, err
 }
 
--- a/internal/jobs/instance/unit.go
+++ b/internal/jobs/instance/unit.go
@@ -15,12 +15,13 @@
 	o := &owned{cancel: cancel, done: make(chan struct{})}
 	n.shards[unit] = o
 	if unit == fleetUnit {
-		go o.run(ctx, unit, n.config.Logger, n.keeper())
-		return
+		o.runner = n.keeper()
+	} else {
+		o.shard = n.shard(unit)
+		o.runner = o.shard
+		n.released[unit] = false // a later claim from here may follow another instance's
 	}
-	o.shard = n.shard(unit)
-	n.released[unit] = false // a later claim from here may follow another instance's
-	go o.run(ctx, unit, n.config.Logger, o.shard)
+	go o.run(ctx, unit, n.config.Logger)
 }
 
 func (n *Instance) shard(unit string) *shard.Shard {
@@ -45,11 +46,12 @@
 // runner is a pool or the keeper of the instances.
 type runner interface {
 	Run(ctx context.Context) error
+	Fresh(ctx context.Context) (bool, error) // whether the log has lately confirmed the claim
 }
 
-func (o *owned) run(ctx context.Context, unit string, logger *zap.Logger, r runner) {
+func (o *owned) run(ctx context.Context, unit string, logger *zap.Logger) {
 	defer close(o.done)
 	defer o.cancel()
-	err := r.Run(ctx)
+	err := o.runner.Run(ctx)
 	logger.Info("unit is owned here no longer", zap.String("unit", unit), zap.Error(err))
 }
--- a/internal/jobs/machines/keeper.go
+++ b/internal/jobs/machines/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -61,9 +62,9 @@
 	dealer    *limit.Dealer
 	round     int64
 	outcomes  chan func(now time.Duration) // run by loop
-	proven    time.Duration
-	recent    map[string]time.Duration // instances that were ordered about lately
-	inherited []string                 // the same, of the earlier holder
+	proven    atomic.Int64                 // steady time at which the newest answered proof was sent, in nanoseconds; 0 for none
+	recent    map[string]time.Duration     // instances that were ordered about lately
+	inherited []string                     // the same, of the earlier holder
 	listed    time.Duration
 	instances []catalog.Instance
 	loads     map[string]Load
@@ -91,7 +92,8 @@
 	if err != nil {
 		return errors.Annotate(err, "claiming the instances")
 	}
-	k.claim, k.proven, k.writer = claimed, proven, stream.Writer{Epoch: claimed.Epoch()}
+	k.claim, k.writer = claimed, stream.Writer{Epoch: claimed.Epoch()}
+	k.proved(proven)
 	if _, err := claim.ReadAll(ctx, k.config.Log, Table(), k.config.Logger, k.load); err != nil {
 		return errors.Annotate(err, "taking over the instances")
 	}
@@ -125,7 +127,7 @@
 	if err := k.prove(ctx); err != nil {
 		return err
 	}
-	if k.config.Clock.Moment().Steady-k.proven > proofLife {
+	if k.config.Clock.Moment().Steady-k.provenAt() > proofLife {
 		return nil
 	}
 	view := k.config.View()
@@ -135,7 +137,7 @@
 	for _, w := range view.Waves {
 		k.announce(ctx, now, w)
 	}
-	if now-k.proven > proofLife || len(k.instances) == 0 {
+	if now-k.provenAt() > proofLife || len(k.instances) == 0 {
 		return nil
 	}
 	plan := k.planner.Tick(Input{
@@ -156,7 +158,7 @@
 
 func (k *Keeper) prove(ctx context.Context) error {
 	now := k.config.Clock.Moment().Steady
-	if now-k.proven < proveInterval {
+	if now-k.provenAt() < proveInterval {
 		return nil
 	}
 	err := k.claim.Prove(ctx)
@@ -165,11 +167,27 @@
 		return errors.Annotate(err, "proving the claim on the instances")
 	}
 	if err == nil {
-		k.proven = now
+		k.proved(now)
 	}
 	return nil
 }
 
+// proved notes when a proof was sent that the log has answered.
+func (k *Keeper) proved(sent time.Duration) {
+	k.proven.Store(max(k.proven.Load(), int64(sent)))
+}
+
+func (k *Keeper) provenAt() time.Duration { return time.Duration(k.proven.Load()) }
+
+// freshProof is how old the newest proof of a keeper may be for others to leave the instances alone.
+const freshProof = 2 * time.Second
+
+// Fresh reports whether the log has lately confirmed that this keeper owns the instances.
+func (k *Keeper) Fresh(context.Context) (bool, error) {
+	proven := k.provenAt()
+	return proven > 0 && k.config.Clock.Moment().Steady-proven < freshProof, nil
+}
+
 func (k *Keeper) list(ctx context.Context) {
 	asked := k.config.Clock.Moment().Steady
 	if asked-k.listed < listInterval && k.listed > 0 {
--- a/internal/jobs/machines/record.go
+++ b/internal/jobs/machines/record.go
@@ -161,7 +161,7 @@
 	switch {
 	case err == nil:
 		k.writer.Sequence++
-		k.proven = max(k.proven, asked)
+		k.proved(asked)
 		return nil
 	case errors.As(err, &fenced):
 		return errors.Annotatef(err, "storing %s", key)
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -21,7 +21,7 @@
 	listed    bool          // its entry stands in the workers' table
 	cordoned  bool          // is to be emptied now
 	ended     bool          // its life is over, though its entry may stand
-	spared    bool          // has lived on after an order that should have ended it
+	livesOn   bool          // has lived on after an order that should have ended it
 	retired   bool          // its life was ended by an order of ours
 	retiredAt time.Duration // the worker's clock in its entry at that time
 	doomed    bool          // is to be emptied soon
@@ -88,7 +88,7 @@
 		}
 		if h.retired && info.Clock > h.retiredAt+retiredLife {
 			// Its entry is still renewed: the order had been carried out before it began.
-			h.retired, h.spared = false, true
+			h.retired, h.livesOn = false, true
 			p.config.Observer.WorkerChanged(info.ID, "lives on")
 		}
 		h.info = info
@@ -120,7 +120,7 @@
 // have been carried out before, on an earlier worker of the instance.
 func (p *Pool) Retire(names []string) {
 	for _, name := range names {
-		if h, ok := p.workers[name]; ok && !h.retired && !h.spared {
+		if h, ok := p.workers[name]; ok && !h.retired && !h.livesOn {
 			h.retired, h.retiredAt = true, h.info.Clock
 			p.config.Observer.WorkerChanged(name, "was moved or taken down")
 		}
@@ -130,8 +130,8 @@
 // retiredLife is how much older an entry must be than the end of its worker to show that it lives.
 const retiredLife = 4 * time.Second
 
-// Spare keeps new work for a while off workers whose instances an earlier owner may have said to be empty.
-func (p *Pool) Spare(at Moment, instances []string) {
+// KeepFree keeps new work for a while off workers whose instances an earlier owner may have said to be empty.
+func (p *Pool) KeepFree(at Moment, instances []string) {
 	p.cordonedTill = at.Steady + cordonLife
 	for _, h := range p.workers {
 		h.cordoned = h.cordoned || slices.Contains(instances, h.info.Instance)
@@ -156,7 +156,7 @@
 	h.seen, h.stored, h.acked = 0, 0, 0
 	h.leaseEnd = 0
 	h.clock, h.clockAt = 0, at.Steady
-	h.answered, h.retired, h.spared, h.ended = false, false, false, false
+	h.answered, h.retired, h.livesOn, h.ended = false, false, false, false
 }
 
 // loseAll ends every run of a worker whose life or lease is over.
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -105,7 +105,7 @@
 			if !r.step.Lasting || r.phase != running || r.task.Leaving || r.stray {
 				continue
 			}
-			if h.info.Draining || p.spareable(r) {
+			if h.info.Draining || p.mayLeave(r) {
 				r.task.Leaving = true
 				p.touch(r.job)
 				p.parting = append(p.parting, r)
@@ -166,8 +166,8 @@
 	return false
 }
 
-// spareable reports whether a task of a lasting step can be away without breaking the step's limit.
-func (p *Pool) spareable(r *run) bool {
+// mayLeave reports whether a task of a lasting step can be away without breaking the step's limit.
+func (p *Pool) mayLeave(r *run) bool {
 	limit := r.step.MaxUnavailable
 	if limit == 0 {
 		return true
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -163,7 +163,7 @@
 		Observer:  s.config.Observer,
 	})
 	s.applyView(at)
-	s.pool.Spare(at, ordered)
+	s.pool.KeepFree(at, ordered)
 	stored := make([]pool.Stored, 0, len(jobs))
 	for _, j := range jobs {
 		if j.Spec.ID != "" {
