--- /dev/null
+++ b/soak/store_test.go
@@ -0,0 +1,285 @@
+package soak
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// outage is what the store does with the calls that reach it.
+type outage int
+
+const (
+	serving outage = iota
+	refusing
+	silent
+	losing // some appends are done and not answered
+)
+
+type record struct {
+	key   string
+	value []byte
+	raw   []byte
+}
+
+type partition struct {
+	records  []record
+	epoch    int64
+	sequence int64
+}
+
+type member struct {
+	name   string
+	topics []string
+	ttl    time.Duration
+	seen   time.Time
+}
+
+// store is a stand-in for the platform's log; it keeps all records.
+type store struct {
+	mu         sync.Mutex
+	more       *sync.Cond
+	parts      map[string]*partition
+	members    map[string]*member
+	generation int64
+	state      outage
+	random     *rand.Rand
+}
+
+func newStore(seed uint64) *store {
+	s := &store{parts: map[string]*partition{}, members: map[string]*member{}, random: rand.New(rand.NewPCG(seed, 2))}
+	s.more = sync.NewCond(&s.mu)
+	go s.loop()
+	return s
+}
+
+// loop wakes the reads that wait, so that they can see that their time is over.
+func (s *store) loop() {
+	for range time.Tick(20 * time.Millisecond) {
+		s.more.Broadcast()
+	}
+}
+
+func (s *store) set(o outage) {
+	s.mu.Lock()
+	s.state = o
+	s.mu.Unlock()
+}
+
+// put writes a record as an operator or a worker does.
+func (s *store) put(topic, key string, value any) {
+	data, _ := json.Marshal(value)
+	if value == nil {
+		data = nil
+	}
+	s.mu.Lock()
+	s.partition("keyed."+topic, 0).add(key, data)
+	s.mu.Unlock()
+	s.more.Broadcast()
+}
+
+func (s *store) partition(topic string, part int) *partition {
+	name := topic + "/" + strconv.Itoa(part)
+	p, ok := s.parts[name]
+	if !ok {
+		p = &partition{}
+		s.parts[name] = p
+	}
+	return p
+}
+
+func (p *partition) add(key string, value []byte) {
+	raw := append([]byte{byte(len(key))}, key...)
+	p.records = append(p.records, record{key: key, value: value, raw: append(raw, value...)})
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	state := s.state
+	lost := state == losing && r.URL.Path == "/log-append" && s.random.IntN(4) == 0
+	s.mu.Unlock()
+	switch state {
+	case refusing:
+		http.Error(w, "{}", http.StatusServiceUnavailable)
+		return
+	case silent:
+		<-r.Context().Done()
+		return
+	case serving, losing:
+	}
+	status, body := s.answer(r)
+	if lost {
+		<-r.Context().Done()
+		return
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func (s *store) answer(r *http.Request) (int, []byte) {
+	q := r.URL.Query()
+	part, _ := strconv.Atoi(q.Get("part"))
+	switch r.URL.Path {
+	case "/log-append":
+		return s.append(r, q.Get("topic"), part)
+	case "/log-read":
+		return s.read(r, q.Get("topic"), part)
+	case "/log-newest":
+		return s.newest(q.Get("topic"), part, q.Get("after"))
+	case "/log-join", "/log-leave":
+		return s.join(r)
+	case "/log-owners":
+		return s.owners()
+	}
+	return http.StatusNotFound, nil
+}
+
+func asJSON(status int, value any) (int, []byte) {
+	data, _ := json.Marshal(value)
+	return status, data
+}
+
+func (s *store) append(r *http.Request, topic string, part int) (int, []byte) {
+	var body []byte
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := r.Body.Read(buffer)
+		body = append(body, buffer[:n]...)
+		if err != nil {
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic, part)
+	q := r.URL.Query()
+	if q.Has("epoch") {
+		epoch, _ := strconv.ParseInt(q.Get("epoch"), 10, 64)
+		sequence, _ := strconv.ParseInt(q.Get("sequence"), 10, 64)
+		switch {
+		case epoch < p.epoch:
+			return asJSON(http.StatusConflict, map[string]any{"reason": "fenced"})
+		case epoch > p.epoch:
+			p.epoch, p.sequence = epoch, sequence
+		case len(body) > 0 && sequence != p.sequence:
+			return asJSON(http.StatusConflict, map[string]any{"reason": "seq", "sequence": p.sequence})
+		}
+		if len(body) > 0 {
+			p.sequence = sequence + 1
+		}
+	}
+	offset := len(p.records)
+	for len(body) >= 5 {
+		n := int(binary.BigEndian.Uint32(body))
+		row := body[4 : 4+n]
+		k := int(row[0])
+		p.add(string(row[1:1+k]), row[1+k:])
+		body = body[4+n:]
+	}
+	s.more.Broadcast()
+	return asJSON(http.StatusOK, map[string]any{"offset": offset, "end": len(p.records)})
+}
+
+func (s *store) read(r *http.Request, topic string, part int) (int, []byte) {
+	q := r.URL.Query()
+	from, _ := strconv.Atoi(q.Get("from"))
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic, part)
+	for len(p.records) <= from && time.Now().Before(until) && r.Context().Err() == nil {
+		s.more.Wait()
+	}
+	data := binary.BigEndian.AppendUint64(nil, uint64(len(p.records)))
+	data = binary.BigEndian.AppendUint64(data, 0)
+	for i := from; i < len(p.records) && len(data) < 900_000; i++ {
+		data = binary.BigEndian.AppendUint32(data, uint32(len(p.records[i].raw)))
+		data = append(data, p.records[i].raw...)
+	}
+	return http.StatusOK, data
+}
+
+func (s *store) newest(topic string, part int, after string) (int, []byte) {
+	const pageItems = 500
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic, part)
+	last := map[string]int{}
+	for i, r := range p.records {
+		last[r.key] = i
+		if len(r.value) == 0 {
+			delete(last, r.key)
+		}
+	}
+	var keys []string
+	for key := range last {
+		if key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > pageItems
+	keys = keys[:min(len(keys), pageItems)]
+	items := []map[string]any{}
+	for _, key := range keys {
+		items = append(items, map[string]any{
+			"key": key, "value": base64.StdEncoding.EncodeToString(p.records[last[key]].value), "offset": last[key],
+		})
+	}
+	return asJSON(http.StatusOK, map[string]any{"items": items, "has_more": more, "end": len(p.records)})
+}
+
+func (s *store) join(r *http.Request) (int, []byte) {
+	var b struct {
+		Member string
+		Topics []string
+		TTL    int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if r.URL.Path == "/log-leave" {
+		if s.members[b.Member] != nil {
+			delete(s.members, b.Member)
+			s.generation++
+		}
+		return asJSON(http.StatusOK, map[string]any{})
+	}
+	if s.members[b.Member] == nil {
+		s.generation++
+	}
+	s.members[b.Member] = &member{name: b.Member, topics: b.Topics, ttl: time.Duration(b.TTL) * time.Millisecond, seen: time.Now()}
+	return asJSON(http.StatusOK, map[string]any{"generation": s.generation, "parts": []any{}})
+}
+
+func (s *store) expire() {
+	for name, m := range s.members {
+		if time.Since(m.seen) > m.ttl {
+			delete(s.members, name)
+			s.generation++
+		}
+	}
+}
+
+// owners deals a part to every member.
+func (s *store) owners() (int, []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	rows := [][]any{}
+	for name, m := range s.members {
+		rows = append(rows, []any{strings.Join(m.topics, ","), len(rows), name, 0})
+	}
+	return asJSON(http.StatusOK, rows)
+}
