--- a/soak/instance_test.go
+++ b/soak/instance_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"testing"
@@ -70,7 +71,9 @@
 	go i.loop(t, log)
 }
 
+// loop keeps its thread: the kernel ends the process with the thread that started it, also when the test is killed.
 func (i *instance) loop(t *testing.T, log *os.File) {
+	runtime.LockOSThread()
 	for {
 		i.mu.Lock()
 		if i.stopped {
@@ -79,6 +82,7 @@
 		}
 		command := exec.Command(i.binary, "run", "--settings", i.settings) //nolint:gosec,noctx // the binary was built by this test
 		command.Stdout, command.Stderr = log, log
+		command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + filepath.Dir(i.settings)}
 		if err := command.Start(); err != nil {
 			i.mu.Unlock()
