jobs: Say once what stood twice

One count of how often a need fits in a room (it stood in the advice and in the gangs; they differed only for a worker overfilled in a resource that the task does not need, which no placing accepts either), one test of a waiting task and one count of them, one name for jobs that run once, one age of a fresh proof for pools and the keeper, one count of instances on their way, and the typical instance reckoned once a round instead of several times a pool.

--- a/internal/jobs/claim/claim.go
+++ b/internal/jobs/claim/claim.go
@@ -17,6 +17,9 @@
 // retryPause is the time after a call that the store did not take.
 const retryPause = 50 * time.Millisecond
 
+// FreshProof is how old the newest proof of an owner may be for others to leave what it owns alone.
+const FreshProof = 2 * time.Second
+
 // Clock reads both clocks.
 type Clock interface{ Moment() pool.Moment }
 
--- a/internal/jobs/job/job.go
+++ b/internal/jobs/job/job.go
@@ -38,6 +38,9 @@
 // Placed reports whether a run of the task exists or may exist.
 func (t *Task) Placed() bool { return t.Worker != "" }
 
+// Waiting reports whether the task still has to run and no run of it can exist.
+func (t *Task) Waiting() bool { return !t.Done && !t.Placed() }
+
 // Occurrence is one execution of all steps of a job.
 type Occurrence struct {
 	Number int
--- a/internal/jobs/job/spec.go
+++ b/internal/jobs/job/spec.go
@@ -165,6 +165,9 @@
 	return s.First.Add(time.Duration(occurrence) * s.Interval)
 }
 
+// Once reports whether the job runs once, at once, and ends by itself.
+func (s *Spec) Once() bool { return s.Times == 0 && !s.Lasting() }
+
 // Lasting reports whether any step runs until the job is cancelled.
 func (s *Spec) Lasting() bool {
 	for _, step := range s.Steps {
--- a/internal/jobs/machines/keeper.go
+++ b/internal/jobs/machines/keeper.go
@@ -179,13 +179,10 @@
 
 func (k *Keeper) provenAt() time.Duration { return time.Duration(k.proven.Load()) }
 
-// freshProof is how old the newest proof of a keeper may be for others to leave the instances alone.
-const freshProof = 2 * time.Second
-
 // Fresh reports whether the log has lately confirmed that this keeper owns the instances.
 func (k *Keeper) Fresh(context.Context) (bool, error) {
 	proven := k.provenAt()
-	return proven > 0 && k.config.Clock.Moment().Steady-proven < freshProof, nil
+	return proven > 0 && k.config.Clock.Moment().Steady-proven < claim.FreshProof, nil
 }
 
 func (k *Keeper) list(ctx context.Context) {
--- a/internal/jobs/machines/label.go
+++ b/internal/jobs/machines/label.go
@@ -16,7 +16,7 @@
 func (r *round) shortageOf(pool string) shortage {
 	load := r.Loads[pool]
 	s := shortage{labels: map[string]int{}, racks: map[string]int{}}
-	unit := max(1, r.capacity().CPU)
+	unit := max(1, r.typical.CPU)
 	for label, cpu := range load.Labels {
 		s.labels[label] = ceil(cpu*headroom/percent, unit)
 	}
--- a/internal/jobs/machines/label_test.go
+++ b/internal/jobs/machines/label_test.go
@@ -32,13 +32,9 @@
 		f := newFleet(map[string]int{"p": 6, "q": 4, "spare": 2})
 		labelled(f)
 		f.loads["p"], f.loads["q"] = Load{Demand: 1000}, Load{Demand: 1000}
-		for range 30 {
-			f.carry(f.tick())
-		}
+		f.play(30)
 		f.loads["p"] = Load{Demand: 20_000, Labels: map[string]int{label: 20_000}}
-		for range 30 {
-			f.carry(f.tick())
-		}
+		f.play(30)
 		has := func(m catalog.Instance) bool { return m.Labels[0] == label }
 		if got, all := f.count("p", has), f.size("p"); got < 2 || all > 3 {
 			t.Errorf("%d of %d instances of the pool have label %s", got, all, label)
@@ -51,9 +47,7 @@
 	f := newFleet(map[string]int{"p": 6, "spare": 6})
 	labelled(f)
 	f.loads["p"] = Load{Demand: 16_000, Labels: map[string]int{"c": 16_000}}
-	for range 40 {
-		f.carry(f.tick())
-	}
+	f.play(40)
 	if got := f.size("p"); got != minInstances {
 		t.Errorf("the pool has %d instances", got)
 	}
@@ -64,9 +58,7 @@
 	f := newFleet(map[string]int{"p": 2, "spare": 10})
 	labelled(f)
 	f.loads["p"] = Load{Demand: 50_000, Racks: map[string]int{"r3": 30_000}}
-	for range 10 {
-		f.carry(f.tick())
-	}
+	f.play(10)
 	if got := f.count("p", func(m catalog.Instance) bool { return m.Rack == "r3" }); got < 2 {
 		t.Errorf("%d instances of the pool are on the rack", got)
 	}
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -135,6 +135,7 @@
 	byName  map[string]*catalog.Instance
 	members map[string][]*catalog.Instance // by pool, with those on their way into it
 	hosts   map[string]Host                // by worker
+	typical catalog.Amount                 // room of a typical instance
 }
 
 // Rest leaves an instance alone until a time, since an earlier keeper has ordered it about.
@@ -148,6 +149,7 @@
 	r := &round{
 		Planner: p, Input: in, plan: Plan{Orders: map[string]Orders{}, Sizes: map[string]Size{}},
 		byName: map[string]*catalog.Instance{}, members: map[string][]*catalog.Instance{}, hosts: map[string]Host{},
+		typical: typicalOf(in.Instances),
 	}
 	r.index()
 	r.settle()
--- a/internal/jobs/machines/planner_test.go
+++ b/internal/jobs/machines/planner_test.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// play lets rounds pass in which moves are carried out at once.
+func (f *fleet) play(rounds int) {
+	for range rounds {
+		f.carry(f.tick())
+	}
+}
+
 func (f *fleet) size(pool string) int {
 	count := 0
 	for _, m := range f.instances {
@@ -93,9 +100,7 @@
 
 func TestNothingMovesBeforeWorkComes(t *testing.T) {
 	f := newFleet(map[string]int{"a": 4, "b": 4, "spare": 3})
-	for range 20 {
-		f.carry(f.tick())
-	}
+	f.play(20)
 	if f.moved != 0 {
 		t.Errorf("%d instances moved", f.moved)
 	}
@@ -106,16 +111,12 @@
 func TestSurgeTakesRoom(t *testing.T) {
 	f := newFleet(map[string]int{"a": 4, "b": 6, "spare": 2})
 	f.loads["a"] = Load{Demand: 100_000}
-	for range 10 {
-		f.carry(f.tick())
-	}
+	f.play(10)
 	if got := f.size("a"); got != 7 {
 		t.Errorf("the pool in need has %d instances, 7 hold its work", got)
 	}
 	f.loads["a"] = Load{Demand: 4000}
-	for range 30 {
-		f.carry(f.tick())
-	}
+	f.play(30)
 	if a, b := f.size("a"), f.size("b"); a != minInstances || b != minInstances {
 		t.Errorf("idle pools have %d and %d instances, not %d", a, b, minInstances)
 	}
@@ -127,9 +128,7 @@
 	f.carry(f.tick())
 	f.loads["b"] = Load{Demand: 10_000}
 	f.loads["a"] = Load{Demand: 100_000}
-	for range 4 {
-		f.carry(f.tick())
-	}
+	f.play(4)
 	if got := f.size("a"); got != 7 {
 		t.Errorf("the pool in need has %d instances 0.8 s later, 7 hold its work", got)
 	}
@@ -249,16 +248,12 @@
 	f := newFleet(map[string]int{"a": 2, "b": 8, "spare": 0})
 	f.loads["b"] = Load{Demand: 20_000, Late: 200_000}
 	f.loads["a"] = Load{Demand: 80_000}
-	for range 5 {
-		f.carry(f.tick())
-	}
+	f.play(5)
 	if got := f.size("a"); got != 6 {
 		t.Errorf("the pool in need has %d instances, 6 hold its work", got)
 	}
 	f.loads["a"] = Load{Demand: 1000}
-	for range 30 {
-		f.carry(f.tick())
-	}
+	f.play(30)
 	if got := f.size("b"); got != 8 {
 		t.Errorf("%d instances serve the backlog, 8 are to be had", got)
 	}
@@ -274,9 +269,7 @@
 	for _, m := range f.instances {
 		f.busy[m.Worker] = 1000
 	}
-	for range 20 {
-		f.carry(f.tick())
-	}
+	f.play(20)
 	kept := ""
 	for _, m := range f.instances {
 		if _, leaves := f.planner.leaving[m.Name]; !leaves {
--- a/internal/jobs/machines/ration_test.go
+++ b/internal/jobs/machines/ration_test.go
@@ -34,16 +34,12 @@
 	f := newFleet(map[string]int{"a": 8, "b": 8, "c": 4, "spare": 4})
 	f.loads["a"] = Load{Demand: 500_000}
 	f.loads["b"], f.loads["c"] = Load{Demand: 10_000}, Load{Demand: 40_000}
-	for range 20 {
-		f.carry(f.tick())
-	}
+	f.play(20)
 	if a, b, c := f.size("a"), f.size("b"), f.size("c"); a != 19 || b != 2 || c != 3 {
 		t.Fatalf("the pool in need has %d instances, the others %d and %d", a, b, c)
 	}
 	f.loads["b"] = Load{Demand: 300_000}
-	for range 10 {
-		f.carry(f.tick())
-	}
+	f.play(10)
 	if a, b, c := f.size("a"), f.size("b"), f.size("c"); a < 10 || b < 10 || c != 3 {
 		t.Errorf("the two pools in need have %d and %d instances, the third %d", a, b, c)
 	}
--- a/internal/jobs/machines/size.go
+++ b/internal/jobs/machines/size.go
@@ -31,15 +31,14 @@
 	missing := map[string]int{}
 	deficit := -r.idle()
 	for pool, size := range r.plan.Sizes {
-		needed := size.Needed
-		if gap := needed - size.Present; gap > 0 {
+		if gap := size.Needed - size.Present; gap > 0 {
 			missing[pool] = gap - r.recall(pool, gap)
 			deficit += missing[pool]
 			short = append(short, pool)
 		}
 	}
 	for pool, size := range r.plan.Sizes {
-		surplus := size.Present - size.Wanted - ceil(r.Loads[pool].Late, max(1, r.capacity().CPU))
+		surplus := size.Present - size.Wanted - ceil(r.Loads[pool].Late, max(1, r.typical.CPU))
 		if unneeded := size.Present - size.Needed; deficit > 0 && unneeded > surplus {
 			surplus = max(surplus, min(unneeded, deficit))
 			deficit -= surplus
@@ -68,7 +67,7 @@
 			continue
 		}
 		needs[pool], wanted[pool] = r.size(pool, load)
-		floors[pool] = max(minInstances, load.Spread, ceil(load.Lasting*headroom/percent, max(1, r.capacity().CPU)))
+		floors[pool] = max(minInstances, load.Spread, ceil(load.Lasting*headroom/percent, max(1, r.typical.CPU)))
 	}
 	for pool, part := range ration(needs, floors, r.serving()) {
 		held := wanted[pool]
@@ -94,7 +93,7 @@
 func (r *round) serveLate() {
 	for pool, load := range r.Loads {
 		size := r.plan.Sizes[pool]
-		if extra := ceil(load.Late, max(1, r.capacity().CPU)); extra > 0 && r.worked {
+		if extra := ceil(load.Late, max(1, r.typical.CPU)); extra > 0 && r.worked {
 			r.fill(pool, size.Needed+extra-max(size.Present, size.Needed))
 		}
 	}
@@ -119,12 +118,11 @@
 // size returns how many instances a pool needs now, and how many it should have: at once more when it
 // asks for more, and fewer only when it has asked for fewer for a while.
 func (r *round) size(pool string, load Load) (needed, held int) {
-	capacity := r.capacity()
-	if capacity.CPU == 0 {
+	if r.typical.CPU == 0 {
 		return 0, 0
 	}
-	now := max(minInstances, load.Spread, ceil((load.Demand+load.Lasting)*headroom/percent, capacity.CPU),
-		ceil(load.Memory*headroom/percent, max(1, capacity.MemoryMB)))
+	now := max(minInstances, load.Spread, ceil((load.Demand+load.Lasting)*headroom/percent, r.typical.CPU),
+		ceil(load.Memory*headroom/percent, max(1, r.typical.MemoryMB)))
 	if load.Stuck > 0 {
 		now = max(now, r.present(pool)+1)
 	}
@@ -149,13 +147,13 @@
 
 func ceil(amount, unit int) int { return (amount + unit - 1) / unit }
 
-// capacity returns the room of a typical instance.
-func (r *round) capacity() catalog.Amount {
+// typicalOf returns the room of a typical instance.
+func typicalOf(instances []catalog.Instance) catalog.Amount {
 	var sum catalog.Amount
-	for _, m := range r.Instances {
+	for _, m := range instances {
 		sum = sum.Plus(m.Capacity)
 	}
-	n := max(1, len(r.Instances))
+	n := max(1, len(instances))
 	return catalog.Amount{CPU: sum.CPU / n, MemoryMB: sum.MemoryMB / n, Accelerators: sum.Accelerators / n}
 }
 
@@ -270,29 +268,30 @@
 // reach returns the processors that a pool can get beside what it has, in thousandths of a core: instances
 // on their way to it, and those that no pool needs now.
 func (r *round) reach(pool string) int {
-	count := r.idle()
+	count := r.idle() + r.arriving(pool)
 	for other, size := range r.plan.Sizes {
 		if other != pool {
 			count += max(0, size.Present-size.Needed)
 		}
 	}
-	for _, m := range r.members[pool] {
-		if r.inTransit(m.Name) || m.State != catalog.Up {
-			count++
-		}
-	}
-	return count * r.capacity().CPU
+	return count * r.typical.CPU
 }
 
 // coming returns the processors of the instances that are on their way to a pool, or will be by its part of what
 // there is, in thousandths of a core.
 func (r *round) coming(pool string) int {
+	count := r.arriving(pool)
+	size := r.plan.Sizes[pool]
+	return max(count, size.Needed-(size.Present-count)) * r.typical.CPU
+}
+
+// arriving counts the instances that are on their way to a pool.
+func (r *round) arriving(pool string) int {
 	count := 0
 	for _, m := range r.members[pool] {
 		if r.inTransit(m.Name) || m.State != catalog.Up {
 			count++
 		}
 	}
-	size := r.plan.Sizes[pool]
-	return max(count, size.Needed-(size.Present-count)) * r.capacity().CPU
+	return count
 }
--- a/internal/jobs/pool/admit.go
+++ b/internal/jobs/pool/admit.go
@@ -19,7 +19,7 @@
 // get, ends so late that nobody waits for the job any longer: a surge that no room can hold is turned
 // away at its end instead of making everything late. A job that is known is never refused.
 func (p *Pool) Admit(at Moment, spec *job.Spec) error {
-	if _, known := p.jobs[spec.ID]; known || spec.Times > 0 || spec.Lasting() {
+	if _, known := p.jobs[spec.ID]; known || !spec.Once() {
 		return nil
 	}
 	if at.Steady > p.reachTill {
--- a/internal/jobs/pool/advice.go
+++ b/internal/jobs/pool/advice.go
@@ -76,18 +76,12 @@
 		switch {
 		case a.valid(h.info.ID, at.Steady) != "":
 			allowed = append(allowed, h)
-			room += fits(h, step)
+			room += fits(h.free(), step)
 		case !a.barred[h.info.ID] && h.free().Holds(needOf(step)) && len(unknown) < adviceWorkers:
 			unknown = append(unknown, h.info.ID)
 		}
 	}
-	waiting := 0
-	for i := range it.repeat.Steps[it.step] {
-		if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
-			waiting++
-		}
-	}
-	if room < waiting && len(unknown) > 0 && !a.asking && at.Steady >= a.retry && p.questions < maxQuestions {
+	if room < it.waiting() && len(unknown) > 0 && !a.asking && at.Steady >= a.retry && p.questions < maxQuestions {
 		a.asking = true
 		p.questions++
 		p.actions = append(p.actions, AdviseAction{Step: stepName(it), Workers: unknown})
@@ -95,16 +89,6 @@
 	return allowed
 }
 
-// fits returns how many tasks of a step a worker has room for.
-func fits(h *host, step *job.Step) int {
-	need, free, n := needOf(step), h.free(), 0
-	for free.Holds(need) && n < step.Count {
-		free = free.Minus(need)
-		n++
-	}
-	return n
-}
-
 // Advised takes in the outcome of an AdviseAction.
 func (p *Pool) Advised(at Moment, a AdviseAction, answer worker.Advice, err error) {
 	p.questions--
--- a/internal/jobs/pool/feasible.go
+++ b/internal/jobs/pool/feasible.go
@@ -67,7 +67,7 @@
 func (p *Pool) claims(at Moment) []claim {
 	var claims []claim
 	for _, e := range p.active {
-		if e.job.State.Ended() || e.job.Spec.Times > 0 || e.job.Spec.Lasting() {
+		if e.job.State.Ended() || !e.job.Spec.Once() {
 			continue
 		}
 		c := claim{entry: e, rank: e.job.Spec.Policy.Priority, due: e.due, begun: e.job.Begun}
@@ -305,7 +305,7 @@
 func (p *Pool) Standing(at Moment) Standing {
 	var s Standing
 	for _, e := range p.active {
-		if e.job.State.Ended() || e.job.Spec.Times > 0 || e.job.Spec.Lasting() {
+		if e.job.State.Ended() || !e.job.Spec.Once() {
 			continue
 		}
 		switch e.chance {
@@ -319,12 +319,7 @@
 	}
 	for _, it := range p.waiting(at) {
 		step := &it.entry.job.Spec.Steps[it.step]
-		count := 0
-		for i := range it.repeat.Steps[it.step] {
-			if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
-				count++
-			}
-		}
+		count := it.waiting()
 		s.Waiting += count
 		if !p.team(it.entry.job.Spec.Team).admits(fullNeed(step)) {
 			s.Capped += count
--- a/internal/jobs/pool/gang.go
+++ b/internal/jobs/pool/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
@@ -45,7 +46,7 @@
 		if x, y := freeCPU(a), freeCPU(b); x != y {
 			return y - x
 		}
-		return compareText(a[0].info.Rack, b[0].info.Rack)
+		return strings.Compare(a[0].info.Rack, b[0].info.Rack)
 	})
 	if len(groups) == 0 {
 		return [][]*host{hosts}
@@ -81,27 +82,28 @@
 			room = room.Minus(r.need)
 		}
 	}
-	count := held(room, needOf(step))
+	count := fits(room, step)
 	if step.PerWorker > 0 {
 		count = min(count, step.PerWorker)
 	}
 	return count
 }
 
-// held returns how often a need goes into a room.
-func held(room, need catalog.Amount) int {
-	count := maxMembers
+// fits returns how many tasks of a step a room holds, all of them at most.
+func fits(room catalog.Amount, step *job.Step) int {
+	need := needOf(step)
+	if !room.Holds(need) {
+		return 0
+	}
+	count := step.Count
 	for _, pair := range [...][2]int{{room.CPU, need.CPU}, {room.MemoryMB, need.MemoryMB}, {room.Accelerators, need.Accelerators}} {
 		if pair[1] > 0 {
-			count = min(count, max(0, pair[0])/pair[1])
+			count = min(count, pair[0]/pair[1])
 		}
 	}
 	return count
 }
 
-// maxMembers bounds the members that need no room.
-const maxMembers = 1000
-
 // placeMembers starts all members of a gang on some workers, or none.
 func (p *Pool) placeMembers(at Moment, it *item, latest int, hosts []*host, o *offer) bool {
 	step := &it.entry.job.Spec.Steps[it.step]
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
@@ -78,13 +79,25 @@
 
 func hasWaiting(tasks []job.Task) bool {
 	for i := range tasks {
-		if !tasks[i].Done && !tasks[i].Placed() {
+		if tasks[i].Waiting() {
 			return true
 		}
 	}
 	return false
 }
 
+// waiting counts the tasks of the step that wait for a run.
+func (it *item) waiting() int {
+	count := 0
+	tasks := it.repeat.Steps[it.step]
+	for i := range tasks {
+		if tasks[i].Waiting() {
+			count++
+		}
+	}
+	return count
+}
+
 // item ranks a step: what lasts first, then by the queue's priority; among equals what can be in time
 // goes before what cannot, by its latest start.
 func (p *Pool) item(at Moment, e *entry, o *job.Occurrence, step int) item {
@@ -130,21 +143,11 @@
 		if a.used.CPU != b.used.CPU {
 			return b.used.CPU - a.used.CPU
 		}
-		return compareText(a.info.ID, b.info.ID)
+		return strings.Compare(a.info.ID, b.info.ID)
 	})
 	return hosts
 }
 
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // placeItem starts the waiting tasks of a step as far as they fit.
 func (p *Pool) placeItem(at Moment, it *item, o *offer) {
 	step := &it.entry.job.Spec.Steps[it.step]
@@ -163,7 +166,7 @@
 	tasks := it.repeat.Steps[it.step]
 	for i := range tasks {
 		t := &tasks[i]
-		if t.Done || t.Placed() {
+		if !t.Waiting() {
 			continue
 		}
 		if !tm.admits(fullNeed(step)) {
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -226,7 +226,7 @@
 	for _, it := range p.waiting(at) {
 		step := &it.entry.job.Spec.Steps[it.step]
 		for i := range it.repeat.Steps[it.step] {
-			if t := &it.repeat.Steps[it.step][i]; !t.Done && !t.Placed() {
+			if it.repeat.Steps[it.step][i].Waiting() {
 				l.wait(at, &it, step)
 				wishes[it.entry.job.Spec.Team] = wishes[it.entry.job.Spec.Team].Plus(fullNeed(step))
 				if step.Lasting && it.entry.stuck > 0 && at.Steady-it.entry.stuck > stuckAfter {
--- a/internal/jobs/shard/ask.go
+++ b/internal/jobs/shard/ask.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
@@ -38,16 +38,13 @@
 	return 0, false, nil
 }
 
-// freshProof is how old the newest proof of an owner may be for others to leave its pool alone.
-const freshProof = 2 * time.Second
-
 // Fresh reports whether the log has lately confirmed that this instance owns the pool.
 func (s *Shard) Fresh(ctx context.Context) (bool, error) {
 	if err := s.ready(ctx); err != nil {
 		return false, err
 	}
 	fresh := false
-	err := s.do(ctx, func(at pool.Moment) { fresh = at.Steady-s.proven < freshProof })
+	err := s.do(ctx, func(at pool.Moment) { fresh = at.Steady-s.proven < claim.FreshProof })
 	return fresh, err
 }
 
