pool: Show that tasks run twice when a worker is back under its id

Two new cases of TestPromises play workers that crash and start again at once under the ids they had, as the platform allows; in the second the workers' table goes on showing the earlier life for three seconds. Why the tests missed it: a life in the fake world began six seconds after the one before had ended, its entry was shown at once, and no order was ever on its way between two lives.

--- a/internal/jobs/pool/pool_test.go
+++ b/internal/jobs/pool/pool_test.go
@@ -41,6 +41,14 @@
 			w.after(6*time.Second, func() { w.restart("w0") })
 			w.after(9*time.Second, func() { w.restart("w1") })
 		}},
+		{"workers crash and are back at once under their ids", faults{lostAfter: 0.02}, func(w *world) {
+			w.delay = 400 * time.Millisecond
+			w.crashInTurn()
+		}},
+		{"workers are back while the store shows entries of earlier lives", faults{}, func(w *world) {
+			w.delay = 3 * time.Second
+			w.crashInTurn()
+		}},
 		{"a worker is cut off and runs on", faults{}, func(w *world) {
 			w.after(900*time.Millisecond, func() { w.workers["w0"].cut = true })
 			w.after(8*time.Second, func() { w.workers["w0"].cut = false })
@@ -94,6 +102,16 @@
 	}
 }
 
+// crashInTurn has workers crash and start again under their ids a moment later.
+func (w *world) crashInTurn() {
+	for i := range 16 {
+		id := fmt.Sprintf("w%d", i%4)
+		at := time.Duration(900+i*450+w.random.IntN(300)) * time.Millisecond
+		w.after(at, func() { w.kill(id) })
+		w.after(at+time.Duration(20+w.random.IntN(300))*time.Millisecond, func() { w.restart(id) })
+	}
+}
+
 func (o *fakeOwner) wake() {
 	o.frozen = false
 	backlog := o.backlog
--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -37,6 +37,7 @@
 	parting map[worker.Run]bool      // runs whose stop was ordered
 	at      map[job.Name]string      // worker of a run at this moment
 	ended   map[job.ID]time.Duration // when a job's end was stored
+	delay   time.Duration            // from a worker's start under an old id until its entry says so
 }
 
 // faults are the chances of what may happen to a single order.
@@ -103,7 +104,9 @@
 	id       string
 	room     catalog.Amount
 	slow     float64 // rate of its clock
+	began    time.Duration
 	born     time.Time
+	earlier  catalog.Worker // entry of the life before, under the same id
 	fence    int64
 	until    time.Duration // end of the lease by its clock
 	runs     map[worker.Run]*fakeRun
@@ -124,14 +127,17 @@
 
 func (w *world) addWorker(id string) {
 	f := &fakeWorker{
-		w: w, id: id, room: catalog.Amount{CPU: 4000, MemoryMB: 8000}, slow: 0.98 + 0.02*w.random.Float64(),
+		w: w, id: id, room: catalog.Amount{CPU: 4000, MemoryMB: 8000}, slow: 0.98 + 0.02*w.random.Float64(), began: w.now,
 		born: w.moment().Wall, runs: map[worker.Run]*fakeRun{}, barred: map[job.Name]int{},
 	}
 	w.workers[id] = f
 }
 
+// firstReading is what a worker's clock shows when the worker starts.
+const firstReading = 50 * time.Millisecond
+
 func (f *fakeWorker) clock() time.Duration {
-	return time.Duration(float64(f.w.now)*f.slow) + 7*time.Second
+	return time.Duration(float64(f.w.now-f.began)*f.slow) + firstReading
 }
 
 func (f *fakeWorker) answer() worker.Answer { return worker.Answer{Clock: f.clock(), Born: f.born} }
@@ -357,18 +363,24 @@
 
 func (w *world) list() []catalog.Worker {
 	var list []catalog.Worker
-	for id, f := range w.workers {
-		if f.dead {
-			continue
+	for _, f := range w.workers {
+		switch {
+		case f.earlier.ID != "" && w.now < f.began+w.delay:
+			list = append(list, f.earlier)
+		case !f.dead:
+			list = append(list, f.entry())
 		}
-		list = append(list, catalog.Worker{
-			ID: id, Pool: "p", Address: netip.MustParseAddrPort("127.0.0.1:1"), Capacity: f.room, Clock: f.clock(),
-			Born: f.born, Draining: f.draining,
-		})
 	}
 	return list
 }
 
+func (f *fakeWorker) entry() catalog.Worker {
+	return catalog.Worker{
+		ID: f.id, Pool: "p", Address: netip.MustParseAddrPort("127.0.0.1:1"), Capacity: f.room, Clock: f.clock(),
+		Born: f.born, Draining: f.draining,
+	}
+}
+
 func (o *fakeOwner) tick() {
 	if o.gone {
 		return
@@ -547,8 +559,9 @@
 
 // restart gives a dead worker a new life under its id.
 func (w *world) restart(id string) {
-	if w.workers[id].dead {
+	if before := w.workers[id]; before.dead {
 		w.addWorker(id)
+		w.workers[id].earlier = before.entry()
 	}
 }
 
