pool: Keep the runs of a worker that is back under its id until a look settles them

What callers could see: a task that ran twice, after a worker had crashed and started again under the id it had. Cause: the owner took all that ran under the id for lost at the moment it learned of the new life, also what the new life had taken on by then: a start reaches it before the owner knows; an entry of the earlier life set the owner's idea of the life back, so that it learned of the same life again and again; the number up to which ends are acknowledged, and the clock that leases are counted by, were those of the earlier life in orders that the new one got. Fix: a new life ends no run. It makes the owner forget the numbers, the clock and the lease of the earlier one, and the next look settles each run as any other look does. Ends are acknowledged only in a look that follows an answered one; an entry of an earlier life gets no new work; a clock that jumps back tells a new life, too; an answer from another worker at an address that the worker has left ends nothing. Fake workers that are dead no longer answer a look that waits on them.

--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"time"
+
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 )
 
@@ -11,7 +13,13 @@
 
 	runs    []*run
 	parting []*run
-	ends    map[string]int64 // newest end by worker that the batch covers
+	ends    map[string]endMark // newest end by worker that the batch covers
+}
+
+// endMark is the newest end of a worker's life.
+type endMark struct {
+	number int64
+	met    time.Duration // when that life was heard of first
 }
 
 // StoredJob is the progress of one job.
@@ -28,7 +36,7 @@
 
 // Flush returns what has changed since the last call, or as much of it as one batch holds.
 func (p *Pool) Flush() *Batch {
-	b := &Batch{ends: map[string]int64{}}
+	b := &Batch{ends: map[string]endMark{}}
 	taken := map[job.ID]bool{}
 	for name := range p.changed {
 		if len(b.Jobs) == maxBatchJobs {
@@ -48,7 +56,7 @@
 	}
 	for name, h := range p.workers {
 		if h.seen > h.stored {
-			b.ends[name] = h.seen
+			b.ends[name] = endMark{number: h.seen, met: h.met}
 		}
 	}
 	return b
@@ -87,8 +95,8 @@
 // NothingToStore acknowledges ends that changed no job.
 func (p *Pool) NothingToStore(b *Batch) {
 	for name, end := range b.ends {
-		if h, ok := p.workers[name]; ok && h.seen >= end {
-			h.stored = max(h.stored, end)
+		if h, ok := p.workers[name]; ok && h.met == end.met && h.seen >= end.number {
+			h.stored = max(h.stored, end.number)
 		}
 	}
 }
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -17,14 +17,16 @@
 
 // host is one life of a worker with what runs there.
 type host struct {
-	info      catalog.Worker
-	listed    bool          // its entry stands in the workers' table
-	cordoned  bool          // is to be emptied now
-	ended     bool          // its life is over, though its entry may stand
-	livesOn   bool          // has lived on after an order that should have ended it
-	retired   bool          // its life was ended by an order of ours
-	retiredAt time.Duration // the worker's clock in its entry at that time
-	doomed    bool          // is to be emptied soon
+	info      catalog.Worker // its newest entry, which may be that of an earlier life
+	born      time.Time      // start of its newest life that is known, zero when none was said
+	met       time.Duration  // when that life was heard of first
+	listed    bool           // its entry stands in the workers' table
+	cordoned  bool           // is to be emptied now
+	ended     bool           // its life is over, though its entry may stand
+	livesOn   bool           // has lived on after an order that should have ended it
+	retired   bool           // its life was ended by an order of ours
+	retiredAt time.Duration  // the worker's clock in its entry at that time
+	doomed    bool           // is to be emptied soon
 	used      catalog.Amount
 	runs      map[worker.Run]*run
 	strange   id.Set[worker.Run] // runs of jobs that this owner does not hold; nothing starts beside them
@@ -32,11 +34,12 @@
 	clock    time.Duration // its steady clock at clockAt
 	clockAt  time.Duration
 	leaseEnd time.Duration // when everything on it has surely lapsed unless renewed
-	seen     int64         // number of the newest end that was taken in
+	seen     int64         // number of the newest end that was taken in; numbers begin anew with each life
 	stored   int64         // ends up to this number are stored
 	acked    int64         // ends up to this number were acknowledged to it
 
 	answered  bool          // has answered a look of this owner
+	attested  bool          // has answered the newest look, so that the next one finds the same life
 	silent    bool          // its last order was not answered
 	looking   bool          // a look is on its way
 	urgent    bool          // an urgent look is on its way
@@ -75,14 +78,12 @@
 	for _, info := range list {
 		present.Add(info.ID)
 		h, known := p.workers[info.ID]
-		if known && !info.Born.IsZero() && !h.info.Born.IsZero() && info.Born.After(h.info.Born) {
-			p.reborn(at, h, info.Born)
-		}
 		if !known {
 			h = &host{runs: map[worker.Run]*run{}, clock: info.Clock, clockAt: at.Steady}
 			p.workers[info.ID] = h
 			p.config.Observer.WorkerChanged(info.ID, "joined")
 		}
+		p.heardOf(at, h, info.Born)
 		if known && h.info.Draining != info.Draining {
 			p.config.Observer.WorkerChanged(info.ID, "draining changed")
 		}
@@ -148,46 +149,11 @@
 	}
 }
 
-// reborn ends everything that ran on an earlier life under the same id.
-func (p *Pool) reborn(at Moment, h *host, born time.Time) {
-	p.config.Observer.WorkerChanged(h.info.ID, "started again")
-	p.loseAll(at, h)
-	h.info.Born = born
-	h.seen, h.stored, h.acked = 0, 0, 0
-	h.leaseEnd = 0
-	h.clock, h.clockAt = 0, at.Steady
-	h.answered, h.retired, h.livesOn, h.ended = false, false, false, false
-}
-
-// loseAll ends every run of a worker whose life or lease is over.
-func (p *Pool) loseAll(at Moment, h *host) {
-	h.strange = nil
-	for _, r := range h.runs {
-		p.ended(at, r, worker.End{Run: r.id, How: worker.Lost})
-	}
-}
-
 // usable reports whether a worker may get new work.
 func (p *Pool) usable(at Moment, h *host) bool {
-	return h.listed && !h.ended && !h.retired && len(h.strange) == 0 && h.answered && !h.silent && !h.cordoned && !h.info.Draining &&
-		at.Steady >= h.avoid && !p.evacuated.Has(h.info.DataCentre)
+	return h.listed && h.described() && !h.ended && !h.retired && len(h.strange) == 0 && h.answered && !h.silent && !h.cordoned &&
+		!h.info.Draining && at.Steady >= h.avoid && !p.evacuated.Has(h.info.DataCentre)
 }
 
 // leaves reports whether what lasts must move off a worker.
 func (p *Pool) leaves(h *host) bool { return h.cordoned || h.info.Draining }
-
-// supersede ends the workers on whose instances a later life has begun.
-func (p *Pool) supersede(at Moment, list []catalog.Worker) {
-	newest := map[string]catalog.Worker{}
-	for _, w := range list {
-		if w.Instance != "" && w.Born.After(newest[w.Instance].Born) {
-			newest[w.Instance] = w
-		}
-	}
-	for name, h := range p.workers {
-		later, ok := newest[h.info.Instance]
-		if ok && later.ID != name && later.Born.After(h.info.Born) && !h.ended {
-			p.over(at, h)
-		}
-	}
-}
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -77,7 +77,12 @@
 	if !busy && h.stored <= h.acked && !unmet {
 		return
 	}
-	hold := worker.Hold{Fence: p.config.Fence, Acked: h.stored}
+	hold := worker.Hold{Fence: p.config.Fence}
+	if h.attested {
+		// In another life the number stands for other ends.
+		hold.Acked = h.stored
+		h.attested = false
+	}
 	if busy && h.answered && !h.silent {
 		hold.Until = h.until(at.Steady, p.config.Lease)
 		h.extend(at.Steady, p.config.Lease)
@@ -111,47 +116,50 @@
 	if !ok {
 		return
 	}
-	if a.Urgent {
+	present := a.Sent >= h.met // sent when the newest life was known
+	switch {
+	case !present:
+	case a.Urgent:
 		h.urgent = false
-	} else {
+	default:
 		h.looking = false
 	}
 	if err != nil {
-		p.unseen(at, h, err)
-		return
-	}
-	if !report.Born.IsZero() && !h.info.Born.IsZero() && !report.Born.Equal(h.info.Born) {
-		if report.Born.Before(h.info.Born) {
-			return
+		if present {
+			p.unseen(at, h, a.To, err)
 		}
-		p.reborn(at, h, report.Born)
+		return
 	}
-	if h.info.Born.IsZero() {
-		h.info.Born = report.Born
+	if !p.heardOf(at, h, report.Born) {
+		return
 	}
 	p.tick(at, h, report.Answer)
 	h.silent = false
 	h.misses = 0
 	h.answered = true
-	h.acked = max(h.acked, a.Hold.Acked)
+	if a.Sent >= h.met {
+		h.acked = max(h.acked, a.Hold.Acked)
+		h.attested = true
+	}
 	h.lookSent = max(h.lookSent, a.Sent)
 	h.nextLook = at.Steady
 	if p.takeEnds(at, h, report.Ended) {
 		h.nextLook = at.Steady + max(lookGap, time.Duration(len(p.workers))*time.Second/looksASec)
 	}
-	present := p.takeRunning(at, h, report.Running)
+	shown := p.takeRunning(at, h, report.Running)
 	if len(report.Ended) < fullReport {
-		p.settle(at, h, a.Sent, present)
+		p.settle(at, h, a.Sent, shown)
 	}
 }
 
 // unseen notes that a look was not answered, or was refused.
-func (p *Pool) unseen(at Moment, h *host, err error) {
+func (p *Pool) unseen(at Moment, h *host, to worker.Target, err error) {
 	var refused worker.RefusedError
 	var other worker.OtherLifeError
+	h.attested = false
 	switch {
 	case errors.As(err, &other):
-		p.over(at, h)
+		p.elsewhere(at, h, to)
 	case errors.As(err, &refused):
 		p.tick(at, h, refused.Answer)
 		h.silent = true
@@ -170,13 +178,6 @@
 	}
 }
 
-// tick takes over the reading of a worker's clock.
-func (p *Pool) tick(at Moment, h *host, a worker.Answer) {
-	if a.Clock > 0 {
-		h.clock, h.clockAt = a.Clock, at.Steady
-	}
-}
-
 // takeEnds applies the ends that were not seen before and reports whether there were any.
 func (p *Pool) takeEnds(at Moment, h *host, ends []worker.End) bool {
 	fresh := false
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -19,6 +19,7 @@
 	Name      string
 	Fence     int64         // carried by every order
 	Lease     time.Duration // how long a worker runs on without a renewal
+	MaxLease  time.Duration // longest lease that a worker grants, 0 when not known
 	Inherited time.Duration // after a change of owner, how long a run may go on that nobody has seen
 	Retention time.Duration // how long an ended job can be asked for
 	Far       float64       // how many times as long a task takes away from its data, 0 when not known
--- a/internal/jobs/pool/pool_test.go
+++ b/internal/jobs/pool/pool_test.go
@@ -49,6 +49,13 @@
 			w.delay = 3 * time.Second
 			w.crashInTurn()
 		}},
+		{"workers are back under their ids while owners change", faults{lostAfter: 0.02}, func(w *world) {
+			w.delay = 2 * time.Second
+			w.crashInTurn()
+			for i := range 8 {
+				w.after(time.Duration(i+1)*1100*time.Millisecond, func() { w.takeOver() })
+			}
+		}},
 		{"a worker is cut off and runs on", faults{}, func(w *world) {
 			w.after(900*time.Millisecond, func() { w.workers["w0"].cut = true })
 			w.after(8*time.Second, func() { w.workers["w0"].cut = false })
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -138,7 +138,10 @@
 		p.tick(at, h, refused.Answer)
 		p.refused(at, r, refused.Reason)
 	case errors.As(err, &other):
-		p.over(at, h)
+		p.elsewhere(at, h, a.To)
+		if p.find(a.To.ID, a.Start.Run) == r {
+			p.ended(at, r, worker.End{Run: r.id, How: worker.Lost})
+		}
 	default:
 		h.silent = true
 		r.settled = at.Steady
@@ -186,15 +189,6 @@
 	p.ended(at, r, worker.End{Run: r.id, How: worker.Lost, Checkpoint: r.task.Checkpoint})
 }
 
-// over ends a worker whose life is over.
-func (p *Pool) over(at Moment, h *host) {
-	p.config.Observer.WorkerChanged(h.info.ID, "is over")
-	p.loseAll(at, h)
-	h.ended = true
-	h.leaseEnd = 0
-	h.stored, h.acked = 0, 0
-}
-
 // stop ends a run that may exist.
 func (p *Pool) stop(at Moment, r *run) {
 	switch r.phase {
@@ -244,7 +238,7 @@
 		r.settled = at.Steady
 		r.host.nextLook = min(r.host.nextLook, at.Steady)
 	case errors.As(err, &other):
-		p.over(at, r.host)
+		p.elsewhere(at, r.host, a.To)
 	case errors.As(err, &refused):
 		p.tick(at, r.host, refused.Answer)
 	default:
--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -493,6 +493,10 @@
 				return
 			}
 			answered = true
+			if f.dead {
+				o.act(func() { o.pool.Looked(o.w.moment(), a, worker.Report{}, errLost) })
+				return
+			}
 			late := f.report()
 			o.w.after(time.Millisecond, func() { o.act(func() { o.pool.Looked(o.w.moment(), a, late, nil) }) })
 		}
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -37,6 +37,7 @@
 // Settings are the bounds that the platform states.
 type Settings struct {
 	Lease     time.Duration // how long a worker runs on without a renewal
+	MaxLease  time.Duration // longest lease that a worker grants, 0 when not known
 	Retention time.Duration
 	Far       float64 // how many times as long a task takes away from its data
 }
@@ -156,7 +157,7 @@
 	}
 	at := s.config.Clock.Moment()
 	s.pool = pool.New(pool.Config{
-		Name: s.config.Pool, Fence: s.claim.Epoch(), Lease: s.config.Settings.Lease,
+		Name: s.config.Pool, Fence: s.claim.Epoch(), Lease: s.config.Settings.Lease, MaxLease: s.config.Settings.MaxLease,
 		Inherited: s.inherited(),
 		Retention: s.config.Settings.Retention,
 		Far:       s.config.Settings.Far,
