shard: Wait for the runs of all earlier owners, not of the last one only

Callers saw a task run twice at a time. Cause: the mark behind a new owner's name said that the last owner had stopped, and the successor then waited for one lease. The last owner may have taken over a moment before from one that is cut off with its workers and may give orders for 4 s yet; and the mark stands in the table of owners, which nothing fences. Now an owner stores its term in its fenced table, before its first order: for how long runs of earlier owners may go on unseen; again when that is over, and when it has stopped, after its last order has returned. The successor reads it after it has fenced the table, so it is that of the newest owner that can have given orders. Tests of internal, platform and commands pass; shard also with -race. Cost: one record with the first batch, one when settled, one append per pool at a stop (0.5 s at most).

--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -53,7 +53,6 @@
 	shards      map[string]*owned
 	heard       time.Duration // steady time of the newest answer of the store
 	stopping    bool
-	released    map[string]bool // units whose earlier owner has surely stopped
 	ownersKnown bool
 	ownedSince  map[string]time.Duration // when a unit changed hands, as heard here
 
@@ -80,7 +79,7 @@
 func New(c Config) *Instance {
 	return &Instance{
 		config: c, evacuated: id.Set[id.DataCentre]{}, waves: map[int]announced{}, workers: map[string]catalog.Worker{},
-		former: map[string][]string{}, shards: map[string]*owned{}, owners: owners.Table{}, released: map[string]bool{}, ownedSince: map[string]time.Duration{}, ownersChanged: make(chan struct{}, 1), leave: make(chan struct{}), left: make(chan struct{}),
+		former: map[string][]string{}, shards: map[string]*owned{}, owners: owners.Table{}, ownedSince: map[string]time.Duration{}, ownersChanged: make(chan struct{}, 1), leave: make(chan struct{}), left: make(chan struct{}),
 	}
 }
 
--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,10 +21,6 @@
 	groupTopics = 4
 )
 
-// releasedMark stands behind a new owner's address when the earlier owner has stopped giving orders. A unit
-// that is this instance's when it starts was its own before: that process is gone as well.
-const releasedMark = " released"
-
 // ownerTable holds who owns each unit.
 func ownerTable() stream.Table { return stream.Table{Name: "owners"} }
 
@@ -166,17 +161,11 @@
 
 // takeOwner takes in who owns a unit.
 func (n *Instance) takeOwner(r stream.Record) {
-	text, released := strings.CutSuffix(string(r.Value), releasedMark)
-	address, err := netip.ParseAddrPort(text)
+	address, err := netip.ParseAddrPort(string(r.Value))
 	if err != nil {
 		return
 	}
 	n.mu.Lock()
-	if !n.ownersKnown {
-		n.released[r.Key] = released || address == n.self().Address
-	} else if n.owners[r.Key] != address {
-		n.released[r.Key] = released
-	}
 	n.setOwner(r.Key, address)
 	n.mu.Unlock()
 	select {
@@ -275,7 +264,7 @@
 			return
 		}
 	}
-	c.membership.announce(ctx, []owners.Offer{{Unit: c.unit, To: n.self().Address}}, "")
+	c.membership.announce(ctx, []owners.Offer{{Unit: c.unit, To: n.self().Address}})
 }
 
 // level hands over a unit when another instance has much less to do; the caller holds the lock.
@@ -295,16 +284,16 @@
 	}
 	n.setOwner(offer.Unit, offer.To)
 	n.config.Logger.Info("handing a unit over to level the load", zap.String("unit", offer.Unit), zap.Stringer("to", offer.To))
-	go m.announce(ctx, []owners.Offer{offer}, "")
+	go m.announce(ctx, []owners.Offer{offer})
 }
 
 // announce writes who owns units now; it tries again until the store has it or the time is over.
-func (m *membership) announce(ctx context.Context, offers []owners.Offer, mark string) {
+func (m *membership) announce(ctx context.Context, offers []owners.Offer) {
 	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
 	var records []stream.Record
 	for _, o := range offers {
-		records = append(records, stream.Record{Key: o.Unit, Value: []byte(o.To.String() + mark)})
+		records = append(records, stream.Record{Key: o.Unit, Value: []byte(o.To.String())})
 	}
 	for ctx.Err() == nil {
 		_, err := m.instance.config.Log.Append(ctx, ownerTable(), records, nil)
@@ -333,10 +322,12 @@
 	n.mu.Unlock()
 	for _, o := range ending {
 		o.cancel()
+	}
+	for _, o := range ending {
 		<-o.done
 	}
 	if len(offers) > 0 {
-		m.announce(ctx, offers, releasedMark)
+		m.announce(ctx, offers)
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
--- a/internal/jobs/instance/unit.go
+++ b/internal/jobs/instance/unit.go
@@ -19,7 +19,6 @@
 	} else {
 		o.shard = n.shard(unit)
 		o.runner = o.shard
-		n.released[unit] = false // a later claim from here may follow another instance's
 	}
 	go o.run(ctx, unit, n.config.Logger)
 }
@@ -30,7 +29,6 @@
 		Pool: unit, Holder: set.Name, Log: n.config.Log, Workers: n.config.Workers, Advisor: n.config.Advisor,
 		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(unit, n.config.Logger),
 		Settings: shard.Settings{Lease: set.Lease(), Retention: set.Retention, Far: set.Far},
-		Released: n.released[unit],
 		View:     func() shard.View { return n.view(unit) },
 	})
 }
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -74,6 +74,9 @@
 		s.pool.Place(at)
 	}
 	s.logStanding(at)
+	if err := s.settle(at); err != nil {
+		s.fail(fatal, err)
+	}
 	s.store(ctx, fatal)
 	s.carryOut(ctx)
 }
@@ -120,7 +123,7 @@
 	w := &write{shard: s, batch: batch, records: append(s.handedIn, records...), callers: s.callers, writer: s.writer}
 	s.handedIn, s.callers = nil, nil
 	s.writer.Sequence++
-	go w.run(ctx, fatal)
+	s.sending.Go(func() { w.run(ctx, fatal) })
 }
 
 func (s *Shard) records(batch *pool.Batch) ([]stream.Record, error) {
@@ -169,6 +172,7 @@
 		if err == nil {
 			s.post(ctx, func(at pool.Moment) {
 				s.writing = false
+				s.opened = true
 				s.proven = max(s.proven, sent)
 				s.wantPlace = true
 				s.pool.Stored(at, w.batch)
@@ -278,11 +282,14 @@
 	}
 }
 
-// carryOut sends the orders that were decided.
+// carryOut sends the orders that were decided, once this owner's term is stored.
 func (s *Shard) carryOut(ctx context.Context) {
+	if !s.opened {
+		return
+	}
 	for _, a := range s.pool.Actions() {
 		o := &order{shard: s, action: a}
-		go o.run(ctx)
+		s.sending.Go(func() { o.run(ctx) })
 	}
 }
 
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -53,7 +53,6 @@
 	Logger   *zap.Logger
 	Observer pool.Observer
 	View     func() View
-	Released bool // the earlier owner has surely stopped giving orders
 }
 
 // View is what operators and workers have published, as far as it concerns one pool.
@@ -77,6 +76,10 @@
 	started chan struct{} // closed once the pool answers questions
 	ended   chan struct{} // closed once nothing answers any more
 
+	earlier    *term          // of the owner before this one, nil for none
+	settled    time.Duration  // steady time at which no run of an earlier owner goes on unseen; 0 once it is past
+	opened     bool           // this owner's term is stored
+	sending    sync.WaitGroup // orders and batches that are on their way
 	writer     stream.Writer
 	writing    bool
 	wrote      time.Duration // steady time at which the newest batch was first sent
@@ -124,10 +127,14 @@
 		return errors.Annotatef(err, "taking over pool %s", s.config.Pool)
 	}
 	close(s.started)
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return s.run(ctx) })
-	group.Go(func() error { return s.loopIntake(ctx) })
-	return errors.Trace(group.Wait())
+	group, running := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.run(running) })
+	group.Go(func() error { return s.loopIntake(running) })
+	err = group.Wait()
+	if ctx.Err() != nil {
+		s.close(ctx)
+	}
+	return errors.Trace(err)
 }
 
 // load reads everything that the log holds of the pool.
@@ -135,6 +142,7 @@
 	jobs := map[job.ID]*pool.Stored{}
 	var cancelled []job.ID
 	if _, err := claim.ReadAll(ctx, s.config.Log, s.output, s.config.Logger, func(r stream.Record) {
+		s.loadTerm(r)
 		s.loadProgress(jobs, r)
 		s.loadIntake(jobs, &cancelled, r)
 	}); err != nil {
@@ -174,18 +182,9 @@
 	for _, name := range cancelled {
 		s.pool.Cancel(at, name)
 	}
-	s.config.Logger.Info("took over a pool", zap.String("pool", s.config.Pool), zap.Int("jobs", len(stored)), zap.Int64("offset", next))
-	return nil
-}
-
-// inherited returns how long a run of an earlier owner may go on that nobody has seen: its last lease, and
-// before that the time for which the owner itself may not have heard of this one.
-func (s *Shard) inherited() time.Duration {
-	lease := time.Duration(float64(s.config.Settings.Lease)*(1+2*pool.ClockDrift)) + inheritedSlack
-	if s.config.Released {
-		return lease
-	}
-	return ownerTimeout + lease
+	s.config.Logger.Info("took over a pool", zap.String("pool", s.config.Pool), zap.Int("jobs", len(stored)), zap.Int64("offset", next),
+		zap.Duration("unseen_runs_wait", s.inherited()))
+	return s.open(at)
 }
 
 // do runs a function on the control thread and waits for it.
--- a/internal/jobs/shard/zone_test.go
+++ b/internal/jobs/shard/zone_test.go
@@ -73,9 +73,10 @@
 	*fakeLog
 	places *places
 
-	mu    sync.Mutex
-	cut   bool // from the log
-	reach id.Set[string]
+	mu     sync.Mutex
+	cut    bool // from the log
+	refuse int  // appends that get lost on their way to the log
+	reach  id.Set[string]
 }
 
 func newStand(log *fakeLog, p *places, reach ...string) *stand {
@@ -107,8 +108,21 @@
 	return s.cut
 }
 
+func (s *stand) refuseNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = n
+}
+
+func (s *stand) refused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse--
+	return s.refuse >= 0
+}
+
 func (s *stand) Append(ctx context.Context, t stream.Table, records []stream.Record, w *stream.Writer) (int64, error) {
-	if s.isCut() {
+	if s.isCut() || s.refused() {
 		return 0, errNoAnswer
 	}
 	return s.fakeLog.Append(ctx, t, records, w)
@@ -267,9 +281,7 @@
 				time.Sleep(300 * time.Millisecond)
 				test.end(second, stop)
 				t.Log(<-o.err)
-				s := third.shard(test.third)
-				s.config.Released = true
-				start(ctx, s)
+				start(ctx, third.shard(test.third))
 				time.Sleep(20 * time.Second)
 				p.mu.Lock()
 				defer p.mu.Unlock()
