shard, pool: Say what an owner and its tasks wait for

The line on how a pool's work stands told that work waits beside empty room, and not why. It now tells the age of the oldest event, the turns of the control thread, the longest write, send and start, the room of runs that no worker has confirmed or that are late anyway, and what first runs have waited for: a round of placing, room, the log, the worker's answer. The same as histograms by team and queue, and by pool.

--- a/internal/jobs/instance/metrics.go
+++ b/internal/jobs/instance/metrics.go
@@ -8,6 +8,7 @@
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 )
 
 // Metrics holds the metrics of one instance.
@@ -15,6 +16,8 @@
 	Registry *prometheus.Registry
 	calls    *prometheus.HistogramVec // seconds of a caller's call, by queue, call and outcome
 	wait     *prometheus.HistogramVec // seconds from a job's acceptance to a start, by team and queue
+	waits    *prometheus.HistogramVec // seconds that a task waits for its first start, by team, queue and reason
+	owner    *prometheus.HistogramVec // seconds of the parts of an owner's work, by pool and part
 	jobs     *prometheus.HistogramVec // seconds of a job, by team, queue and outcome
 	runs     *prometheus.CounterVec   // ends of runs, by pool and way
 }
@@ -29,12 +32,14 @@
 		Registry: prometheus.NewRegistry(),
 		calls:    histogram("marigoldshed_call_seconds", "Time of a caller's call.", "queue", "call", "outcome"),
 		wait:     histogram("marigoldshed_start_wait_seconds", "Time from a job's acceptance to the start of a task.", "team", "queue"),
+		waits:    histogram("marigoldshed_task_wait_seconds", "Time that a task waits for its first start.", "team", "queue", "reason"),
+		owner:    histogram("marigoldshed_owner_seconds", "Time of the parts of an owner's work.", "pool", "part"),
 		jobs:     histogram("marigoldshed_job_seconds", "Time from a job's acceptance to its end.", "team", "queue", "outcome"),
 		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldshed_runs_total", Help: "Runs that have ended.",
 		}, []string{"pool", "end"}),
 	}
-	m.Registry.MustRegister(m.calls, m.wait, m.jobs, m.runs)
+	m.Registry.MustRegister(m.calls, m.wait, m.waits, m.owner, m.jobs, m.runs)
 	return m
 }
 
@@ -48,6 +53,18 @@
 	return &observer{metrics: m, pool: name, logger: logger.With(zap.String("pool", name))}
 }
 
+// Watch returns what notes how long the parts of an owner's work take.
+func (m *Metrics) Watch(name string) shard.Watch { return watch{metrics: m, pool: name} }
+
+type watch struct {
+	metrics *Metrics
+	pool    string
+}
+
+func (w watch) Took(part string, took time.Duration) {
+	w.metrics.owner.WithLabelValues(w.pool, part).Observe(took.Seconds())
+}
+
 type observer struct {
 	metrics *Metrics
 	pool    string
@@ -60,6 +77,25 @@
 		zap.Int("run", run), zap.String("worker", worker), zap.Duration("waited", waited))
 }
 
+// Reasons for which a task waits for its first start.
+const (
+	ownerReason = "owner"
+	roomReason  = "room"
+	logReason   = "log"
+	orderReason = "order"
+)
+
+func (o *observer) Begun(spec *job.Spec, w pool.Waits) {
+	o.waited(spec, ownerReason, w.Owner)
+	o.waited(spec, roomReason, w.Room)
+	o.waited(spec, logReason, w.Log)
+	o.waited(spec, orderReason, w.Order)
+}
+
+func (o *observer) waited(spec *job.Spec, reason string, took time.Duration) {
+	o.metrics.waits.WithLabelValues(spec.Team, spec.Queue, reason).Observe(took.Seconds())
+}
+
 func (o *observer) Ended(_ *job.Spec, task job.Name, run int, worker, how string) {
 	o.metrics.runs.WithLabelValues(o.pool, how).Inc()
 	level := zap.DebugLevel
--- a/internal/jobs/instance/unit.go
+++ b/internal/jobs/instance/unit.go
@@ -28,7 +28,7 @@
 	set := n.config.Settings
 	return shard.New(shard.Config{
 		Pool: unit, Holder: set.Name, Log: n.config.Log, Workers: n.config.Workers, Advisor: n.config.Advisor,
-		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(unit, n.config.Logger),
+		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(unit, n.config.Logger), Watch: n.config.Metrics.Watch(unit),
 		Settings: shard.Settings{Lease: set.Lease(), Retention: set.Retention, Far: set.Far},
 		Released: n.released[unit],
 		View:     func() shard.View { return n.view(unit) },
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -151,6 +151,7 @@
 // placeItem starts the waiting tasks of a step as far as they fit.
 func (p *Pool) placeItem(at Moment, it *item, o *offer) {
 	step := &it.entry.job.Spec.Steps[it.step]
+	it.entry.turnOf(at, it.repeat.Number, it.step)
 	if o.tooSmall(step) {
 		return
 	}
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -28,6 +28,7 @@
 // Observer is told of decisions, for logs and metrics.
 type Observer interface {
 	Placed(spec *job.Spec, task job.Name, run int, worker string, waited time.Duration)
+	Begun(spec *job.Spec, waits Waits) // a worker has confirmed the first run of a task
 	Ended(spec *job.Spec, task job.Name, run int, worker, how string)
 	JobEnded(spec *job.Spec, state job.State, took time.Duration)
 	WorkerChanged(worker, what string)
@@ -44,6 +45,8 @@
 	advice  map[job.Name]*advice // by step, for advised queues
 	rescues map[job.Name]int     // runs that were ended because they took too long
 	stuck   time.Duration        // steady time since which a task that lasts has found no worker, 0 if none
+	ready   time.Duration        // steady time since which the newest of its steps may start
+	turns   map[[2]int]turn      // by occurrence and step, of those whose turn has come
 }
 
 // Pool is the state of one pool's jobs and workers.
@@ -69,6 +72,8 @@
 	reachTill    time.Duration  // until when what is said of the reach holds
 	reach        int            // thousandths of a core that the pool can get beside what it has
 	soon         int            // those of them that are on their way
+	begun        int            // first runs that workers have confirmed since this was last asked for
+	waits        Waits          // of these, together
 	questions    int            // to the advice service that are on their way
 }
 
@@ -103,7 +108,7 @@
 }
 
 func (p *Pool) add(at Moment, j *job.Job) *entry {
-	e := &entry{job: j, arrived: at.Steady, rescues: map[job.Name]int{}}
+	e := &entry{job: j, arrived: at.Steady, ready: at.Steady, rescues: map[job.Name]int{}, turns: map[[2]int]turn{}}
 	// The time since a job was taken is read off two clocks that may differ by seconds.
 	if age := at.Wall.Sub(j.Spec.Accepted); age > 0 && age < maxClockAge {
 		e.arrived -= age
@@ -173,6 +178,7 @@
 type silent struct{}
 
 func (silent) Placed(*job.Spec, job.Name, int, string, time.Duration) {}
+func (silent) Begun(*job.Spec, Waits)                                 {}
 func (silent) Ended(*job.Spec, job.Name, int, string, string)         {}
 func (silent) JobEnded(*job.Spec, job.State, time.Duration)           {}
 func (silent) WorkerChanged(string, string)                           {}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -38,6 +38,10 @@
 	percent int           // share at which it works, as last reported
 	paced   int           // share that was ordered
 	over    time.Duration // steady time since which it is over its target, 0 while it is not
+
+	turn                  // of its step
+	chosen  time.Duration // steady time at which its worker was chosen
+	ordered time.Duration // steady time at which the log had it and its order went out
 }
 
 func (p *Pool) runOf(t *job.Task) *run {
@@ -61,6 +65,7 @@
 	e.job.Start(t, h.info.ID)
 	r := p.attach(e, t, h)
 	r.phase = storing
+	r.turn, r.chosen = e.turnOf(at, t.Name.Occurrence, t.Name.Step), at.Steady
 	p.held = append(p.held, r)
 	p.touch(e)
 	p.config.Observer.Placed(&e.job.Spec, t.Name, t.Run, h.info.ID, at.Steady-e.arrived)
@@ -105,6 +110,7 @@
 	h := r.host
 	h.extend(at.Steady, p.config.Lease)
 	r.phase = sending
+	r.ordered = at.Steady
 	p.actions = append(p.actions, StartAction{To: h.target(), Start: worker.Start{
 		Run: r.id, Text: r.job.job.Spec.Text, Until: h.until(at.Steady, p.config.Lease),
 		Fence: p.config.Fence, Checkpoint: r.task.Checkpoint, Ticket: p.ticketOf(r),
@@ -156,6 +162,9 @@
 		r.settled = at.Steady
 		r.began = at.Steady
 		r.job.job.Begun = true
+		if r.id.Number == 1 && r.ordered > 0 {
+			p.noteBegun(at, r)
+		}
 		if r.task.Leaving {
 			p.stop(at, r) // an earlier owner may have ordered that already
 		}
@@ -289,6 +298,7 @@
 func (p *Pool) finish(at Moment, e *entry, t *job.Task) {
 	wasOver := e.job.State.Ended()
 	e.job.Finish(t, at.Wall)
+	e.ready = at.Steady
 	if e.job.State.Ended() && !wasOver {
 		p.endJob(at, e)
 	}
--- /dev/null
+++ b/internal/jobs/pool/waits_test.go
@@ -0,0 +1,71 @@
+package pool
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+)
+
+// begunObserver keeps the waits of the first runs.
+type begunObserver struct {
+	silent
+	begun []Waits
+}
+
+func (o *begunObserver) Begun(_ *job.Spec, w Waits) { o.begun = append(o.begun, w) }
+
+// TestWaitsSayWhatATaskWaitedFor walks one task through an owner and checks what each delay is put down to.
+func TestWaitsSayWhatATaskWaitedFor(t *testing.T) {
+	tests := []struct {
+		name                          string
+		first, room, stored, answered time.Duration // after the job came: first round, room, log, answer
+		want                          Waits
+	}{
+		{"nothing", 0, 0, 0, 0, Waits{}},
+		{"a late round", 30, 30, 30, 30, Waits{Owner: 30}},
+		{"no room", 10, 500, 500, 500, Waits{Owner: 10, Room: 490}},
+		{"a slow log", 0, 0, 300, 300, Waits{Log: 300}},
+		{"a slow worker", 0, 0, 10, 700, Waits{Log: 10, Order: 690}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			seen := &begunObserver{}
+			p := New(Config{Name: "p", Fence: 1, Lease: 4 * time.Second, Retention: time.Minute, Observer: seen})
+			at := func(after time.Duration) Moment {
+				passed := after * time.Millisecond
+				return Moment{Steady: time.Hour + passed, Wall: time.Unix(1_000_000, 0).Add(passed)}
+			}
+			info := catalog.Worker{ID: "w", Address: netip.MustParseAddrPort("127.0.0.1:1"), Capacity: catalog.Amount{CPU: 1000}}
+			p.SetWorkers(at(0), []catalog.Worker{info})
+			p.Looked(at(0), LookAction{To: worker.Target{ID: "w"}}, worker.Report{}, nil)
+			spec := job.Spec{ID: "00000000000000aa", Accepted: at(0).Wall, Steps: []job.Step{{Count: 1, CPU: 800, Estimate: time.Second}}}
+			p.Submit(at(0), spec)
+			if test.room > test.first {
+				p.workers["w"].used.CPU = 500
+				p.Place(at(test.first))
+				p.workers["w"].used.CPU = 0
+			}
+			p.Place(at(test.room))
+			p.Stored(at(test.stored), p.Flush())
+			for _, a := range p.Actions() {
+				if start, ok := a.(StartAction); ok {
+					p.Started(at(test.answered), start, worker.Answer{Clock: time.Second}, nil)
+				}
+			}
+			want := Waits{
+				Owner: test.want.Owner * time.Millisecond, Room: test.want.Room * time.Millisecond,
+				Log: test.want.Log * time.Millisecond, Order: test.want.Order * time.Millisecond,
+			}
+			if len(seen.begun) != 1 || seen.begun[0] != want {
+				t.Errorf("waits %v, want %v once", seen.begun, want)
+			}
+			if begun, sum := p.TakeWaits(); begun != 1 || sum != want {
+				t.Errorf("%d runs have waited %v together, want %v", begun, sum, want)
+			}
+		})
+	}
+}
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -26,13 +26,15 @@
 		case err := <-fatal:
 			return err
 		case event := <-s.events:
-			event(s.config.Clock.Moment())
+			s.takeIn(event)
 			s.drain()
 		case <-s.refresh:
 			s.applyView(s.config.Clock.Moment())
 		case <-ticker.C:
 		}
+		from := s.config.Clock.Moment().Steady
 		s.turn(ctx, fatal)
+		s.pulse.turn(s.config.Clock.Moment().Steady - from)
 	}
 }
 
@@ -41,13 +43,19 @@
 	for {
 		select {
 		case event := <-s.events:
-			event(s.config.Clock.Moment())
+			s.takeIn(event)
 		default:
 			return
 		}
 	}
 }
 
+func (s *Shard) takeIn(e event) {
+	at := s.config.Clock.Moment()
+	s.pulse.event(at.Steady - e.since)
+	e.do(at)
+}
+
 // turn decides and carries out one round.
 func (s *Shard) turn(ctx context.Context, fatal chan error) {
 	at := s.config.Clock.Moment()
@@ -78,19 +86,31 @@
 	s.carryOut(ctx)
 }
 
-// logStanding says now and then how the work stands while some of it cannot be in time.
+// logStanding says now and then how the work stands while some of it cannot be in time, or the owner is behind.
 func (s *Shard) logStanding(at pool.Moment) {
 	if at.Steady-s.told < standingInterval {
 		return
 	}
 	s.told = at.Steady
+	b := s.pulse.take()
+	begun, waits := s.pool.TakeWaits()
 	st := s.pool.Standing(at)
+	message := "pool has more work than room"
 	if st.Tardy+st.Hopeless == 0 {
-		return
+		if message = "owner is behind"; b.oldest < behind {
+			return
+		}
 	}
-	s.config.Logger.Info("pool has more work than room", zap.String("pool", s.config.Pool), zap.Int("timely", st.Timely),
+	s.config.Logger.Info(message, append(b.fields(), zap.String("pool", s.config.Pool), zap.Int("timely", st.Timely),
 		zap.Int("late", st.Tardy), zap.Int("hopeless", st.Hopeless), zap.Int("workers", st.Workers), zap.Int("room", st.Room),
-		zap.Int("used", st.Used), zap.Int("waiting", st.Waiting), zap.Int("capped", st.Capped), zap.Duration("log_waits", s.logWait(at)))
+		zap.Int("used", st.Used), zap.Int("unconfirmed", st.Unconfirmed), zap.Int("used_late", st.UsedTardy),
+		zap.Int("used_hopeless", st.UsedHopeless), zap.Int("waiting", st.Waiting), zap.Int("capped", st.Capped),
+		zap.Duration("log_waits", s.logWait(at)), zap.Int("begun", begun), mean("wait_owner", waits.Owner, begun),
+		mean("wait_room", waits.Room, begun), mean("wait_log", waits.Log, begun), mean("wait_order", waits.Order, begun))...)
+}
+
+func mean(name string, sum time.Duration, count int) zap.Field {
+	return zap.Duration(name, sum/time.Duration(max(1, count)))
 }
 
 // logWait returns how long the batch that is on its way has waited for the log.
@@ -117,7 +137,7 @@
 		return
 	}
 	s.writing, s.wrote = true, s.config.Clock.Moment().Steady
-	w := &write{shard: s, batch: batch, records: append(s.handedIn, records...), callers: s.callers, writer: s.writer}
+	w := &write{shard: s, batch: batch, records: append(s.handedIn, records...), callers: s.callers, writer: s.writer, since: s.wrote}
 	s.handedIn, s.callers = nil, nil
 	s.writer.Sequence++
 	go w.run(ctx, fatal)
@@ -154,6 +174,7 @@
 	records []stream.Record
 	callers []chan struct{} // closed once the log has the batch
 	writer  stream.Writer
+	since   time.Duration // steady time at which it was handed over
 }
 
 func (w *write) run(ctx context.Context, fatal chan error) {
@@ -169,6 +190,7 @@
 		if err == nil {
 			s.post(ctx, func(at pool.Moment) {
 				s.writing = false
+				s.pulse.stored(at.Steady - w.since)
 				s.proven = max(s.proven, sent)
 				s.wantPlace = true
 				s.pool.Stored(at, w.batch)
@@ -281,7 +303,7 @@
 // carryOut sends the orders that were decided.
 func (s *Shard) carryOut(ctx context.Context) {
 	for _, a := range s.pool.Actions() {
-		o := &order{shard: s, action: a}
+		o := &order{shard: s, action: a, since: s.config.Clock.Moment().Steady}
 		go o.run(ctx)
 	}
 }
@@ -290,10 +312,12 @@
 type order struct {
 	shard  *Shard
 	action pool.Action
+	since  time.Duration // steady time of the decision
 }
 
 func (o *order) run(ctx context.Context) {
 	s, w := o.shard, o.shard.config.Workers
+	sent := s.config.Clock.Moment().Steady
 	var outcome func(at pool.Moment)
 	switch a := o.action.(type) {
 	case pool.StartAction:
@@ -312,7 +336,9 @@
 		answer, err := w.Pace(ctx, a.To, a.Run, a.Percent, a.Fence)
 		outcome = func(at pool.Moment) { s.pool.Paced(at, a, answer, err) }
 	}
+	_, start := o.action.(pool.StartAction)
 	s.post(ctx, func(at pool.Moment) {
+		s.pulse.order(start, sent-o.since, at.Steady-sent)
 		outcome(at)
 		s.wantPlace = true
 	})
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -52,6 +52,7 @@
 	Clock    claim.Clock
 	Logger   *zap.Logger
 	Observer pool.Observer
+	Watch    Watch // nil watches nothing
 	View     func() View
 	Released bool // the earlier owner has surely stopped giving orders
 }
@@ -72,7 +73,7 @@
 	output  stream.Table // claims and progress, written by the owner
 	claim   *claim.Claim
 	pool    *pool.Pool
-	events  chan func(at pool.Moment) // run on the control thread
+	events  chan event // run on the control thread
 	refresh chan struct{}
 	started chan struct{} // closed once the pool answers questions
 	ended   chan struct{} // closed once nothing answers any more
@@ -85,6 +86,7 @@
 	placed     time.Duration
 	paced      time.Duration
 	told       time.Duration // when it was last said how the work stands
+	pulse      *pulse
 	wantPlace  bool
 	keeper     int64           // highest fence of a keeper that has given orders for workers
 	keeperTurn int64           // its newest round
@@ -97,8 +99,8 @@
 // New returns a shard that is to be run.
 func New(c Config) *Shard {
 	return &Shard{
-		config: c, intake: IntakeTable(c.Pool), output: OutputTable(c.Pool), refresh: make(chan struct{}, 1),
-		events: make(chan func(pool.Moment), eventQueue), started: make(chan struct{}), ended: make(chan struct{}),
+		config: c, pulse: newPulse(c.Watch), intake: IntakeTable(c.Pool), output: OutputTable(c.Pool), refresh: make(chan struct{}, 1),
+		events: make(chan event, eventQueue), started: make(chan struct{}), ended: make(chan struct{}),
 	}
 }
 
@@ -188,11 +190,21 @@
 	return ownerTimeout + lease
 }
 
+// event is something for the control thread, with the steady time since which it waits for that.
+type event struct {
+	since time.Duration
+	do    func(at pool.Moment)
+}
+
+func (s *Shard) event(f func(at pool.Moment)) event {
+	return event{since: s.config.Clock.Moment().Steady, do: f}
+}
+
 // do runs a function on the control thread and waits for it.
 func (s *Shard) do(ctx context.Context, f func(at pool.Moment)) error {
 	done := make(chan struct{})
 	select {
-	case s.events <- func(at pool.Moment) { f(at); close(done) }:
+	case s.events <- s.event(func(at pool.Moment) { f(at); close(done) }):
 	case <-s.ended:
 		return EndedError{Pool: s.config.Pool}
 	case <-ctx.Done():
@@ -211,7 +223,7 @@
 // post hands a function to the control thread.
 func (s *Shard) post(ctx context.Context, f func(at pool.Moment)) {
 	select {
-	case s.events <- f:
+	case s.events <- s.event(f):
 	case <-s.ended:
 	case <-ctx.Done():
 	}
