shard: Decide by rounds that go by time, not by events

Cause: each event of the control thread brought a turn, and each turn looks at all workers, runs and jobs of the pool. In the surge that were 1,550 to 2,320 turns a second, which took 0.44 to 0.60 s of each second of a process that may use 0.8 of a core. The way to the log and to the workers got what was left: 1 to 3 batches a second, 0.35 to 0.87 s from the choice of a worker until the log had it, while over a third of the room was held by runs that no worker had been told of.

Fix: what comes less than 4 ms after a turn waits for the next one. An owner with little to do decides at once, as before.

Evidence: TestEventsOfASurgeShareTurns, 418 turns for 400 events before, 111 allowed. BenchmarkOwnerInSurge 160 and 118 us of processor time a start.

--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -14,10 +14,13 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
-// run is the control thread.
+// run is the control thread. What comes shortly after a turn waits for the next one, so that the turns of a
+// pool in a surge do not grow with its events.
 func (s *Shard) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	rest := time.NewTimer(0)
+	defer rest.Stop()
 	fatal := make(chan error, 1)
 	for {
 		select {
@@ -30,11 +33,17 @@
 			s.drain()
 		case <-s.refresh:
 			s.applyView(s.config.Clock.Moment())
+		case <-rest.C:
 		case <-ticker.C:
 		}
 		from := s.config.Clock.Moment().Steady
+		if wait := s.turned + turnGap - from; wait > 0 {
+			rest.Reset(wait)
+			continue
+		}
 		s.turn(ctx, fatal)
-		s.pulse.turn(s.config.Clock.Moment().Steady - from)
+		s.turned = s.config.Clock.Moment().Steady
+		s.pulse.turn(s.turned - from)
 	}
 }
 
--- a/internal/jobs/shard/pulse_test.go
+++ b/internal/jobs/shard/pulse_test.go
@@ -1,8 +1,13 @@
 package shard
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
 // TestPulseForgetsWhatWasSaid checks that a line covers what came since the one before, and the longest of each part.
@@ -25,3 +30,46 @@
 		t.Errorf("still %+v after it was said", got)
 	}
 }
+
+// countedParts counts what an owner's Watch is told of.
+type countedParts struct {
+	mu    sync.Mutex
+	parts map[string]int
+}
+
+func (c *countedParts) Took(part string, _ time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parts[part]++
+}
+
+func (c *countedParts) count(part string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.parts[part]
+}
+
+// TestEventsOfASurgeShareTurns floods an owner with events: the rounds of decisions go by time, not by events.
+func TestEventsOfASurgeShareTurns(t *testing.T) {
+	log := newFakeLog()
+	workers := &fakeWorkers{starts: map[worker.Run]int{}, log: log}
+	s := newShard(log, workers, "a")
+	counted := &countedParts{parts: map[string]int{}}
+	s.pulse.watch = counted
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	start(ctx, s)
+	if err := s.ready(ctx); err != nil {
+		t.Fatal(err)
+	}
+	began, before := time.Now(), counted.count(turnPart)
+	const events = 400
+	for range events {
+		s.post(ctx, func(pool.Moment) {})
+		time.Sleep(time.Millisecond / 2)
+	}
+	turns, most := counted.count(turnPart)-before, int(time.Since(began)/(4*time.Millisecond))+2
+	if turns > most {
+		t.Errorf("%d events have taken %d turns, %d at most", events, turns, most)
+	}
+}
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -24,6 +24,7 @@
 // Times of an owner.
 const (
 	tickInterval     = 25 * time.Millisecond
+	turnGap          = 4 * time.Millisecond // between two turns of the control thread
 	placeInterval    = 8 * time.Millisecond // between two rounds of placing, so that ends come together
 	renewInterval    = time.Second          // between two proofs to the log that no successor has claimed
 	ownerTimeout     = 4 * time.Second      // without a proof, after which nothing is ordered any more
@@ -83,6 +84,7 @@
 	wrote      time.Duration // steady time at which the newest batch was first sent
 	proven     time.Duration // steady time at which the newest answered proof was sent
 	proving    bool
+	turned     time.Duration // when the newest turn ended
 	placed     time.Duration
 	paced      time.Duration
 	told       time.Duration // when it was last said how the work stands
--- /dev/null
+++ b/internal/jobs/shard/surge_bench_test.go
@@ -0,0 +1,153 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+	"marigoldshed.example/marigoldshed/internal/observe/steady"
+)
+
+// quickLog keeps nothing and answers after the time that a store takes.
+type quickLog struct{ *fakeLog }
+
+func (quickLog) Append(context.Context, stream.Table, []stream.Record, *stream.Writer) (int64, error) {
+	time.Sleep(4 * time.Millisecond)
+	return 0, nil
+}
+
+// busyWorkers run every task for a while.
+type busyWorkers struct {
+	mu      sync.Mutex
+	workers map[string]*busyWorker
+	starts  atomic.Int64
+}
+
+type busyWorker struct {
+	mu     sync.Mutex
+	runs   map[worker.Run]struct{}
+	ends   []worker.End
+	number int64
+	wake   chan struct{}
+}
+
+const benchTask = 800 * time.Millisecond
+
+func (b *busyWorkers) of(id string) *busyWorker {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.workers[id]
+	if w == nil {
+		w = &busyWorker{runs: map[worker.Run]struct{}{}, wake: make(chan struct{}, 1)}
+		b.workers[id] = w
+	}
+	return w
+}
+
+func (b *busyWorkers) Start(_ context.Context, to worker.Target, s worker.Start) (worker.Answer, error) {
+	b.starts.Add(1)
+	w := b.of(to.ID)
+	w.mu.Lock()
+	w.runs[s.Run] = struct{}{}
+	w.mu.Unlock()
+	time.AfterFunc(benchTask, func() {
+		w.mu.Lock()
+		w.number++
+		delete(w.runs, s.Run)
+		w.ends = append(w.ends, worker.End{Run: s.Run, Number: w.number, How: worker.Done})
+		w.mu.Unlock()
+		select {
+		case w.wake <- struct{}{}:
+		default:
+		}
+	})
+	return worker.Answer{Clock: time.Second}, nil
+}
+
+func (b *busyWorkers) Hold(ctx context.Context, to worker.Target, h worker.Hold) (worker.Report, error) {
+	w := b.of(to.ID)
+	w.mu.Lock()
+	kept := w.ends[:0]
+	for _, e := range w.ends {
+		if e.Number > h.Acked {
+			kept = append(kept, e)
+		}
+	}
+	w.ends = kept
+	empty := len(kept) == 0
+	w.mu.Unlock()
+	if empty && h.Wait > 0 {
+		select {
+		case <-w.wake:
+		case <-ctx.Done():
+		case <-time.After(h.Wait):
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	report := worker.Report{Answer: worker.Answer{Clock: time.Second}, Ended: append([]worker.End(nil), w.ends...)}
+	for r := range w.runs {
+		report.Running = append(report.Running, worker.Running{Run: r, Percent: 100})
+	}
+	return report, nil
+}
+
+func (b *busyWorkers) Stop(context.Context, worker.Target, worker.Run, int64) (worker.Answer, error) {
+	return worker.Answer{Clock: time.Second}, nil
+}
+
+func (b *busyWorkers) Pace(context.Context, worker.Target, worker.Run, int, int64) (worker.Answer, error) {
+	return worker.Answer{Clock: time.Second}, nil
+}
+
+// BenchmarkOwnerInSurge is the processor time of an owner per started task, without the way to the workers, while
+// twice as much work comes as a large pool holds.
+func BenchmarkOwnerInSurge(b *testing.B) {
+	busy := &busyWorkers{workers: map[string]*busyWorker{}}
+	s := New(Config{
+		Pool: "p", Holder: "a", Log: quickLog{newFakeLog()}, Workers: busy, Clock: steady.Clock{}, Logger: zap.NewNop(),
+		Settings: Settings{Lease: 4 * time.Second, Retention: time.Minute},
+		View: func() View {
+			var v View
+			for i := range 200 {
+				v.Workers = append(v.Workers, catalog.Worker{
+					ID: fmt.Sprintf("w%d", i), Pool: "p", Address: netip.MustParseAddrPort("127.0.0.1:1"), Capacity: catalog.Amount{CPU: 16000, MemoryMB: 64000},
+				})
+			}
+			return v
+		},
+	})
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	start(ctx, s)
+	var before unix.Rusage
+	submit := func(i int) {
+		spec := job.Spec{
+			ID: job.ID(fmt.Sprintf("%016x", i)), Queue: "q", Pool: "p", Accepted: time.Now(), Team: fmt.Sprint(i % 20),
+			Policy: job.Policy{Attempts: 4, Stretch: 1.6, Target: 600 * time.Millisecond},
+			Steps:  []job.Step{{Count: 8, CPU: 1400, Estimate: benchTask}, {Count: 5, CPU: 1400, Estimate: benchTask, After: []int{0}}},
+		}
+		go func() { _ = s.Submit(ctx, spec) }()
+	}
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &before)
+	for i := range b.N {
+		submit(i)
+		time.Sleep(2500 * time.Microsecond)
+	}
+	var after unix.Rusage
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &after)
+	spent := time.Duration(after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano())
+	b.ReportMetric(float64(spent.Microseconds())/float64(max(1, busy.starts.Load())), "cpu-us/start")
+	b.ReportMetric(float64(busy.starts.Load()), "starts")
+}
