instance: Reach the store by way of another instance for owners that it does not answer

Cause: the store turned 13 instances away for 8 s, among them the owner of the surging pool. Its batch waited for 3.2 s, so nothing was started: 2,109 cores in use fell to none with 1,889 tasks waiting, until a successor had the pool and 2,794 waiting tasks. The store served the other instances all the while.

Fix: reads, proofs and numbered appends of owners and of the keeper, and the feeds, go through another live instance when the store has refused here or been silent for 0.5 s. These calls may come twice: the store answers a repeated number as it did the first. The epoch goes along, so a fenced off owner stays so, and the time of a proof is still the time before it was sent. Appends without a number go straight only, as before.

--- /dev/null
+++ b/internal/jobs/instance/detour.go
@@ -0,0 +1,175 @@
+package instance
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/relay"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+)
+
+// Times of a detour.
+const (
+	detourPatience = 500 * time.Millisecond // for the store to answer here, beside the time that a read waits
+	detourRest     = 100 * time.Millisecond // after a detour that led nowhere
+	deafLife       = time.Second            // after a detour that led there, during which both ways are tried at once
+)
+
+// detour is the store as the owners of an instance reach it: straight, and by way of another instance while the
+// store does not answer this one. Only calls that may come twice take it: reads, proofs and numbered appends.
+type detour struct {
+	stream.Log // straight
+	instance   *Instance
+
+	mu        sync.Mutex // guards everything below
+	deafTill  time.Duration
+	restsTill time.Duration
+	by        int // number of the instance that is asked next
+}
+
+// way is one way to the store; its answer goes to a channel that holds the answers of all ways.
+type way[T any] struct {
+	call    func(ctx context.Context) (T, error)
+	answers chan<- answer[T]
+	around  bool
+}
+
+type answer[T any] struct {
+	value  T
+	err    error
+	around bool
+}
+
+func (w *way[T]) run(ctx context.Context) {
+	value, err := w.call(ctx)
+	w.answers <- answer[T]{value: value, err: err, around: w.around}
+}
+
+// reach returns the first answer of the store that either way brings, or the straight way's error.
+func reach[T any](ctx context.Context, d *detour, patience time.Duration, straight func(context.Context) (T, error),
+	around func(context.Context, netip.AddrPort) (T, error),
+) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer[T], 2)
+	go (&way[T]{call: straight, answers: answers}).run(ctx)
+	patient := time.NewTimer(patience)
+	if d.deaf() {
+		patient.Reset(0)
+	}
+	defer patient.Stop()
+	left, turned := 1, false
+	turn := func() {
+		if to, ok := d.next(); ok && !turned {
+			left++
+			detoured := func(ctx context.Context) (T, error) {
+				ctx, cancel := context.WithTimeout(ctx, patience+askTimeout)
+				defer cancel()
+				return around(ctx, to)
+			}
+			go (&way[T]{call: detoured, answers: answers, around: true}).run(ctx)
+		}
+		turned = true
+	}
+	var failed answer[T]
+	for left > 0 {
+		select {
+		case a := <-answers:
+			left--
+			d.note(a.around, a.err)
+			if a.err == nil || decided(a.err) {
+				return a.value, a.err
+			}
+			if failed.err == nil || !a.around {
+				failed = a
+			}
+			if !a.around && ctx.Err() == nil {
+				turn()
+			}
+		case <-patient.C:
+			turn()
+		}
+	}
+	return failed.value, failed.err
+}
+
+// decided reports whether an error is an answer of the store, which another way would bring as well.
+func decided(err error) bool {
+	var fenced stream.FencedError
+	var sequence stream.SequenceError
+	var trimmed stream.TrimmedError
+	return errors.As(err, &fenced) || errors.As(err, &sequence) || errors.As(err, &trimmed)
+}
+
+func (d *detour) now() time.Duration { return d.instance.config.Clock.Moment().Steady }
+
+// deaf reports whether the store has lately not answered here.
+func (d *detour) deaf() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.now() < d.deafTill
+}
+
+// next returns the instance to ask, unless detours have lately led nowhere.
+func (d *detour) next() (netip.AddrPort, bool) {
+	others := d.instance.others()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(others) == 0 || d.now() < d.restsTill {
+		return netip.AddrPort{}, false
+	}
+	return others[d.by%len(others)], true
+}
+
+// note learns from the outcome of a call which ways lead to the store.
+func (d *detour) note(around bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	works := err == nil || decided(err)
+	switch {
+	case around && !works:
+		d.by++
+		d.restsTill = d.now() + detourRest
+	case around:
+		if d.now() >= d.deafTill {
+			d.instance.config.Logger.Info("the store answers by way of another instance")
+		}
+		d.deafTill = d.now() + deafLife
+	case works:
+		d.deafTill = 0
+	}
+}
+
+// Append adds records; numbered ones may take either way, since the store answers a repeat as it did the first.
+func (d *detour) Append(ctx context.Context, t stream.Table, records []stream.Record, w *stream.Writer) (int64, error) {
+	straight := func(ctx context.Context) (int64, error) { return d.Log.Append(ctx, t, records, w) }
+	if w == nil {
+		return straight(ctx)
+	}
+	return reach(ctx, d, detourPatience, straight, func(ctx context.Context, to netip.AddrPort) (int64, error) {
+		return d.instance.config.Peers.Append(ctx, to, relay.Append{Table: t, Records: records, Writer: *w})
+	})
+}
+
+// Fence refuses the appends of writers below an epoch.
+func (d *detour) Fence(ctx context.Context, t stream.Table, epoch int64) error {
+	_, err := reach(ctx, d, detourPatience, func(ctx context.Context) (int64, error) {
+		return 0, d.Log.Fence(ctx, t, epoch)
+	}, func(ctx context.Context, to netip.AddrPort) (int64, error) {
+		return d.instance.config.Peers.Append(ctx, to, relay.Append{Table: t, Writer: stream.Writer{Epoch: epoch}})
+	})
+	return err
+}
+
+// Read returns the records of a table from an offset on.
+func (d *detour) Read(ctx context.Context, t stream.Table, from int64, wait time.Duration) (stream.Batch, error) {
+	return reach(ctx, d, wait+detourPatience, func(ctx context.Context) (stream.Batch, error) {
+		return d.Log.Read(ctx, t, from, wait)
+	}, func(ctx context.Context, to netip.AddrPort) (stream.Batch, error) {
+		return d.instance.config.Peers.Read(ctx, to, relay.Read{Table: t, From: from, Wait: wait})
+	})
+}
--- a/internal/jobs/instance/feed.go
+++ b/internal/jobs/instance/feed.go
@@ -74,7 +74,7 @@
 
 // follow reads on; a read that failed for a moment is tried again from the same offset.
 func (f *feed) follow(ctx context.Context) error {
-	batch, err := f.instance.config.Log.Read(ctx, f.table, f.next, f.wait)
+	batch, err := f.instance.detour.Read(ctx, f.table, f.next, f.wait)
 	if err != nil {
 		var trimmed stream.TrimmedError
 		if errors.As(err, &trimmed) || ctx.Err() != nil {
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -41,6 +41,7 @@
 // Instance is one process of the program.
 type Instance struct {
 	config Config
+	detour *detour
 
 	mu          sync.RWMutex // guards everything below
 	catalog     *snapshot
@@ -78,10 +79,12 @@
 
 // New returns an instance.
 func New(c Config) *Instance {
-	return &Instance{
+	n := &Instance{
 		config: c, evacuated: id.Set[id.DataCentre]{}, waves: map[int]announced{}, workers: map[string]catalog.Worker{},
 		former: map[string][]string{}, shards: map[string]*owned{}, owners: owners.Table{}, released: map[string]bool{}, ownedSince: map[string]time.Duration{}, ownersChanged: make(chan struct{}, 1), leave: make(chan struct{}), left: make(chan struct{}),
 	}
+	n.detour = &detour{Log: c.Log, instance: n}
+	return n
 }
 
 // Run follows the platform until the context ends.
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -96,6 +96,19 @@
 	return relay.Stored{Unsure: !errors.As(err, &none)}, nil
 }
 
+// TakeAppend appends the numbered records of an owner that cannot reach the store, or proves its epoch.
+func (n *Instance) TakeAppend(ctx context.Context, a relay.Append) (relay.Appended, error) {
+	if len(a.Records) == 0 {
+		return relay.AppendedOf(0, n.config.Log.Fence(ctx, a.Table, a.Writer.Epoch))
+	}
+	return relay.AppendedOf(n.config.Log.Append(ctx, a.Table, a.Records, &a.Writer))
+}
+
+// TakeRead reads a table for an instance that cannot reach the store.
+func (n *Instance) TakeRead(ctx context.Context, r relay.Read) (relay.Batch, error) {
+	return relay.BatchOf(n.config.Log.Read(ctx, r.Table, r.From, r.Wait))
+}
+
 // TakeCordon takes the orders for the workers of a pool that runs here.
 func (n *Instance) TakeCordon(ctx context.Context, c relay.Cordon) (machines.Load, error) {
 	s, err := n.own(c.Pool)
--- a/internal/jobs/instance/unit.go
+++ b/internal/jobs/instance/unit.go
@@ -27,7 +27,7 @@
 func (n *Instance) shard(unit string) *shard.Shard {
 	set := n.config.Settings
 	return shard.New(shard.Config{
-		Pool: unit, Holder: set.Name, Log: n.config.Log, Workers: n.config.Workers, Advisor: n.config.Advisor,
+		Pool: unit, Holder: set.Name, Log: n.detour, Workers: n.config.Workers, Advisor: n.config.Advisor,
 		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(unit, n.config.Logger), Watch: n.config.Metrics.Watch(unit),
 		Settings: shard.Settings{Lease: set.Lease(), Retention: set.Retention, Far: set.Far},
 		Released: n.released[unit],
@@ -37,7 +37,7 @@
 
 func (n *Instance) keeper() *machines.Keeper {
 	return machines.NewKeeper(machines.KeeperConfig{
-		Holder: n.config.Settings.Name, Log: n.config.Log, Status: n.config.Tables.Status, Codec: n.config.Codec,
+		Holder: n.config.Settings.Name, Log: n.detour, Status: n.config.Tables.Status, Codec: n.config.Codec,
 		Machines: n.config.Machines, Clock: n.config.Clock, Logger: n.config.Logger, Turn: n.config.Settings.Turn,
 		View: n.published, Ask: n.giveOrders,
 	})
--- /dev/null
+++ b/internal/jobs/relay/log.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/peer"
+)
+
+// Append asks an instance to append the numbered records of an owner, or without records to prove its epoch.
+type Append struct {
+	Table   stream.Table    `cbor:"1,keyasint"`
+	Records []stream.Record `cbor:"2,keyasint,omitempty"`
+	Writer  stream.Writer   `cbor:"3,keyasint"`
+}
+
+// Appended answers an Append with what the store has answered.
+type Appended struct {
+	Offset   int64 `cbor:"1,keyasint,omitempty"`
+	Fenced   bool  `cbor:"2,keyasint,omitempty"` // a higher epoch is in force
+	Sequence bool  `cbor:"3,keyasint,omitempty"` // the sequence number is out of order
+	Expected int64 `cbor:"4,keyasint,omitempty"` // the one that is next
+}
+
+// AppendedOf returns the answer to an Append by its outcome, or the error when the store has not answered it.
+func AppendedOf(offset int64, err error) (Appended, error) {
+	var fenced stream.FencedError
+	var sequence stream.SequenceError
+	switch {
+	case errors.As(err, &fenced):
+		return Appended{Fenced: true}, nil
+	case errors.As(err, &sequence):
+		return Appended{Sequence: true, Expected: sequence.Expected}, nil
+	}
+	return Appended{Offset: offset}, err
+}
+
+// Read asks an instance for the records of a table from an offset on.
+type Read struct {
+	Table stream.Table  `cbor:"1,keyasint"`
+	From  int64         `cbor:"2,keyasint,omitempty"`
+	Wait  time.Duration `cbor:"3,keyasint,omitempty"` // for the first of them
+}
+
+// Batch answers a Read.
+type Batch struct {
+	Batch   stream.Batch `cbor:"1,keyasint"`
+	Trimmed bool         `cbor:"2,keyasint,omitempty"` // the records are no longer kept
+	First   int64        `cbor:"3,keyasint,omitempty"` // the oldest that are
+}
+
+// BatchOf returns the answer to a Read by its outcome, or the error when the store has not answered it.
+func BatchOf(b stream.Batch, err error) (Batch, error) {
+	var trimmed stream.TrimmedError
+	if errors.As(err, &trimmed) {
+		return Batch{Trimmed: true, First: trimmed.First}, nil
+	}
+	return Batch{Batch: b}, err
+}
+
+// Append has numbered records appended; it fails as stream.Log does.
+func (c *Client) Append(ctx context.Context, to netip.AddrPort, a Append) (int64, error) {
+	answer, err := peer.Call[Append, Appended](ctx, c.peers, to, appendPath, &a)
+	switch {
+	case err != nil:
+		return 0, err
+	case answer.Fenced:
+		return 0, stream.FencedError{Epoch: a.Writer.Epoch}
+	case answer.Sequence:
+		return 0, stream.SequenceError{Expected: answer.Expected}
+	}
+	return answer.Offset, nil
+}
+
+// Read has records read; it fails as stream.Log does.
+func (c *Client) Read(ctx context.Context, to netip.AddrPort, r Read) (stream.Batch, error) {
+	answer, err := peer.Call[Read, Batch](ctx, c.peers, to, readPath, &r)
+	switch {
+	case err != nil:
+		return stream.Batch{}, err
+	case answer.Trimmed:
+		return stream.Batch{}, stream.TrimmedError{First: answer.First}
+	}
+	return answer.Batch, nil
+}
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -21,6 +21,8 @@
 	submitPath  = "/jobs.Relay/Submit"
 	cancelPath  = "/jobs.Relay/Cancel"
 	ownsPath    = "/jobs.Relay/Owns"
+	appendPath  = "/jobs.Relay/Append"
+	readPath    = "/jobs.Relay/Read"
 )
 
 // Question asks the owner of a pool for the state of a job.
@@ -85,6 +87,8 @@
 	TakePending(ctx context.Context, p Pool) (Pending, error)
 	TakeStore(ctx context.Context, s Store) (Stored, error)
 	TakeCordon(ctx context.Context, c Cordon) (machines.Load, error)
+	TakeAppend(ctx context.Context, a Append) (Appended, error)
+	TakeRead(ctx context.Context, r Read) (Batch, error)
 }
 
 // Client asks other instances.
@@ -140,5 +144,7 @@
 	peer.Handle(mux, ownsPath, func(ctx context.Context, m *Pool) (Owns, error) { return s.TakeOwns(ctx, *m) })
 	peer.Handle(mux, storePath, func(ctx context.Context, m *Store) (Stored, error) { return s.TakeStore(ctx, *m) })
 	peer.Handle(mux, emptyPath, func(ctx context.Context, m *Cordon) (machines.Load, error) { return s.TakeCordon(ctx, *m) })
+	peer.Handle(mux, appendPath, func(ctx context.Context, m *Append) (Appended, error) { return s.TakeAppend(ctx, *m) })
+	peer.Handle(mux, readPath, func(ctx context.Context, m *Read) (Batch, error) { return s.TakeRead(ctx, *m) })
 	return mux
 }
