machines: Pass on the instances that earlier holders ordered about

Not seen by callers yet; found by reading. Cause: a holder's first record of recent orders replaced the one that it had read, so that the third holder in a row knew nothing of the first one's orders. Evidence: TestHoldersInARow fails before (the third holder does not leave m0 alone) and passes now. Tests of the package pass. Why it works: what was read goes into the holder's own list and leaves it a turn after its claim.

--- a/internal/jobs/machines/keeper.go
+++ b/internal/jobs/machines/keeper.go
@@ -64,7 +64,7 @@
 	outcomes  chan func(now time.Duration) // run by loop
 	proven    atomic.Int64                 // steady time at which the newest answered proof was sent, in nanoseconds; 0 for none
 	recent    map[string]time.Duration     // instances that were ordered about lately
-	inherited []string                     // the same, of the earlier holder
+	inherited []string                     // the same, of earlier holders
 	listed    time.Duration
 	instances []catalog.Instance
 	loads     map[string]Load
@@ -86,6 +86,14 @@
 
 // Run claims the instances and keeps them until the context ends or a successor claims them.
 func (k *Keeper) Run(ctx context.Context) error {
+	if err := k.takeOver(ctx); err != nil {
+		return err
+	}
+	return errors.Trace(k.loop(ctx))
+}
+
+// takeOver claims the instances and reads what earlier holders have stored.
+func (k *Keeper) takeOver(ctx context.Context) error {
 	claimed, proven, err := claim.Take(ctx, claim.Config{
 		Log: k.config.Log, Table: Table(), Holder: k.config.Holder, Clock: k.config.Clock, Logger: k.config.Logger,
 	})
@@ -97,11 +105,12 @@
 	if _, err := claim.ReadAll(ctx, k.config.Log, Table(), k.config.Logger, k.load); err != nil {
 		return errors.Annotate(err, "taking over the instances")
 	}
-	// The earlier holder may have ordered these about until it lost its claim.
+	// The earlier holder may have ordered these about until it lost its claim, or have found them like this itself.
 	for _, name := range k.inherited {
 		k.planner.Rest(name, proven+k.config.Turn)
+		k.recent[name] = proven
 	}
-	return errors.Trace(k.loop(ctx))
+	return nil
 }
 
 func (k *Keeper) loop(ctx context.Context) error {
--- /dev/null
+++ b/internal/jobs/machines/recent_test.go
@@ -0,0 +1,57 @@
+package machines
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/internal/observe/steady"
+)
+
+// keptLog keeps the newest record of each key of one table.
+type keptLog struct {
+	stream.Log
+	next  int64
+	items []stream.Kept
+}
+
+func (l *keptLog) Append(_ context.Context, _ stream.Table, records []stream.Record, _ *stream.Writer) (int64, error) {
+	first := l.next
+	for _, r := range records {
+		l.items = slices.DeleteFunc(l.items, func(k stream.Kept) bool { return k.Key == r.Key })
+		l.items = append(l.items, stream.Kept{Record: r, Offset: l.next})
+		l.next++
+	}
+	return first, nil
+}
+
+func (l *keptLog) Fence(context.Context, stream.Table, int64) error { return nil }
+
+func (l *keptLog) Newest(context.Context, stream.Table, string) (stream.Page, error) {
+	return stream.Page{Items: l.items, End: l.next}, nil
+}
+
+// TestHoldersInARow gives orders under one holder after the other: the last one leaves alone what the first has
+// ordered about less than a turn ago, also when the second has given orders since.
+func TestHoldersInARow(t *testing.T) {
+	ctx, log := context.Background(), &keptLog{}
+	for i, instance := range []string{"m0", "m1", "m2"} {
+		k := NewKeeper(KeeperConfig{Log: log, Clock: steady.Clock{}, Logger: zap.NewNop(), Turn: 3 * time.Second})
+		if err := k.takeOver(ctx); err != nil {
+			t.Fatal(err)
+		}
+		now := k.config.Clock.Moment().Steady
+		for _, earlier := range []string{"m0", "m1"}[:i] {
+			if k.planner.busy[earlier] < now+2*time.Second {
+				t.Errorf("holder %d does not leave %s alone", i, earlier)
+			}
+		}
+		if err := k.record(ctx, now, []Action{MoveAction{Instance: instance}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
