pool: Give leases of their length also by clocks that were read long ago

What would be seen: a task runs twice at a time when the pool changes hands. Not seen by callers yet; found by reading. Cause: the end of a lease is reckoned from the worker's clock as it was last read, as if that clock were exact. A clock that is 2% slow makes the lease longer by 2% of the time since, which is long for a worker that did nothing. The owner that gave it allowed for that; a successor waits for 4% of a lease and 0.5 s more and cannot know. Evidence: TestLeaseOnAnIdleWorker fails before (a lease of 4.59 s after 25 s, 5.30 s after a minute, 10.2 s after five, 4.16 s is what a successor allows for before its slack) and passes now. Tests of pool and shard pass. Why it works: the clock counts as slow since it was read, so the lease ends by 4 s and 2% at the latest. It ends sooner by an exact clock, by 1.2 s at most, as the clock of an idle worker is read again after a minute (one look); the first look at the run renews it.

--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -56,14 +56,16 @@
 	return worker.Target{ID: h.info.ID, Address: h.info.Address}
 }
 
-// until returns the end of a lease that starts now, on the worker's clock.
+// until returns the end of a lease that starts now, on the worker's clock, as far as that has surely come since it was
+// read: so a lease is no longer than its length by a slow clock.
 func (h *host) until(now, lease time.Duration) time.Duration {
-	return h.clock + (now - h.clockAt) + lease
+	age := now - h.clockAt
+	return h.clock + age - time.Duration(ClockDrift*float64(age)) + lease
 }
 
 // extend notes that a lease may have been given now.
 func (h *host) extend(now, lease time.Duration) {
-	drift := time.Duration(ClockDrift * float64(now-h.clockAt+lease) * 1.1)
+	drift := time.Duration(ClockDrift * float64(lease) * 1.1)
 	h.leaseEnd = max(h.leaseEnd, now+lease+drift+leaseSlack)
 }
 
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -18,6 +18,7 @@
 	silentGap  = 250 * time.Millisecond // between looks at a worker that does not answer
 	maxBackoff = 3                      // doublings of that gap for a worker that runs nothing
 	fencedGap  = time.Second            // after a look that a higher fence refused
+	clockLife  = time.Minute            // after which the clock of an idle worker is read again
 	fullReport = 500                    // ends in one report; more may be waiting
 )
 
@@ -73,7 +74,7 @@
 	if h.retired && !busy {
 		return
 	}
-	unmet := h.listed && (h.silent || !h.answered)
+	unmet := h.listed && (h.silent || !h.answered || at.Steady-h.clockAt > clockLife)
 	if !busy && h.stored <= h.acked && !unmet {
 		return
 	}
