pool: Say whether the task of an unexpected run is done

A done task's runs are not stored, so a new owner knew run 0 and the line read like a run that nobody had stored.

--- a/internal/jobs/instance/metrics.go
+++ b/internal/jobs/instance/metrics.go
@@ -112,10 +112,11 @@
 		zap.Duration("took", took), zap.Duration("allowed", spec.Objective()), zap.Duration("chain", spec.Chain()))
 }
 
-func (o *observer) Unexpected(task job.Name, run int, worker, what string, current int) {
+func (o *observer) Unexpected(task *job.Task, run int, worker, what string) {
 	o.metrics.runs.WithLabelValues(o.pool, unexpectedRun).Inc()
-	o.logger.Warn("a run that was given up "+what, zap.String("job", string(task.Job)), zap.Int("step", task.Step), zap.Int("index", task.Index),
-		zap.Int("run", run), zap.String("worker", worker), zap.Int("current", current))
+	name := task.Name
+	o.logger.Warn("a run that was given up "+what, zap.String("job", string(name.Job)), zap.Int("step", name.Step), zap.Int("index", name.Index),
+		zap.Int("run", run), zap.String("worker", worker), zap.Int("current", task.Run), zap.Bool("done", task.Done))
 }
 
 // unexpectedRun counts runs that a worker showed after they had been given up.
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -208,7 +208,7 @@
 	if t == nil || t.Done || e.job.Spec.Steps[end.Task.Step].Lasting {
 		return
 	}
-	p.config.Observer.Unexpected(end.Task, end.Run.Number, name, "has ended done", t.Run)
+	p.config.Observer.Unexpected(t, end.Run.Number, name, "has ended done")
 	p.stopTask(at, t)
 	p.touch(e)
 	p.finish(at, e, t)
@@ -244,7 +244,7 @@
 		p.actions = append(p.actions, StopAction{To: h.target(), Run: id, Fence: p.config.Fence})
 		return
 	}
-	p.config.Observer.Unexpected(id.Task, id.Number, h.info.ID, "is there", e.job.Task(id.Task).Run)
+	p.config.Observer.Unexpected(e.job.Task(id.Task), id.Number, h.info.ID, "is there")
 	r := p.attach(e, &job.Task{Name: id.Task, Run: id.Number, Worker: h.info.ID}, h)
 	r.stray = true
 	r.phase = doubtful
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -26,15 +26,14 @@
 	Observer  Observer      // nil observes nothing
 }
 
-// Observer is told of decisions, for logs and metrics. Unexpected tells of a run that its task no longer has, beside
-// the number of the run that it has.
+// Observer is told of decisions, for logs and metrics. Unexpected tells of a run that its task no longer has.
 type Observer interface {
 	Placed(spec *job.Spec, task job.Name, run int, worker string, waited time.Duration)
 	Begun(spec *job.Spec, waits Waits) // a worker has confirmed the first run of a task
 	Ended(spec *job.Spec, task job.Name, run int, worker, how string)
 	JobEnded(spec *job.Spec, state job.State, took time.Duration)
 	WorkerChanged(worker, what string)
-	Unexpected(task job.Name, run int, worker, what string, current int)
+	Unexpected(task *job.Task, run int, worker, what string)
 }
 
 // entry is a job with what its owner keeps of it beside its own state.
@@ -185,4 +184,4 @@
 func (silent) Ended(*job.Spec, job.Name, int, string, string)         {}
 func (silent) JobEnded(*job.Spec, job.State, time.Duration)           {}
 func (silent) WorkerChanged(string, string)                           {}
-func (silent) Unexpected(job.Name, int, string, string, int)          {}
+func (silent) Unexpected(*job.Task, int, string, string)              {}
