--- a/commands/run.go
+++ b/commands/run.go
@@ -31,13 +31,11 @@
 
 // Bounds on connections.
 const (
-	runDialTimeout   = 600 * time.Millisecond
 	runHeaderTimeout = 3 * time.Second
 	runIdleTimeout   = 15 * time.Second
 	runHeaderBytes   = 16 << 10
-	runWorkerConns   = 6    // connections to one worker
-	runIdleConns     = 2000 // connections kept open
-	memoryShare      = 0.7  // part of the allowed memory at which garbage is collected harder
+	runWorkerConns   = 6   // connections to one worker
+	memoryShare      = 0.7 // part of the allowed memory at which garbage is collected harder
 )
 
 // Times of a graceful stop, as parts of the time until the kill.
@@ -81,12 +79,12 @@
 
 func (p *process) run() error {
 	set := p.settings
-	store := platform.NewStore(set.Store, transport(0))
+	store := platform.NewStore(set.Store, platform.NewTransport(0))
 	p.instance = instance.New(instance.Config{
-		Settings: set, Codec: platform.Codec{}, Log: store, Groups: store, Workers: platform.NewWorkers(transport(runWorkerConns)),
+		Settings: set, Codec: platform.Codec{}, Log: store, Groups: store, Workers: platform.NewWorkers(platform.NewTransport(runWorkerConns)),
 		Tables:   instance.Tables{Operators: platform.OperatorTable, Workers: platform.WorkerTable, Status: platform.StatusTable},
-		Machines: platform.NewMachines(set.Machines, transport(0)), Advisor: platform.NewAdvisor(set.Advice, transport(1)),
-		Peers: relay.NewClient(transport(0)), Clock: steady.Clock{}, Logger: p.logger, Metrics: p.metrics,
+		Machines: platform.NewMachines(set.Machines, platform.NewTransport(0)), Advisor: platform.NewAdvisor(set.Advice, platform.NewTransport(1)),
+		Peers: relay.NewClient(platform.NewTransport(0)), Clock: steady.Clock{}, Logger: p.logger, Metrics: p.metrics,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -178,14 +176,3 @@
 	}
 	p.logger.Info("stopped")
 }
-
-func transport(perHost int) *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: runDialTimeout}).DialContext,
-		IdleConnTimeout:     time.Minute,
-		MaxConnsPerHost:     perHost,
-		MaxIdleConns:        runIdleConns,
-		MaxIdleConnsPerHost: runIdleConns,
-		DisableCompression:  true,
-	}
-}
