instance: Write changes of owner on condition of the state they rest on

Callers saw: pools pause for seconds when a zone cut heals, because their living owners lose them.

Cause: who owns a unit was appended without a condition and tried again for 1.5 s. What was decided in a cut, where neither the owner nor the store answers, landed after it and took the unit from its owner. Whoever asks went by its list of members, which it read only when the generation changed: a list without the owner lasted, and the unit was asked for every 1.2 s.

A change of owner now names the offset up to which the table was known. The store refuses it when anyone has written since; it is then decided anew from the newer table, or dropped when the unit has changed hands. A candidacy lists the members before each try, so that it is not written unless the store has just said that the owner is not there, and asks the owners of all its units at once. An owner that hands a unit over keeps it until the table says otherwise: before, a hand-over that was not written left the unit to nobody.

Tests: TestLateCandidacyLeavesUnitsToWhoTookThem and TestUnitsAreAskedForByANewListOfWhoLives. With the code before, the late candidacy took p, q and fleet from their new owner, and units were asked for though the owner was listed, the list could not be had, or another was to have them. TestAppendsOnACondition checks the call itself.

--- a/internal/jobs/instance/detour_test.go
+++ b/internal/jobs/instance/detour_test.go
@@ -51,6 +51,16 @@
 	return int64(len(l.records[t]) - len(records)), nil
 }
 
+func (l *memoryLog) AppendAt(_ context.Context, t stream.Table, records []stream.Record, end int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := int64(len(l.records[t])); now != end {
+		return stream.ChangedError{End: now}
+	}
+	l.records[t] = append(l.records[t], records...)
+	return nil
+}
+
 func (l *memoryLog) Fence(_ context.Context, t stream.Table, epoch int64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/jobs/instance/feed.go
+++ b/internal/jobs/instance/feed.go
@@ -30,7 +30,8 @@
 	gap      time.Duration // pause after a read
 	replace  func(all []stream.Record)
 	take     func(r stream.Record)
-	needed   func() bool // nil for a table that is always followed
+	reached  func(next int64) // told how far the table is known; nil where nobody asks
+	needed   func() bool      // nil for a table that is always followed
 	next     int64
 }
 
@@ -69,6 +70,7 @@
 	f.next = next
 	f.instance.hear()
 	f.replace(all)
+	f.tell()
 	return nil
 }
 
@@ -89,12 +91,19 @@
 	}
 	f.next = batch.Next
 	if len(batch.Records) > 0 {
+		f.tell()
 		f.instance.refreshShards()
 	}
 	sleep(ctx, f.gap)
 	return nil
 }
 
+func (f *feed) tell() {
+	if f.reached != nil {
+		f.reached(f.next)
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -29,13 +29,15 @@
 	Codec    catalog.Codec
 	Log      stream.Log
 	Groups   stream.Groups
-	Workers  worker.Client
-	Machines worker.Machines
-	Advisor  worker.Advisor
-	Peers    *relay.Client
-	Clock    claim.Clock
-	Logger   *zap.Logger
-	Metrics  *Metrics
+	// Conditional is the same store as Log.
+	Conditional stream.Conditional
+	Workers     worker.Client
+	Machines    worker.Machines
+	Advisor     worker.Advisor
+	Peers       *relay.Client
+	Clock       claim.Clock
+	Logger      *zap.Logger
+	Metrics     *Metrics
 }
 
 // Instance is one process of the program.
@@ -50,7 +52,9 @@
 	workers     map[string]catalog.Worker
 	former      map[string][]string // pools that a queue had before, newest last
 	owners      owners.Table
+	ownersEnd   int64 // offset up to which the table of owners is known
 	alive       []owners.Member
+	aliveAt     time.Duration // steady time at which the list of the live was asked for
 	shards      map[string]*owned
 	heard       time.Duration // steady time of the newest answer of the store
 	stopping    bool
@@ -91,7 +95,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	operators := &feed{instance: n, table: n.config.Tables.Operators, wait: operatorWait, replace: n.replaceOperators, take: n.takeOperator}
 	workers := &feed{instance: n, table: n.config.Tables.Workers, gap: workerGap, replace: n.replaceWorkers, take: n.takeWorker, needed: n.ownsPools}
-	table := &feed{instance: n, table: ownerTable(), wait: operatorWait, replace: n.replaceOwners, take: n.takeOwner}
+	table := n.ownerFeed()
 	members := &membership{instance: n}
 	group.Go(func() error { return operators.loop(ctx) })
 	group.Go(func() error { return workers.loop(ctx) })
--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/owners"
-	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
@@ -129,8 +128,7 @@
 	if m.listed == generation && m.joined > 0 {
 		return
 	}
-	rows, err := n.config.Groups.Owners(ctx, groupName)
-	if err != nil {
+	if err := n.listMembers(ctx); err != nil {
 		n.config.Logger.Debug("could not list the members", zap.Error(err))
 		return
 	}
@@ -139,11 +137,20 @@
 	if m.joined == 0 {
 		m.joined = m.changed
 	}
-	n.setAlive(rows, generation)
 }
 
-// setAlive takes over the list of live members.
-func (n *Instance) setAlive(rows []stream.Owner, generation int64) {
+// listMembers learns from the store who lives.
+func (n *Instance) listMembers(ctx context.Context) error {
+	asked := n.config.Clock.Moment().Steady
+	rows, err := n.config.Groups.Owners(ctx, groupName)
+	if err == nil {
+		n.setAlive(rows, asked)
+	}
+	return err
+}
+
+// setAlive takes over the list of live members unless a newer one is known.
+func (n *Instance) setAlive(rows []stream.Owner, asked time.Duration) {
 	alive := []owners.Member{n.self()}
 	for _, row := range rows {
 		member, err := owners.ParseMember(row.Member)
@@ -153,10 +160,17 @@
 		alive = append(alive, member)
 	}
 	slices.SortFunc(alive, func(a, b owners.Member) int { return a.Address.Compare(b.Address) })
-	n.config.Logger.Info("members changed", zap.Int64("generation", generation), zap.Int("alive", len(alive)))
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	if asked < n.aliveAt {
+		return
+	}
+	n.aliveAt = asked
+	if slices.Equal(alive, n.alive) {
+		return
+	}
 	n.alive = alive
-	n.mu.Unlock()
+	n.config.Logger.Info("members changed", zap.Int("alive", len(alive)))
 }
 
 // takeOwner takes in who owns a unit.
@@ -166,7 +180,24 @@
 		return
 	}
 	n.mu.Lock()
-	n.setOwner(r.Key, address)
+	defer n.mu.Unlock()
+	if n.owners[r.Key] != address {
+		n.ownedSince[r.Key] = n.config.Clock.Moment().Steady
+	}
+	n.owners[r.Key] = address
+}
+
+// ownerFeed follows the table of owners.
+func (n *Instance) ownerFeed() *feed {
+	return &feed{
+		instance: n, table: ownerTable(), wait: operatorWait, replace: n.replaceOwners, take: n.takeOwner, reached: n.knowOwners,
+	}
+}
+
+// knowOwners notes up to where the table of owners is known.
+func (n *Instance) knowOwners(end int64) {
+	n.mu.Lock()
+	n.ownersEnd, n.ownersKnown = end, true
 	n.mu.Unlock()
 	select {
 	case n.ownersChanged <- struct{}{}:
@@ -174,21 +205,10 @@
 	}
 }
 
-// setOwner notes who owns a unit; the caller holds the lock.
-func (n *Instance) setOwner(unit string, address netip.AddrPort) {
-	if n.owners[unit] != address {
-		n.ownedSince[unit] = n.config.Clock.Moment().Steady
-	}
-	n.owners[unit] = address
-}
-
 func (n *Instance) replaceOwners(all []stream.Record) {
 	for _, r := range all {
 		n.takeOwner(r)
 	}
-	n.mu.Lock()
-	n.ownersKnown = true
-	n.mu.Unlock()
 }
 
 // assign claims the units that are this instance's, ends those that are another's and levels the load.
@@ -225,6 +245,7 @@
 func (m *membership) takeOver(ctx context.Context, now time.Duration, units []string) {
 	n := m.instance
 	successors := owners.Successors(units, n.alive, n.owners)
+	c := &candidacy{membership: m}
 	for _, unit := range units {
 		if _, running := n.shards[unit]; running || now < m.quiet[unit] {
 			continue
@@ -238,33 +259,12 @@
 		case now < m.asked[unit]+claimRest:
 		case successors[unit] == n.self().Address:
 			m.asked[unit] = now
-			c := &candidacy{membership: m, unit: unit, owner: owner}
-			go c.run(ctx)
+			c.changes = append(c.changes, change{unit: unit, from: owner, to: n.self().Address})
 		}
 	}
-}
-
-// candidacy asks for a unit whose owner the group does not list.
-type candidacy struct {
-	membership *membership
-	unit       string
-	owner      netip.AddrPort
-}
-
-// run leaves the unit to its owner when that answers with a fresh proof: while many members join at once
-// the group does not list all who live.
-func (c *candidacy) run(ctx context.Context) {
-	n := c.membership.instance
-	if c.owner.IsValid() {
-		asked, cancel := context.WithTimeout(ctx, ownsTimeout)
-		defer cancel()
-		answer, err := n.config.Peers.Owns(asked, c.owner, relay.Pool{Pool: c.unit})
-		if err == nil && answer.Fresh {
-			n.config.Logger.Info("left a unit to its owner", zap.String("unit", c.unit), zap.Stringer("owner", c.owner))
-			return
-		}
+	if len(c.changes) > 0 {
+		go c.run(ctx)
 	}
-	c.membership.announce(ctx, []owners.Offer{{Unit: c.unit, To: n.self().Address}})
 }
 
 // level hands over a unit when another instance has much less to do; the caller holds the lock.
@@ -282,27 +282,10 @@
 		o.cancel()
 		delete(n.shards, offer.Unit)
 	}
-	n.setOwner(offer.Unit, offer.To)
+	// It starts here again when the table does not take the change.
+	m.quiet[offer.Unit] = now + handoverLimit + reclaimPause
 	n.config.Logger.Info("handing a unit over to level the load", zap.String("unit", offer.Unit), zap.Stringer("to", offer.To))
-	go m.announce(ctx, []owners.Offer{offer})
-}
-
-// announce writes who owns units now; it tries again until the store has it or the time is over.
-func (m *membership) announce(ctx context.Context, offers []owners.Offer) {
-	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
-	defer cancel()
-	var records []stream.Record
-	for _, o := range offers {
-		records = append(records, stream.Record{Key: o.Unit, Value: []byte(o.To.String())})
-	}
-	for ctx.Err() == nil {
-		_, err := m.instance.config.Log.Append(ctx, ownerTable(), records, nil)
-		if err == nil {
-			return
-		}
-		m.instance.config.Logger.Warn("could not write who owns units", zap.Error(err))
-		sleep(ctx, tryPause)
-	}
+	go m.announce(ctx, []change{{unit: offer.Unit, from: n.self().Address, to: offer.To}})
 }
 
 // giveUp ends all units, hands them to others and leaves the group.
@@ -312,12 +295,11 @@
 	n.mu.Lock()
 	ending := n.shards
 	n.shards = map[string]*owned{}
-	var offers []owners.Offer
+	var changes []change
 	if n.catalog != nil {
-		offers = owners.Handover(n.self(), n.catalog.units(), n.alive, n.owners)
-	}
-	for _, o := range offers {
-		n.setOwner(o.Unit, o.To)
+		for _, o := range owners.Handover(n.self(), n.catalog.units(), n.alive, n.owners) {
+			changes = append(changes, change{unit: o.Unit, from: n.self().Address, to: o.To})
+		}
 	}
 	n.mu.Unlock()
 	for _, o := range ending {
@@ -326,9 +308,7 @@
 	for _, o := range ending {
 		<-o.done
 	}
-	if len(offers) > 0 {
-		m.announce(ctx, offers)
-	}
+	m.announce(ctx, changes)
 	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
 	if err := n.config.Groups.Leave(ctx, m.member()); err != nil {
--- a/internal/jobs/stream/stream.go
+++ b/internal/jobs/stream/stream.go
@@ -62,6 +62,14 @@
 	Newest(ctx context.Context, t Table, after string) (Page, error)
 }
 
+// Conditional is a store whose appends can rest on what a table holds.
+type Conditional interface {
+	// AppendAt adds all records or none provided that the table ends at an offset, that is, that nobody has
+	// written to it since it was read up to there. It fails with a ChangedError when it ends elsewhere, with a
+	// NotDoneError or, when the records may yet be added on that condition, with any other error.
+	AppendAt(ctx context.Context, t Table, records []Record, end int64) error
+}
+
 // Member is one process of a group.
 type Member struct {
 	Group      string
@@ -105,6 +113,12 @@
 // Error returns the sequence number that the store expects.
 func (e SequenceError) Error() string { return fmt.Sprintf("store: sequence %d is next", e.Expected) }
 
+// ChangedError reports a table that does not end where the writer has read up to.
+type ChangedError struct{ End int64 }
+
+// Error returns where the table ends.
+func (e ChangedError) Error() string { return fmt.Sprintf("store: the table ends at %d", e.End) }
+
 // TrimmedError reports that records are no longer kept.
 type TrimmedError struct{ First int64 }
 
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -160,6 +160,9 @@
 	defer s.mu.Unlock()
 	p := s.partition(topic, part)
 	q := r.URL.Query()
+	if at, err := strconv.Atoi(q.Get("at")); err == nil && at != len(p.records) {
+		return asJSON(http.StatusPreconditionFailed, map[string]any{"end": len(p.records)})
+	}
 	if q.Has("epoch") {
 		epoch, _ := strconv.ParseInt(q.Get("epoch"), 10, 64)
 		sequence, _ := strconv.ParseInt(q.Get("sequence"), 10, 64)
