machines: Store the keeper's records also after an append without an answer

What would be seen: a new keeper that orders an instance about within lease_ms of the earlier one (ONE), and a new owner of a pool that starts tasks on an instance that is about to be moved. Not seen by callers; found by reading. Cause: after an append that was not answered the keeper used its sequence number for the next record. Had the first one landed, the log took the second one for its repeat, answered 200 and stored nothing; the keeper then gave orders that no successor knows of. Evidence: TestOrdersAfterAnUnansweredRecordAreStored fails before in two of four cases (the log names m0 and m1 when m2 is ordered about) and passes now. Why it works: a number stands for one record. What was not answered goes first, until the log answers; its answer is no fresh proof.

--- a/internal/jobs/machines/keeper.go
+++ b/internal/jobs/machines/keeper.go
@@ -58,6 +58,7 @@
 	planner *Planner
 	claim   *claim.Claim
 	writer  stream.Writer
+	unsure  *stream.Record // whose append was not answered, nil for none
 
 	dealer    *limit.Dealer
 	round     int64
--- a/internal/jobs/machines/record.go
+++ b/internal/jobs/machines/record.go
@@ -148,25 +148,42 @@
 
 func (e laterError) Error() string { return "not stored yet: " + e.cause.Error() }
 
-// append stores a record under the claim; it fails with a laterError when the log did not take it now.
+// append stores a record under the claim; it fails with a laterError when the log did not take it now. A record whose
+// append was not answered goes first, under its own number: the log answers another one of that number without storing it.
 func (k *Keeper) append(ctx context.Context, key string, value any) error {
 	data, err := cbor.Marshal(value)
 	if err != nil {
 		return errors.Annotate(err, key)
 	}
+	if k.unsure != nil {
+		if err := k.send(ctx, *k.unsure); err != nil {
+			return err
+		}
+	}
 	asked := k.config.Clock.Moment().Steady
-	_, err = k.config.Log.Append(ctx, Table(), []stream.Record{{Key: key, Value: data}}, &k.writer)
+	if err := k.send(ctx, stream.Record{Key: key, Value: data}); err != nil {
+		return err
+	}
+	k.proved(asked)
+	return nil
+}
+
+// send appends a record under the next number.
+func (k *Keeper) send(ctx context.Context, r stream.Record) error {
+	_, err := k.config.Log.Append(ctx, Table(), []stream.Record{r}, &k.writer)
+	k.unsure = nil
 	var fenced stream.FencedError
 	var sequence stream.SequenceError
 	switch {
 	case err == nil:
 		k.writer.Sequence++
-		k.proved(asked)
 		return nil
 	case errors.As(err, &fenced):
-		return errors.Annotatef(err, "storing %s", key)
+		return errors.Annotatef(err, "storing %s", r.Key)
 	case errors.As(err, &sequence):
 		k.writer.Sequence = sequence.Expected
+	default:
+		k.unsure = &r
 	}
 	return laterError{cause: err}
 }
--- /dev/null
+++ b/internal/jobs/machines/repeat_test.go
@@ -0,0 +1,87 @@
+package machines
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/internal/observe/steady"
+)
+
+// numberedLog answers a repeated sequence number as it answered the first append of that number.
+type numberedLog struct {
+	stream.Log
+	newest   stream.Writer
+	answered int64 // offset that the newest append was answered with
+	records  []stream.Record
+	before   int // appends that get lost on their way
+	after    int // appends whose answers get lost
+}
+
+var errSilent = errors.New("no answer")
+
+func (l *numberedLog) Append(_ context.Context, _ stream.Table, records []stream.Record, w *stream.Writer) (int64, error) {
+	if l.before > 0 {
+		l.before--
+		return 0, errSilent
+	}
+	switch {
+	case w.Epoch == l.newest.Epoch && w.Sequence == l.newest.Sequence:
+	case w.Epoch == l.newest.Epoch && w.Sequence != l.newest.Sequence+1:
+		return 0, stream.SequenceError{Expected: l.newest.Sequence + 1}
+	default:
+		l.newest, l.answered = *w, int64(len(l.records))
+		l.records = append(l.records, records...)
+	}
+	if l.after > 0 {
+		l.after--
+		return 0, errSilent
+	}
+	return l.answered, nil
+}
+
+// TestOrdersAfterAnUnansweredRecordAreStored loses an append of the keeper or its answer: the instances that it orders
+// about next stand in the log, or it does not give the orders.
+func TestOrdersAfterAnUnansweredRecordAreStored(t *testing.T) {
+	tests := []struct {
+		name          string
+		before, after int
+	}{
+		{"lost on its way", 1, 0},
+		{"answer lost", 0, 1},
+		{"two answers lost", 0, 2},
+		{"all is well", 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, log := context.Background(), &numberedLog{}
+			k := NewKeeper(KeeperConfig{Log: log, Clock: steady.Clock{}, Logger: zap.NewNop(), Turn: 3 * time.Second})
+			k.writer = stream.Writer{Epoch: 7}
+			now := k.config.Clock.Moment().Steady
+			if err := k.record(ctx, now, []Action{MoveAction{Instance: "m0"}}); err != nil {
+				t.Fatal(err)
+			}
+			log.before, log.after = test.before, test.after
+			given := 0
+			for _, name := range []string{"m1", "m2", "m3", "m4"} {
+				if err := k.record(ctx, now, []Action{MoveAction{Instance: name}}); err != nil {
+					t.Log(name, err)
+					continue
+				}
+				given++
+				names, err := Recent(log.records[len(log.records)-1])
+				if err != nil || !slices.Contains(names, name) {
+					t.Errorf("%s is ordered about, the log names %v, %v", name, names, err)
+				}
+			}
+			if given < 2 {
+				t.Errorf("only %d orders were given", given)
+			}
+		})
+	}
+}
