pool: Acknowledge ends only while there are some to acknowledge

What callers could see: a task that ran twice after an idle worker had started again under its id; not seen by them, found by reading. Cause: each look that followed an answered one carried the number up to which ends are stored, also when it had long been acknowledged, and an answered look stays the newest for as long as the worker is idle. In a new life that the owner has not heard of the number stands for ends that nobody has seen; a look that is carried out late makes the worker forget them. Left: a number that waits for a slow log while the worker crashes and is back can still meet the new life.

--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -78,7 +78,7 @@
 		return
 	}
 	hold := worker.Hold{Fence: p.config.Fence}
-	if h.attested {
+	if h.attested && h.stored > h.acked {
 		// In another life the number stands for other ends.
 		hold.Acked = h.stored
 		h.attested = false
