shard: Take the answer to a repeated append for no fresh proof

What callers could see: a task that runs twice at a time; not seen by them, found by reading. Cause: an owner whose batch was answered took the time of the newest try for a proof that no successor had claimed the pool. The log answers a repeat as it did the first append; the pages do not say that it looks at the epoch before. An owner that was cut off for longer than its runs could go on unseen would then send the starts of that batch, which the successor has started anew. Which of the two the platform's log does has not been measured. Why it works: the proof is as old as the first try, which the log took before any successor's claim or not at all.

--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -179,7 +179,8 @@
 	}
 }
 
-// write appends one batch until the log has it.
+// write appends one batch until the log has it. Its answer proves the claim as of the first try: a repeat may be
+// answered as that was.
 type write struct {
 	shard   *Shard
 	batch   *pool.Batch
@@ -191,8 +192,8 @@
 
 func (w *write) run(ctx context.Context, fatal chan error) {
 	s := w.shard
+	sent := s.config.Clock.Moment().Steady
 	for {
-		sent := s.config.Clock.Moment().Steady
 		_, err := s.config.Log.Append(ctx, s.output, w.records, &w.writer)
 		var sequence stream.SequenceError
 		if errors.As(err, &sequence) && sequence.Expected == w.writer.Sequence+1 {
