instance: Spread the detours of many instances over those with most processor

What would be seen: while the store turns away many instances, all their reads, proofs and appends go by way of one instance, the one with the lowest address, which may be one with 0.19 of a core and a 10 Mbit/s link; owners behind it wait. Found by reading. Cause: each instance began with the first of the list, which is sorted by address. Evidence: TestDetoursDoNotMeetOnOneInstance fails before (35 of 36 instances ask one) and passes now. Why it works: each instance has an order of its own among those that may use the most of a processor, then among the others.

--- a/internal/jobs/instance/detour.go
+++ b/internal/jobs/instance/detour.go
@@ -1,13 +1,17 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"marigoldshed.example/marigoldshed/internal/jobs/owners"
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
@@ -116,13 +120,28 @@
 
 // next returns the instance to ask, unless detours have lately led nowhere.
 func (d *detour) next() (netip.AddrPort, bool) {
-	others := d.instance.others()
+	helpers := d.helpers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(others) == 0 || d.now() < d.restsTill {
+	if len(helpers) == 0 || d.now() < d.restsTill {
 		return netip.AddrPort{}, false
 	}
-	return others[d.by%len(others)], true
+	return helpers[d.by%len(helpers)].Address, true
+}
+
+// helpers returns the other instances: those first that may use the most of a processor, and else in an order of this
+// instance's own, so that many that the store turns away do not meet on one.
+func (d *detour) helpers() []owners.Member {
+	self := d.instance.self().Address
+	d.instance.mu.RLock()
+	list := slices.Clone(d.instance.alive)
+	d.instance.mu.RUnlock()
+	list = slices.DeleteFunc(list, func(m owners.Member) bool { return m.Address == self })
+	rank := func(m owners.Member) uint64 { return xxhash.Sum64String(self.String() + "@" + m.Address.String()) }
+	slices.SortFunc(list, func(a, b owners.Member) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(rank(a), rank(b)))
+	})
+	return list
 }
 
 // note learns from the outcome of a call which ways lead to the store.
