instance: Tell instances that start later which pools a queue had

What would be seen: a job runs twice, in two pools, when its queue changes its pool and the caller's retry comes to an instance that has started since. Cause: the pools that a queue had were known only to instances that saw the change. Evidence: TestRetryAfterQueueMoved fails before (the job is handed to the pool new while the pool old holds it) and passes now. Tests of the package pass; the new one and TestRefusalsAreTrue also with -race, 3 times. Why it works: owners of units store the former pools in the table of owners, which every instance reads at its start and follows at no further cost. Until it has read that table an instance is not ready and takes no job; TestRefusalsAreTrue says so of its instance. Open: a first try that is still on its way to the old pool when the retry has asked there, and an instance that still has the old configuration when the new pool has taken the job.

--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -146,8 +146,11 @@
 // inFormerPool reports whether a job came in while its queue belonged to another pool.
 func (n *Instance) inFormerPool(ctx context.Context, q catalog.Queue, name job.ID) (bool, error) {
 	n.mu.RLock()
-	former := slices.Clone(n.former[q.Name])
+	former, told := slices.Clone(n.former[q.Name]), n.ownersKnown
 	n.mu.RUnlock()
+	if !told {
+		return false, NotReadyError{Reason: "the table of owners is not read yet", Retry: retryAfter}
+	}
 	for _, unit := range former {
 		if unit == q.Pool {
 			continue
--- a/internal/jobs/instance/feed.go
+++ b/internal/jobs/instance/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -156,23 +155,6 @@
 	n.config.Logger.Info("configuration in force", zap.Int64("version", c.Version), zap.Int("queues", len(c.Queues)))
 }
 
-// maxFormer bounds the pools that are remembered of one queue.
-const maxFormer = 4
-
-// noteMoves remembers the pools that queues are taken from, where their jobs stay.
-func (n *Instance) noteMoves(before, after *catalog.Config) {
-	for _, old := range before.Queues {
-		i := slices.IndexFunc(after.Queues, func(q catalog.Queue) bool { return q.Name == old.Name })
-		if i < 0 || after.Queues[i].Pool == old.Pool {
-			continue
-		}
-		n.former[old.Name] = append(n.former[old.Name], old.Pool)
-		if extra := len(n.former[old.Name]) - maxFormer; extra > 0 {
-			n.former[old.Name] = n.former[old.Name][extra:]
-		}
-	}
-}
-
 func (n *Instance) takeEvacuation(e catalog.EvacuationChange) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -48,6 +48,7 @@
 	waves       map[int]announced
 	workers     map[string]catalog.Worker
 	former      map[string][]string // pools that a queue had before, newest last
+	untold      []string            // queues whose former pools are to be stored
 	owners      owners.Table
 	alive       []owners.Member
 	shards      map[string]*owned
@@ -119,7 +120,7 @@
 func (n *Instance) Ready() bool {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	return n.catalog != nil && !n.stopping && n.config.Clock.Moment().Steady-n.heard < storeSilence
+	return n.catalog != nil && n.ownersKnown && !n.stopping && n.config.Clock.Moment().Steady-n.heard < storeSilence
 }
 
 // ownsPools reports whether any pool runs here, so that its workers must be known.
--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -159,8 +160,12 @@
 	n.mu.Unlock()
 }
 
-// takeOwner takes in who owns a unit.
+// takeOwner takes in who owns a unit, or which pools a queue had.
 func (n *Instance) takeOwner(r stream.Record) {
+	if queue, ok := strings.CutPrefix(r.Key, formerPrefix); ok {
+		n.takeFormer(queue, r)
+		return
+	}
 	address, err := netip.ParseAddrPort(string(r.Value))
 	if err != nil {
 		return
@@ -215,6 +220,7 @@
 			n.config.Logger.Info("unit handed to another instance", zap.String("unit", unit), zap.Stringer("owner", n.owners[unit]))
 		}
 	}
+	n.tellMoves(ctx)
 	m.takeOver(ctx, now, units)
 	m.level(ctx, now, units)
 }
@@ -287,20 +293,25 @@
 	go m.announce(ctx, []owners.Offer{offer})
 }
 
-// announce writes who owns units now; it tries again until the store has it or the time is over.
+// announce writes who owns units now.
 func (m *membership) announce(ctx context.Context, offers []owners.Offer) {
-	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
-	defer cancel()
 	var records []stream.Record
 	for _, o := range offers {
 		records = append(records, stream.Record{Key: o.Unit, Value: []byte(o.To.String())})
 	}
+	m.instance.announce(ctx, records)
+}
+
+// announce writes into the table of owners; it tries again until the store has it or the time is over.
+func (n *Instance) announce(ctx context.Context, records []stream.Record) {
+	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
+	defer cancel()
 	for ctx.Err() == nil {
-		_, err := m.instance.config.Log.Append(ctx, ownerTable(), records, nil)
+		_, err := n.config.Log.Append(ctx, ownerTable(), records, nil)
 		if err == nil {
 			return
 		}
-		m.instance.config.Logger.Warn("could not write who owns units", zap.Error(err))
+		n.config.Logger.Warn("could not write who owns units", zap.Error(err))
 		sleep(ctx, tryPause)
 	}
 }
--- /dev/null
+++ b/internal/jobs/instance/move_test.go
@@ -0,0 +1,102 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/relay"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/internal/observe/steady"
+)
+
+// heldLog holds the records of the table of owners.
+type heldLog struct {
+	stream.Log
+	mu      sync.Mutex
+	records []stream.Record
+}
+
+func (l *heldLog) Append(_ context.Context, _ stream.Table, records []stream.Record, _ *stream.Writer) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, records...)
+	return 0, nil
+}
+
+func (l *heldLog) held() []stream.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.records)
+}
+
+// fakeHolder owns all pools and holds one job in the pool old; it notes what is handed in.
+type fakeHolder struct {
+	relay.Service
+	mu    sync.Mutex
+	taken []string
+}
+
+func (h *fakeHolder) TakeQuestion(_ context.Context, q relay.Question) (relay.State, error) {
+	return relay.State{Known: q.Pool == "old", State: job.Running}, nil
+}
+
+func (h *fakeHolder) TakeSubmit(_ context.Context, spec job.Spec) (relay.Taken, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.taken = append(h.taken, spec.Pool)
+	return relay.Taken{}, nil
+}
+
+// TestRetryAfterQueueMoved hands a job in again at an instance that started after its queue had changed its pool: the job
+// stays in the pool that holds it.
+func TestRetryAfterQueueMoved(t *testing.T) {
+	holder := &fakeHolder{}
+	server := httptest.NewServer(relay.NewHandler(holder))
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	log := &heldLog{}
+	started := func(all []stream.Record) *Instance {
+		n := New(Config{
+			Settings: Settings{Peers: netip.MustParseAddrPort("127.0.0.1:1")}, Log: log, Clock: steady.Clock{},
+			Peers: relay.NewClient(http.DefaultTransport), Logger: zap.NewNop(),
+		})
+		for _, unit := range []string{"old", "new", fleetUnit} {
+			all = append(all, stream.Record{Key: unit, Value: []byte(address.String())})
+		}
+		n.replaceOwners(all)
+		return n
+	}
+	config := func(version int64, pool string) *catalog.Config {
+		return &catalog.Config{Version: version, Queues: []catalog.Queue{{Name: "q", Pool: pool}}}
+	}
+	seen := started(nil)
+	seen.takeConfig(config(1, "old"))
+	seen.takeConfig(config(2, "new"))
+	seen.owners["other"] = seen.self().Address
+	seen.shards["other"] = &owned{done: make(chan struct{}), cancel: func() {}}
+	m := &membership{instance: seen, joined: 1}
+	m.assign(t.Context())
+	for until := time.Now().Add(time.Second); len(log.held()) == 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	later := started(log.held())
+	later.takeConfig(config(2, "new"))
+	spec := job.Spec{ID: "5c0e7a21d94b36f8", Steps: []job.Step{{Count: 1}}}
+	if err := later.Submit(t.Context(), later.catalog.Queues[0], spec); err != nil {
+		t.Fatal(err)
+	}
+	if len(holder.taken) > 0 {
+		t.Errorf("the job was handed in again, to the pools %v", holder.taken)
+	}
+}
--- a/internal/jobs/instance/submit_test.go
+++ b/internal/jobs/instance/submit_test.go
@@ -75,6 +75,7 @@
 				Peers: relay.NewClient(http.DefaultTransport), Logger: zap.NewNop(),
 			})
 			n.owners["p"] = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+			n.ownersKnown = true
 			n.heard = n.config.Clock.Moment().Steady - test.heard
 			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
 			defer cancel()
