shard: Remove a forgotten job from the intake before its progress

What would be seen: all tasks of a job that ended long ago run again. Cause: the progress of a forgotten job was removed first, and its record in the intake after that, once, without another try. A successor that found the record without the progress took it for a new job. Evidence: TestForgottenJobStandsInTheIntake fails before (both runs are started 2 times) and passes now. Tests of shard pass, 3 times, and with -race; TestForgottenJobsLeaveTheLog shows that both tables are emptied still. Why it works: the intake is cleaned first, one call at a time until the log has taken it; only then the progress goes into a batch. What an owner that ends in between leaves is progress without a job, which its successor removes.

--- /dev/null
+++ b/internal/jobs/shard/forget_test.go
@@ -0,0 +1,97 @@
+package shard
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/claim"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+)
+
+// fullIntake is a log that takes no more records into the intake.
+type fullIntake struct{ *fakeLog }
+
+func (l fullIntake) Append(ctx context.Context, t stream.Table, records []stream.Record, w *stream.Writer) (int64, error) {
+	if t == IntakeTable("p") {
+		return 0, stream.NotDoneError{Reason: "full"}
+	}
+	return l.fakeLog.Append(ctx, t, records, w)
+}
+
+// TestForgottenJobStandsInTheIntake ends an owner while a job that it has forgotten still stands in the intake: its
+// successor doesn't start the job anew.
+func TestForgottenJobStandsInTheIntake(t *testing.T) {
+	log := newFakeLog()
+	workers := &fakeWorkers{starts: map[worker.Run]int{}, log: log}
+	spec := someJob(1)
+	record, err := SpecRecord(&spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(t.Context(), IntakeTable("p"), []stream.Record{record}, nil); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	first := newShard(log, workers, "a")
+	first.config.Log, first.config.Settings.Retention = fullIntake{log}, 100*time.Millisecond
+	o := start(ctx, first)
+	await(t, first, spec.ID)
+	time.Sleep(500 * time.Millisecond)
+	cancel()
+	t.Log(<-o.err)
+	workers.mu.Lock()
+	workers.ends = nil // which the first owner has acknowledged
+	workers.mu.Unlock()
+	second := newShard(log, workers, "b")
+	start(t.Context(), second)
+	<-second.started
+	time.Sleep(500 * time.Millisecond)
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	for run, n := range workers.starts {
+		if n != 1 {
+			t.Errorf("%v was started %d times", run, n)
+		}
+	}
+}
+
+// TestForgottenJobsLeaveTheLog removes a job that has ended from both tables, and one of which an earlier owner left no more
+// than the progress.
+func TestForgottenJobsLeaveTheLog(t *testing.T) {
+	log := newFakeLog()
+	spec, rest := someJob(1), someJob(2)
+	record, err := SpecRecord(&spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	left, err := progressRecord(pool.StoredJob{ID: rest.ID, Progress: job.Progress{State: job.Completed}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for table, r := range map[stream.Table]stream.Record{IntakeTable("p"): record, OutputTable("p"): left} {
+		if _, err := log.Append(t.Context(), table, []stream.Record{r}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s := newShard(log, &fakeWorkers{starts: map[worker.Run]int{}, log: log}, "a")
+	s.config.Settings.Retention = 100 * time.Millisecond
+	start(t.Context(), s)
+	await(t, s, spec.ID)
+	time.Sleep(500 * time.Millisecond)
+	for _, table := range []stream.Table{IntakeTable("p"), OutputTable("p")} {
+		page, err := log.Newest(t.Context(), table, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, item := range page.Items {
+			if item.Key != claim.Key && item.Key != termKey {
+				t.Errorf("%s still holds %s", table, item.Key)
+			}
+		}
+	}
+}
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -78,6 +78,7 @@
 		s.fail(fatal, err)
 	}
 	s.store(ctx, fatal)
+	s.clean(ctx)
 	s.carryOut(ctx)
 }
 
@@ -119,6 +120,10 @@
 		s.fail(fatal, err)
 		return
 	}
+	if len(records)+len(s.handedIn) == 0 {
+		s.pool.NothingToStore(batch)
+		return
+	}
 	s.writing, s.wrote = true, s.config.Clock.Moment().Steady
 	w := &write{shard: s, batch: batch, records: append(s.handedIn, records...), callers: s.callers, writer: s.writer}
 	s.handedIn, s.callers = nil, nil
@@ -136,9 +141,11 @@
 		records = append(records, r)
 	}
 	for _, name := range batch.Dropped {
-		for _, prefix := range [...]string{progressPrefix, specPrefix, cancelPrefix} {
-			records = append(records, stream.Record{Key: prefix + string(name)})
+		if _, there := s.direct.Load(name); there {
+			s.forgotten = append(s.forgotten, name)
+			continue
 		}
+		records = append(records, dropRecords(name)...)
 	}
 	return records, nil
 }
@@ -180,7 +187,6 @@
 			for _, caller := range w.callers {
 				close(caller)
 			}
-			w.clean(ctx)
 			return
 		}
 		var fenced stream.FencedError
@@ -194,22 +200,6 @@
 	}
 }
 
-// clean removes the jobs that need not be kept from the intake.
-func (w *write) clean(ctx context.Context) {
-	var records []stream.Record
-	for _, name := range w.batch.Dropped {
-		if _, ok := w.shard.direct.LoadAndDelete(name); ok {
-			records = append(records, stream.Record{Key: specPrefix + string(name)}, stream.Record{Key: cancelPrefix + string(name)})
-		}
-	}
-	if len(records) == 0 {
-		return
-	}
-	if _, err := w.shard.config.Log.Append(ctx, w.shard.intake, records, nil); err != nil {
-		w.shard.config.Logger.Warn("ended jobs stay in the intake", zap.Int("records", len(records)), zap.Error(err))
-	}
-}
-
 // proof asks the log whether this owner is still the newest.
 type proof struct {
 	shard *Shard
--- a/internal/jobs/shard/record.go
+++ b/internal/jobs/shard/record.go
@@ -35,6 +35,15 @@
 	return stream.Record{Key: progressPrefix + string(s.ID), Value: data}, err
 }
 
+// dropRecords returns the records that remove a job.
+func dropRecords(name job.ID) []stream.Record {
+	var records []stream.Record
+	for _, prefix := range [...]string{progressPrefix, specPrefix, cancelPrefix} {
+		records = append(records, stream.Record{Key: prefix + string(name)})
+	}
+	return records
+}
+
 // loadProgress takes in a record of the output table.
 func (s *Shard) loadProgress(jobs map[job.ID]*pool.Stored, r stream.Record) {
 	name, ok := strings.CutPrefix(r.Key, progressPrefix)
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -95,6 +95,8 @@
 	handedIn   []stream.Record // jobs and cancellations that go into the next batch
 	callers    []chan struct{} // closed once that batch is stored
 	direct     sync.Map        // ids of jobs that stand in the intake
+	forgotten  []job.ID        // those of them that are to be removed
+	cleaning   bool
 }
 
 // New returns a shard that is to be run.
@@ -173,10 +175,12 @@
 	s.applyView(at)
 	s.pool.KeepFree(at, ordered)
 	stored := make([]pool.Stored, 0, len(jobs))
-	for _, j := range jobs {
-		if j.Spec.ID != "" {
-			stored = append(stored, *j)
+	for name, j := range jobs {
+		if j.Spec.ID == "" {
+			s.handedIn = append(s.handedIn, dropRecords(name)...) // an earlier owner has forgotten it
+			continue
 		}
+		stored = append(stored, *j)
 	}
 	s.pool.Restore(at, stored)
 	for _, name := range cancelled {
