--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -51,6 +51,7 @@
 	waves       map[int]announced
 	workers     map[string]catalog.Worker
 	former      map[string][]string // pools that a queue had before, newest last
+	untold      []string            // queues whose former pools are to be stored
 	owners      owners.Table
 	ownersEnd   int64 // offset up to which the table of owners is known
 	alive       []owners.Member
@@ -126,7 +127,7 @@
 func (n *Instance) Ready() bool {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	return n.catalog != nil && !n.stopping && n.config.Clock.Moment().Steady-n.heard < storeSilence
+	return n.catalog != nil && n.ownersKnown && !n.stopping && n.config.Clock.Moment().Steady-n.heard < storeSilence
 }
 
 // ownsPools reports whether any pool runs here, so that its workers must be known.
--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -173,8 +174,12 @@
 	n.config.Logger.Info("members changed", zap.Int("alive", len(alive)))
 }
 
-// takeOwner takes in who owns a unit.
+// takeOwner takes in who owns a unit, or which pools a queue had.
 func (n *Instance) takeOwner(r stream.Record) {
+	if queue, ok := strings.CutPrefix(r.Key, formerPrefix); ok {
+		n.takeFormer(queue, r)
+		return
+	}
 	address, err := netip.ParseAddrPort(string(r.Value))
 	if err != nil {
 		return
@@ -235,6 +240,7 @@
 			n.config.Logger.Info("unit handed to another instance", zap.String("unit", unit), zap.Stringer("owner", n.owners[unit]))
 		}
 	}
+	n.tellMoves(ctx)
 	m.takeOver(ctx, now, units)
 	m.level(ctx, now, units)
 }
