--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -401,11 +401,11 @@
 		return
 	}
 	f()
-	if o.deaf {
-		// No answer, neither a proof nor a refusal.
-	} else if o.epoch == o.w.epoch {
+	switch {
+	case o.deaf: // no answer, neither a proof nor a refusal
+	case o.epoch == o.w.epoch:
 		o.proven = o.w.now
-	} else if !o.writing && o.w.now-o.proven > time.Second {
+	case !o.writing && o.w.now-o.proven > time.Second:
 		o.gone = true // its next proof is refused
 		return
 	}
