instance: Ask the next instance when a detour to the store leads nowhere

What would be seen: the store is silent to an owner and turns away the first instance that this one asks, as when it turns away a third of all: the append waits for the straight way's time-out of 1.5 s, and its next try asks the second instance after 0.5 s more. By then the owner's proof is older than 2 s, so that a successor takes the pool. Found by reading. Cause: a call went around once at most. Evidence: TestDetourGoesOnWhenItsFirstHelpersAreDeafToo fails before (context deadline exceeded after 1.4 s, two of three instances refuse) and passes now, 5 of 5 times. Why it works: while the straight way has not answered, the next instance is asked 0.1 s after a detour that failed.

--- a/internal/jobs/instance/detour.go
+++ b/internal/jobs/instance/detour.go
@@ -19,7 +19,7 @@
 // Times of a detour.
 const (
 	detourPatience = 500 * time.Millisecond // for the store to answer here, beside the time that a read waits
-	detourRest     = 100 * time.Millisecond // after a detour that led nowhere
+	detourRest     = 100 * time.Millisecond // after a detour that led nowhere, until the next instance is asked
 	deafLife       = time.Second            // after a detour that led there, during which both ways are tried at once
 )
 
@@ -48,6 +48,14 @@
 	around bool
 }
 
+// or returns the failure to report of two, which is the straight way's.
+func (a answer[T]) or(b answer[T]) answer[T] {
+	if a.err == nil || !b.around {
+		return b
+	}
+	return a
+}
+
 func (w *way[T]) run(ctx context.Context) {
 	value, err := w.call(ctx)
 	w.answers <- answer[T]{value: value, err: err, around: w.around}
@@ -66,18 +74,19 @@
 		patient.Reset(0)
 	}
 	defer patient.Stop()
-	left, turned := 1, false
+	left, aside := 1, false // ways that have not answered, and whether a detour is one of them
 	turn := func() {
-		if to, ok := d.next(); ok && !turned {
-			left++
-			detoured := func(ctx context.Context) (T, error) {
-				ctx, cancel := context.WithTimeout(ctx, patience+askTimeout)
-				defer cancel()
-				return around(ctx, to)
-			}
-			go (&way[T]{call: detoured, answers: answers, around: true}).run(ctx)
+		to, ok := d.next()
+		if aside || !ok {
+			return
 		}
-		turned = true
+		left, aside = left+1, true
+		detoured := func(ctx context.Context) (T, error) {
+			ctx, cancel := context.WithTimeout(ctx, patience+askTimeout)
+			defer cancel()
+			return around(ctx, to)
+		}
+		go (&way[T]{call: detoured, answers: answers, around: true}).run(ctx)
 	}
 	var failed answer[T]
 	for left > 0 {
@@ -88,14 +97,18 @@
 			if a.err == nil || decided(a.err) {
 				return a.value, a.err
 			}
-			if failed.err == nil || !a.around {
-				failed = a
-			}
-			if !a.around && ctx.Err() == nil {
+			failed = failed.or(a)
+			switch {
+			case a.around:
+				aside = false
+				patient.Reset(detourRest) // the next instance may be better off
+			case ctx.Err() == nil:
 				turn()
 			}
 		case <-patient.C:
-			turn()
+			if turn(); !aside {
+				patient.Reset(detourRest)
+			}
 		}
 	}
 	return failed.value, failed.err
--- /dev/null
+++ b/internal/jobs/instance/helpers_test.go
@@ -0,0 +1,40 @@
+package instance
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/owners"
+	"marigoldshed.example/marigoldshed/internal/jobs/relay"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+)
+
+// TestDetourGoesOnWhenItsFirstHelpersAreDeafToo has the store be silent to an owner and refuse the instances that it asks
+// first: its append takes less time than the age at which its proof is no longer fresh.
+func TestDetourGoesOnWhenItsFirstHelpersAreDeafToo(t *testing.T) {
+	log := newMemoryLog()
+	n, ways := pair(t, log)
+	ways[0].silent.Store(true)
+	for i := range 3 {
+		helper, way := pair(t, log)
+		helper.config.Log = way[0]
+		way[0].refuses.Store(i > 0)
+		server := httptest.NewServer(relay.NewHandler(helper))
+		t.Cleanup(server.Close)
+		address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+		if i == 0 {
+			n.alive = []owners.Member{n.self()}
+		}
+		n.alive = append(n.alive, owners.Member{Address: address, Weight: 1 + i}) // asked in the order of falling weight
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 1400*time.Millisecond)
+	defer cancel()
+	one := []stream.Record{{Key: "a", Value: []byte{1}}}
+	if _, err := n.detour.Append(ctx, stream.Table{Name: "jobs.p", Part: 1}, one, &stream.Writer{Epoch: 5}); err != nil {
+		t.Error(err)
+	}
+}
