instance: Read straight while the store is slow for all

What would be seen: when a large record goes to all instances, such as a new configuration, each of them reads it a second time by way of another instance, out of the one read rate that they share; for a second after that all their calls go both ways. Cause: a read went around after 0.5 s, while the straight way takes 0.9 s until it gives up. Why it works: a read goes around when the straight one has failed, or while appends have shown that the store is deaf to this instance. Left: appends that the store takes over 0.5 s for still go both ways.

--- a/internal/jobs/instance/detour.go
+++ b/internal/jobs/instance/detour.go
@@ -18,7 +18,8 @@
 
 // Times of a detour.
 const (
-	detourPatience = 500 * time.Millisecond // for the store to answer here, beside the time that a read waits
+	detourPatience = 500 * time.Millisecond // for the store to take an append or to prove a claim
+	readPatience   = time.Second            // for it to answer a read, beside the time that the read waits: when all read much, that is slow
 	detourRest     = 100 * time.Millisecond // after a detour that led nowhere, until the next instance is asked
 	deafLife       = time.Second            // after a detour that led there, during which both ways are tried at once
 )
@@ -199,7 +200,7 @@
 
 // Read returns the records of a table from an offset on.
 func (d *detour) Read(ctx context.Context, t stream.Table, from int64, wait time.Duration) (stream.Batch, error) {
-	return reach(ctx, d, wait+detourPatience, func(ctx context.Context) (stream.Batch, error) {
+	return reach(ctx, d, wait+readPatience, func(ctx context.Context) (stream.Batch, error) {
 		return d.Log.Read(ctx, t, from, wait)
 	}, func(ctx context.Context, to netip.AddrPort) (stream.Batch, error) {
 		return d.instance.config.Peers.Read(ctx, to, relay.Read{Table: t, From: from, Wait: wait})
