shard: Prove the claim also while a batch waits for the log

What callers would see: tasks that are started anew because their leases have run out, while appends of their pool's owner get lost or are refused and proofs are answered. Found by reading. Cause: no proof was sent while a batch was on its way, since its answer is one; after 4 s without a proof the owner renews no lease. Evidence: TestOwnerProvesItsClaimWhileABatchWaits fails before (run 2 starts at 13 s) and passes now. Why it works: a batch that has waited for a second no longer holds up the proof.

--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -68,7 +68,8 @@
 // turn decides and carries out one round.
 func (s *Shard) turn(ctx context.Context, fatal chan error) {
 	at := s.config.Clock.Moment()
-	if at.Steady-s.proven > renewInterval && !s.writing && !s.proving {
+	// The answer to a batch is a proof as well, unless the batch waits.
+	if at.Steady-s.proven > renewInterval && !s.proving && (!s.writing || s.logWait(at) > renewInterval) {
 		s.proving = true
 		p := &proof{shard: s, sent: at.Steady}
 		go p.run(ctx, fatal)
--- a/internal/jobs/shard/repeat_test.go
+++ b/internal/jobs/shard/repeat_test.go
@@ -81,3 +81,28 @@
 		}
 	})
 }
+
+// TestOwnerProvesItsClaimWhileABatchWaits has appends get lost while the log answers proofs: what runs goes on.
+func TestOwnerProvesItsClaimWhileABatchWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(time.Second) // until all goroutines have ended
+		defer cancel()
+		p := newPlaces("w")
+		s := newStand(newFakeLog(), p, "w")
+		o := start(ctx, s.shard("a"))
+		if err := o.shard.Submit(ctx, longJob()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		s.refuseNext(200)
+		go func() { _ = o.shard.Submit(ctx, someJob(2)) }()
+		time.Sleep(15 * time.Second)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.lapse()
+		if !p.workers["w"].runs.Has(worker.Run{Task: job.Name{Job: longJob().ID}, Number: 1}) {
+			t.Errorf("the first run has ended: %v", p.starts)
+		}
+	})
+}
