machines: Leave instances alone until orders of an earlier keeper are given up

Cause: a successor waited one turn from its claim for the instances that its predecessor had recorded, but an order without answer may be carried out for as long as its call is open, which began whenever the record was answered. Holders could order an instance about within one turn of each other, and a keeper whose record was answered late ordered after its successor.

An order is now given up 2 s after its record was begun, and is not sent when that time has passed. A successor waits for that time and a turn. Instances that were ordered about lately stay 2 s longer in the record.

Before, a successor ordered 1.5 s (record answered at once) and 0.5 s (after 1 s) after an order that may yet have been carried out, and 1.5 s before one that its predecessor sent after a record that took 3 s; a turn is 3 s.

--- a/internal/jobs/machines/keeper.go
+++ b/internal/jobs/machines/keeper.go
@@ -24,6 +24,7 @@
 	proveInterval = 600 * time.Millisecond // between two proofs that no successor has claimed the instances
 	proofLife     = 2200 * time.Millisecond
 	askTimeout    = 600 * time.Millisecond
+	orderLife     = 2 * time.Second // from the recording of an order, after which it is given up
 )
 
 // Published is what operators have published, as far as it concerns instances.
@@ -97,9 +98,9 @@
 	if _, err := claim.ReadAll(ctx, k.config.Log, Table(), k.config.Logger, k.load); err != nil {
 		return errors.Annotate(err, "taking over the instances")
 	}
-	// The earlier holder may have ordered these about until it lost its claim.
+	// What the earlier holder recorded before it lost its claim may be carried out until its order is given up.
 	for _, name := range k.inherited {
-		k.planner.Rest(name, proven+k.config.Turn)
+		k.planner.Rest(name, proven+orderLife+k.config.Turn)
 	}
 	return errors.Trace(k.loop(ctx))
 }
@@ -150,7 +151,7 @@
 		return k.giveBack(now, plan.Actions, err)
 	}
 	for _, a := range plan.Actions {
-		o := &order{keeper: k, action: a}
+		o := &order{keeper: k, action: a, until: now + orderLife}
 		go o.run(ctx)
 	}
 	return k.report(ctx)
--- a/internal/jobs/machines/order.go
+++ b/internal/jobs/machines/order.go
@@ -32,18 +32,21 @@
 type order struct {
 	keeper *Keeper
 	action Action
+	until  time.Duration // steady time at which it is given up
 }
 
 func (o *order) run(ctx context.Context) {
 	k := o.keeper
 	var take func(now time.Duration)
+	call, cancel := context.WithTimeout(ctx, o.until-k.config.Clock.Moment().Steady)
+	defer cancel()
 	switch a := o.action.(type) {
 	case MoveAction:
-		outcome := o.outcome(k.config.Machines.Move(ctx, a.Instance, a.Pool, k.config.Holder, k.claim.Epoch()))
+		outcome := o.outcome(k.config.Machines.Move(call, a.Instance, a.Pool, k.config.Holder, k.claim.Epoch()))
 		k.config.Logger.Info("instance moved", zap.String("machine", a.Instance), zap.String("pool", a.Pool), zap.Int("outcome", int(outcome)))
 		take = func(now time.Duration) { k.planner.Moved(now, a, outcome) }
 	case MaintainAction:
-		outcome := o.outcome(k.config.Machines.Maintain(ctx, a.Instance, a.Wave, k.config.Holder, k.claim.Epoch()))
+		outcome := o.outcome(k.config.Machines.Maintain(call, a.Instance, a.Wave, k.config.Holder, k.claim.Epoch()))
 		k.config.Logger.Info("instance maintained", zap.String("machine", a.Instance), zap.Int("wave", a.Wave), zap.Int("outcome", int(outcome)))
 		take = func(now time.Duration) { k.planner.Maintained(now, a, outcome) }
 	}
--- a/internal/jobs/machines/record.go
+++ b/internal/jobs/machines/record.go
@@ -42,7 +42,7 @@
 	}
 	var r recentRecord
 	for name, since := range k.recent {
-		if now-since > k.config.Turn {
+		if now-since > orderLife+k.config.Turn {
 			delete(k.recent, name)
 			continue
 		}
