shard: Let proofs get lost in the test of repeated appends

Cause: the owner now sends its proof while the batch waits. After the cut the proof comes before the repeat and ends the owner, so the test does not meet its case, and says so. Now proofs get lost for longer than appends.

--- a/internal/jobs/shard/repeat_test.go
+++ b/internal/jobs/shard/repeat_test.go
@@ -20,6 +20,17 @@
 	offset  int64
 	lost    bool // the next answer gets lost, and the log is out of reach from then on
 	reached bool // by a repeat
+	mute    bool // proofs get lost
+}
+
+func (r *repeating) Fence(ctx context.Context, t stream.Table, epoch int64) error {
+	r.mu.Lock()
+	mute := r.mute
+	r.mu.Unlock()
+	if mute {
+		return errNoAnswer
+	}
+	return r.stand.Fence(ctx, t, epoch)
 }
 
 func (r *repeating) Append(ctx context.Context, t stream.Table, records []stream.Record, w *stream.Writer) (int64, error) {
@@ -48,7 +59,7 @@
 }
 
 // TestRepeatIsNoProof loses the answer to an owner's batch and cuts the owner and its worker off until a successor has
-// started the task again; then the log answers the batch's repeat as it did the first time.
+// started the task again; then the log answers the batch's repeat as it did the first time, and proofs get lost yet.
 func TestRepeatIsNoProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, p := newFakeLog(), newPlaces("near", "far")
@@ -61,7 +72,7 @@
 		o := start(ctx, former)
 		time.Sleep(time.Second)
 		first.mu.Lock()
-		first.lost = true
+		first.lost, first.mute = true, true
 		first.mu.Unlock()
 		go func() { _ = o.shard.Submit(ctx, longJob()) }()
 		time.Sleep(300 * time.Millisecond)
