pool: Count late work, running or ready, as what other work leaves

Cause: the load that an owner tells the keeper counted running tasks of late jobs as demand, and the memory of late ready ones as well. Late work was meant to get what is left.

Fix: tasks of jobs that cannot be in time count as late, running or not, and their memory as no need. They run to their end; where no pool is short, the pool keeps the instances for them as before.

Evidence: TestLateWorkIsNoNeed (before: demand 8,000 and memory 141,100 for late work alone that uses 8,000; asked for: under a fourth of that, and none).

--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -17,7 +17,7 @@
 	Memory  int    `cbor:"4,keyasint,omitempty"` // megabytes that all of them ask for
 	Spread  int    `cbor:"5,keyasint,omitempty"` // workers needed because few tasks of a step may share one
 	Stuck   int    `cbor:"6,keyasint,omitempty"` // tasks that last and found no worker
-	Late    int    `cbor:"7,keyasint,omitempty"` // thousandths of a core for ready tasks that can only be late
+	Late    int    `cbor:"7,keyasint,omitempty"` // thousandths of a core for running and ready tasks that can only be late
 
 	Claims limit.Claims   `cbor:"8,keyasint,omitempty"`  // of the teams with a limit
 	Labels map[string]int `cbor:"9,keyasint,omitempty"`  // the part of the demand that only instances with a label can meet
--- a/internal/jobs/pool/feasible.go
+++ b/internal/jobs/pool/feasible.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// late reports whether a job that runs once can no longer be in time.
+func (e *entry) late() bool { return e.job.Spec.Once() && e.chance > tight }
+
 // claim is a job's claim on the room of the pool.
 type claim struct {
 	entry *entry
--- /dev/null
+++ b/internal/jobs/pool/load_test.go
@@ -0,0 +1,40 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestLateWorkIsNoNeed fills a pool with a backlog that nobody waits for any more. While it is worked off it must not
+// count like work that is in time, or the pool keeps instances that other pools need.
+func TestLateWorkIsNoNeed(t *testing.T) {
+	tests := []struct {
+		name  string
+		after time.Duration // since the jobs were handed in
+		late  bool
+	}{{"in time", 500 * time.Millisecond, false}, {"late", 8 * time.Second, true}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w, o := settled(t)
+			for i := range 60 {
+				w.submit(fmt.Sprintf("%016x", i), shortJob(6))
+			}
+			w.run(w.now + test.after)
+			load := o.pool.Load(w.moment())
+			used := 0
+			for _, h := range load.Hosts {
+				used += h.Used
+			}
+			if used == 0 {
+				t.Fatal("nothing runs")
+			}
+			if test.late && (load.Demand >= used/4 || load.Memory > 0 || load.Late < used) {
+				t.Errorf("demand %d, memory %d, late %d while %d is used by late work", load.Demand, load.Memory, load.Late, used)
+			}
+			if !test.late && (load.Demand < used || load.Memory == 0) {
+				t.Errorf("demand %d, memory %d, late %d while %d is used by work in time", load.Demand, load.Memory, load.Late, used)
+			}
+		})
+	}
+}
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -194,9 +194,9 @@
 type Load struct {
 	Hosts   []HostLoad
 	Demand  int // thousandths of a core that running and ready tasks ask for, or that new jobs will keep busy
-	Late    int // the same for ready tasks of jobs that can no longer be in time
+	Late    int // the same for running and ready tasks of jobs that can no longer be in time
 	Lasting int // the same for tasks that last
-	Memory  int // megabytes that all of them ask for
+	Memory  int // megabytes that all but late ones ask for
 	Spread  int // workers that the widest step needs because few of its tasks may share one
 	Stuck   int // tasks that last and found no worker
 	Claims  limit.Claims
@@ -237,12 +237,7 @@
 	}
 	for name, h := range p.workers {
 		load := HostLoad{Worker: name, Used: h.used.CPU, Empty: h.cordoned && h.answered && len(h.runs)+len(h.strange) == 0, Usable: p.counts(at, h)}
-		for _, r := range h.runs {
-			l.add(r.step)
-			if r.step.Lasting {
-				load.Lasting++
-			}
-		}
+		load.Lasting = l.addRuns(h)
 		l.Hosts = append(l.Hosts, load)
 	}
 	l.Claims = p.limitClaims(wishes)
@@ -250,6 +245,21 @@
 	return l
 }
 
+// addRuns adds what runs on a worker and returns how many tasks that last are among it.
+func (l *Load) addRuns(h *host) (lasting int) {
+	for _, r := range h.runs {
+		if r.job.late() {
+			l.late(r.step)
+			continue
+		}
+		l.add(r.step)
+		if r.step.Lasting {
+			lasting++
+		}
+	}
+	return lasting
+}
+
 // urgency is the part of the time until a task's latest start that its room may come late.
 const urgency = 0.6
 
@@ -260,12 +270,11 @@
 		l.add(step)
 		return
 	}
-	l.Memory += step.MemoryMB
 	if it.key < at.Steady {
-		l.Late += step.CPU
-		l.place(step, step.CPU)
+		l.late(step)
 		return
 	}
+	l.Memory += step.MemoryMB
 	waves := 1.0
 	if step.Estimate > 0 {
 		slack := it.key - at.Steady // until its latest start
@@ -286,6 +295,12 @@
 	}
 }
 
+// late adds a task of a job that cannot be in time, running or not: its room is what other work leaves.
+func (l *Load) late(step *job.Step) {
+	l.Late += step.CPU
+	l.place(step, step.CPU)
+}
+
 func (l *Load) add(step *job.Step) {
 	l.Memory += step.MemoryMB
 	l.place(step, step.CPU)
