instance: Claim nothing while it is not known who lives

Cause: an instance that the store does not answer keeps the list of members of before. The owner was not in it, since the store had turned it away as well until shortly before; the question to the owner got no answer in the cut, and the claim was written once the cut was over.

Fix: units are asked for only while the store has confirmed within the time to live of a membership who lives.

Evidence: TestWhoIsCutOffClaimsNothing (before: it asks for the pool).

--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -47,6 +47,7 @@
 	generation int64
 	listed     int64 // generation whose members are known
 	joined     time.Duration
+	known      time.Duration // when the store last confirmed who lives
 	balanced   time.Duration
 	changed    time.Duration            // when members last came or went
 	quiet      map[string]time.Duration // when a unit may be claimed again
@@ -132,6 +133,7 @@
 	}
 	m.generation = generation
 	if m.listed == generation && m.joined > 0 {
+		m.known = n.config.Clock.Moment().Steady
 		return
 	}
 	rows, err := n.config.Groups.Owners(ctx, groupName)
@@ -141,6 +143,7 @@
 	}
 	m.listed = generation
 	m.changed = n.config.Clock.Moment().Steady
+	m.known = m.changed
 	if m.joined == 0 {
 		m.joined = m.changed
 	}
@@ -247,6 +250,7 @@
 		case !owned && now < m.joined+firstPause:
 		case owned && now < n.ownedSince[unit]+claimRest:
 		case now < m.asked[unit]+claimRest:
+		case now > m.known+usualTTL: // who lives may have changed unheard
 		case successors[unit] == n.self().Address:
 			m.asked[unit] = now
 			c := &candidacy{membership: m, unit: unit, owner: owner}
--- a/internal/jobs/instance/member_test.go
+++ b/internal/jobs/instance/member_test.go
@@ -1,11 +1,17 @@
 package instance
 
 import (
+	"context"
+	"net/http"
 	"net/netip"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/owners"
+	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 	"marigoldshed.example/marigoldshed/internal/observe/steady"
 )
@@ -43,3 +49,32 @@
 		})
 	}
 }
+
+// TestWhoIsCutOffClaimsNothing has an instance that the store has not answered for a while, and that holds the owner of a
+// pool for gone by the list of before: what it asks for then could land once it is back.
+func TestWhoIsCutOffClaimsNothing(t *testing.T) {
+	tests := []struct {
+		name  string
+		since time.Duration // since the store has confirmed who lives
+		asks  bool
+	}{{"in touch", 300 * time.Millisecond, true}, {"cut off", 3 * time.Second, false}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := New(Config{
+				Settings: Settings{Peers: netip.MustParseAddrPort("127.0.0.1:1")}, Log: &downLog{}, Clock: steady.Clock{},
+				Peers: relay.NewClient(http.DefaultTransport), Logger: zap.NewNop(),
+			})
+			n.catalog = &snapshot{&catalog.Config{Pools: []catalog.Pool{{Name: "p"}}}}
+			n.owners["p"] = netip.MustParseAddrPort("127.0.0.1:2")
+			n.alive = []owners.Member{n.self()}
+			now := n.config.Clock.Moment().Steady
+			m := &membership{instance: n, joined: now - time.Minute, known: now - test.since, quiet: map[string]time.Duration{}, asked: map[string]time.Duration{}}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			m.takeOver(ctx, now, []string{"p"})
+			if _, asked := m.asked["p"]; asked != test.asks {
+				t.Errorf("it asks for the pool: %v, want %v", asked, test.asks)
+			}
+		})
+	}
+}
