pool: Ask for room beside what late runs hold

Cause: a late run holds its room until it ends. A pool asked for the room that its work in time needs and got it with late runs in it.

Fix: as much as other work needs is asked for beside what late runs hold. A pool in which nothing can be in time asks for none.

Evidence: TestLateWorkIsNoNeed/late beside new work (before: memory 9,000 asked for, that of the new work alone).

--- a/internal/jobs/pool/load_test.go
+++ b/internal/jobs/pool/load_test.go
@@ -12,8 +12,9 @@
 	tests := []struct {
 		name  string
 		after time.Duration // since the jobs were handed in
-		late  bool
-	}{{"in time", 500 * time.Millisecond, false}, {"late", 8 * time.Second, true}}
+		fresh int           // jobs that come after that
+		late  bool          // nothing else is there
+	}{{"in time", 500 * time.Millisecond, 0, false}, {"late", 8 * time.Second, 0, true}, {"late beside new work", 8 * time.Second, 3, false}}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			w, o := settled(t)
@@ -21,6 +22,9 @@
 				w.submit(fmt.Sprintf("%016x", i), shortJob(6))
 			}
 			w.run(w.now + test.after)
+			for i := range test.fresh {
+				w.submit(fmt.Sprintf("f%015x", i), shortJob(6))
+			}
 			load := o.pool.Load(w.moment())
 			used := 0
 			for _, h := range load.Hosts {
@@ -35,6 +39,9 @@
 			if !test.late && (load.Demand < used || load.Memory == 0) {
 				t.Errorf("demand %d, memory %d, late %d while %d is used by work in time", load.Demand, load.Memory, load.Late, used)
 			}
+			if ready := test.fresh * 6 * 500; test.fresh > 0 && load.Memory < ready+ready/3 {
+				t.Errorf("memory %d for new work of %d beside late work that holds the workers", load.Memory, ready)
+			}
 		})
 	}
 }
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -223,6 +223,7 @@
 func (p *Pool) Load(at Moment) Load {
 	l := Load{Labels: map[string]int{}, Racks: map[string]int{}}
 	wishes := map[string]catalog.Amount{}
+	var held catalog.Amount
 	for _, it := range p.waiting(at) {
 		step := &it.entry.job.Spec.Steps[it.step]
 		for i := range it.repeat.Steps[it.step] {
@@ -237,19 +238,22 @@
 	}
 	for name, h := range p.workers {
 		load := HostLoad{Worker: name, Used: h.used.CPU, Empty: h.cordoned && h.answered && len(h.runs)+len(h.strange) == 0, Usable: p.counts(at, h)}
-		load.Lasting = l.addRuns(h)
+		load.Lasting = l.addRuns(h, &held)
 		l.Hosts = append(l.Hosts, load)
 	}
+	l.replace(held)
 	l.Claims = p.limitClaims(wishes)
 	l.Demand = max(l.Demand, p.arrivals.forecast(at.Steady))
 	return l
 }
 
-// addRuns adds what runs on a worker and returns how many tasks that last are among it.
-func (l *Load) addRuns(h *host) (lasting int) {
+// addRuns adds what runs on a worker, and what late work holds there to an amount; it returns how many tasks that last
+// are among the runs.
+func (l *Load) addRuns(h *host, held *catalog.Amount) (lasting int) {
 	for _, r := range h.runs {
 		if r.job.late() {
 			l.late(r.step)
+			*held = held.Plus(fullNeed(r.step))
 			continue
 		}
 		l.add(r.step)
@@ -260,6 +264,18 @@
 	return lasting
 }
 
+// replace asks for as much room beside what running late work holds as other work needs: that work does without it until
+// the runs end. A pool in which nothing can be in time asks for none.
+func (l *Load) replace(held catalog.Amount) {
+	if held.CPU == 0 {
+		return
+	}
+	cpu := min(held.CPU, l.Demand)
+	l.Demand += cpu
+	l.Late -= cpu
+	l.Memory += int(float64(held.MemoryMB) * float64(cpu) / float64(held.CPU))
+}
+
 // urgency is the part of the time until a task's latest start that its room may come late.
 const urgency = 0.6
 
