pool: Tell a worker's lives apart by the answers to starts and stops

What callers could see: a task that runs twice after a worker has started again under its id; not seen by them, found by reading. Cause: the start of a worker's life stands in each answer, and was read from looks only. An answer to a start told of a new life only by a clock that had gone back by 3 s; the late answer of an earlier life to a stop counted as if the run were barred from the new one. Evidence: TestAnswerToAStartTellsOfANewLife fails before; TestStopOfAnEarlierLifeBarsNothing fails when the new check is taken out by hand.

--- a/internal/jobs/pool/life.go
+++ b/internal/jobs/pool/life.go
@@ -10,15 +10,19 @@
 // clockSetback is how much earlier a worker's clock reads only in another life: answers that are late show less.
 const clockSetback = 3 * time.Second
 
-// tick takes over the reading of a worker's clock.
-func (p *Pool) tick(at Moment, h *host, a worker.Answer) {
+// tick takes over the reading of a worker's clock; it reports false for the answer of an earlier life.
+func (p *Pool) tick(at Moment, h *host, a worker.Answer) bool {
+	if !p.heardOf(at, h, a.Born) {
+		return false
+	}
 	if a.Clock <= 0 {
-		return
+		return true
 	}
 	if a.Clock+clockSetback < h.clock {
 		p.reborn(at, h)
 	}
 	h.clock, h.clockAt = a.Clock, at.Steady
+	return true
 }
 
 // heardOf takes in when a life of a worker began, and reports whether that is the newest one known.
--- a/internal/jobs/pool/life_test.go
+++ b/internal/jobs/pool/life_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
 // TestEndsOfANewLifeAreNotAcknowledgedUnseen has an idle worker start again under its id, unheard. The look that goes with
@@ -38,3 +40,41 @@
 		}
 	}
 }
+
+// TestAnswerToAStartTellsOfANewLife has a worker start again under its id, unheard, so soon that its clock tells nothing.
+func TestAnswerToAStartTellsOfANewLife(t *testing.T) {
+	w := newWorld(1, 1)
+	w.delay = 20 * time.Second
+	o := w.takeOver()
+	w.run(2 * time.Second)
+	w.kill("w0")
+	w.restart("w0")
+	w.run(2100 * time.Millisecond)
+	w.submit("0000000000000001", shortJob(1))
+	w.run(2200 * time.Millisecond)
+	h, born := o.pool.workers["w0"], w.workers["w0"].born
+	if len(h.runs) != 1 || !h.born.Equal(born) {
+		t.Errorf("%d runs; the life began at %v and is taken to have begun at %v", len(h.runs), born, h.born)
+	}
+}
+
+// TestStopOfAnEarlierLifeBarsNothing has the answer to a stop come late, from the life before the one that is known.
+func TestStopOfAnEarlierLifeBarsNothing(t *testing.T) {
+	w := newWorld(1, 1)
+	o := w.takeOver()
+	w.run(2 * time.Second)
+	w.submit("0000000000000001", shortJob(1))
+	w.run(2200 * time.Millisecond)
+	h, before := o.pool.workers["w0"], w.workers["w0"].answer()
+	for _, r := range h.runs {
+		o.pool.stop(w.moment(), r)
+		o.pool.Looked(w.moment(), LookAction{To: h.target()}, worker.Report{Answer: worker.Answer{Clock: time.Second, Born: before.Born.Add(time.Second)}}, nil)
+		o.pool.StopAnswered(w.moment(), StopAction{To: h.target(), Run: r.id}, before, nil)
+		if r.phase != stopping {
+			t.Errorf("the phase is %d after the stop of an earlier life", r.phase)
+		}
+	}
+	if len(h.runs) != 1 {
+		t.Errorf("%d runs are left", len(h.runs))
+	}
+}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -242,7 +242,9 @@
 	var other worker.OtherLifeError
 	switch {
 	case err == nil:
-		p.tick(at, r.host, answer)
+		if !p.tick(at, r.host, answer) {
+			return // the run is not barred from the newest life
+		}
 		r.phase = stopped
 		r.settled = at.Steady
 		r.host.nextLook = min(r.host.nextLook, at.Steady)
