pool: Play owners that are cut off or stand still beside a successor

Cause: the fake world had no owner that goes on without proofs, nor one that stands still between deciding and sending; and it waited 10 s for inherited runs, where an owner waits for 8.66 s.

--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -330,11 +330,13 @@
 	backlog []func()
 	proven  time.Duration
 	cutFrom map[string]bool
+	deaf    bool          // cut off from the log
+	stall   time.Duration // for which it stands still between deciding and sending
 }
 
 const (
 	testLease     = 4 * time.Second
-	testInherited = 10 * time.Second
+	testInherited = 8660 * time.Millisecond // as the owner of a pool reckons it
 	testOwnerLife = 4 * time.Second
 )
 
@@ -387,9 +389,11 @@
 		return
 	}
 	f()
-	if o.epoch == o.w.epoch {
+	switch {
+	case o.deaf: // neither a proof nor a refusal
+	case o.epoch == o.w.epoch:
 		o.proven = o.w.now
-	} else if !o.writing && o.w.now-o.proven > time.Second {
+	case !o.writing && o.w.now-o.proven > time.Second:
 		o.gone = true // its next proof is refused
 		return
 	}
@@ -417,6 +421,9 @@
 	}
 	o.writing = true
 	o.w.after(8*time.Millisecond, func() {
+		if o.deaf {
+			return
+		}
 		if o.epoch != o.w.epoch {
 			o.gone = true // fenced off
 			return
@@ -495,7 +502,7 @@
 	lost := func() { w.after(700*time.Millisecond, func() { o.act(func() { answer(nil, errLost) }) }) }
 	way := time.Duration(200+w.random.IntN(3000)) * time.Microsecond
 	chance := w.random.Float64()
-	w.after(way, func() {
+	w.after(way+o.stall, func() {
 		f := w.workers[to]
 		switch {
 		case f == nil:
