--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -111,6 +111,27 @@
 	return func() { w.setCut(false) }
 }
 
+// bind leaves every other worker with the owners that it has heard of, as a cut between data centres does.
+func (f *fleet) bind() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for n, m := range f.machines {
+		if m.worker != nil && n%2 == 0 {
+			m.worker.bind()
+		}
+	}
+}
+
+func (f *fleet) unbind() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if m.worker != nil {
+			m.worker.unbind()
+		}
+	}
+}
+
 // drop ends the worker of a machine, which has another one after a time; the caller holds the lock.
 func (f *fleet) drop(t *testing.T, m *machine, after time.Duration) {
 	if m.worker != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -221,7 +222,7 @@
 	nothing := func() {}
 	signal := func(sig syscall.Signal) func() { return func() { i.signal(sig) } }
 	proxied := func(h harm) func() { return func() { i.proxy.set(h) } }
-	switch s.random.IntN(14) {
+	switch s.random.IntN(16) {
 	case 0:
 		return i.name + " is killed", signal(syscall.SIGKILL), nothing
 	case 1:
@@ -247,14 +248,38 @@
 	case 11, 12:
 		var undone func()
 		return "a worker is cut off and runs on", func() { undone = s.fleet.cut() }, func() { undone() }
+	case 13, 14:
+		return i.name + " and some workers are cut off, and another is told to stop", func() { s.cutOff(i) }, func() { s.rejoin(i) }
 	}
 	return "a worker crashes", func() { s.fleet.crash(t) }, nothing
 }
 
+// Times of a cut between data centres.
+const (
+	takeoverTime = 1800 * time.Millisecond // until others have taken over what the instance owned
+	cutTime      = 7 * time.Second         // longer than leases go on, beside the time of any harm
+)
+
+// cutOff cuts an instance off from the store, together with workers that it still reaches and its successors do not.
+func (s *scene) cutOff(cut *instance) {
+	cut.proxy.set(mute)
+	s.fleet.bind()
+	n := slices.Index(s.instances, cut)
+	other := s.instances[(n+1+s.random.IntN(len(s.instances)-1))%len(s.instances)]
+	time.AfterFunc(takeoverTime, func() { other.signal(syscall.SIGTERM) })
+}
+
+func (s *scene) rejoin(cut *instance) {
+	time.Sleep(cutTime)
+	s.fleet.unbind()
+	cut.proxy.set(none)
+}
+
 func (s *scene) heal() {
 	time.Sleep(3 * time.Second) // until everything that was begun is undone
 	s.store.set(serving)
 	s.fleet.setLate(0)
+	s.fleet.unbind()
 	for _, i := range s.instances {
 		i.proxy.set(none)
 		i.signal(syscall.SIGCONT)
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -54,6 +54,7 @@
 	number int64
 	dead   bool
 	cut    bool          // nothing reaches it, and it runs on
+	bound  int64         // highest fence of the owners that reach it, 0 when all do
 	woken  chan struct{} // closed and replaced at every end
 }
 
@@ -150,22 +151,36 @@
 	w.mu.Unlock()
 }
 
-func (w *worker) isCut() bool {
+// bind leaves the worker within reach of the owners that it has heard of, and out of reach of later ones.
+func (w *worker) bind() {
+	w.mu.Lock()
+	w.bound = max(1, w.fence)
+	w.mu.Unlock()
+}
+
+func (w *worker) unbind() {
+	w.mu.Lock()
+	w.bound = 0
+	w.mu.Unlock()
+}
+
+// reached reports whether an order with a fence comes through.
+func (w *worker) reached(fence int64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.cut
+	return !w.cut && (w.bound == 0 || fence <= w.bound)
 }
 
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	if w.isCut() {
-		<-r.Context().Done()
-		return
-	}
 	var o order
 	if json.NewDecoder(r.Body).Decode(&o) != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if !w.reached(o.Fence) {
+		<-r.Context().Done()
+		return
+	}
 	if r.Header.Get("Marigoldshed-Expect-Instance") != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
