instance: Keep units while the store is out of reach

Cause: the instance that was cut off with the pool handed it over to level the load, by a list of who lives that it had not renewed for 3.6 s. The change could not be written, so it claimed the pool anew through the cut, and the claim landed first after the heal. Fix: load is levelled only while renewals are answered. TestWhoIsCutOffKeepsItsUnits fails before in the second case (2 of 3 units left).

--- a/internal/jobs/instance/candidacy_test.go
+++ b/internal/jobs/instance/candidacy_test.go
@@ -186,3 +186,34 @@
 		})
 	}
 }
+
+// TestWhoIsCutOffKeepsItsUnits has an instance own more than another by a list of who lives that the store has not confirmed
+// for a while: it could hand a unit over to nobody.
+func TestWhoIsCutOffKeepsItsUnits(t *testing.T) {
+	tests := []struct {
+		name  string
+		since time.Duration // since a renewal was answered
+		keeps bool
+	}{{"in touch", 300 * time.Millisecond, false}, {"cut off", 3 * time.Second, true}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			log := newHeldLog()
+			close(log.released)
+			m := orphaned(t, log, &fakeGroup{})
+			n := m.instance
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			for _, unit := range []string{"p", "q", fleetUnit} {
+				n.owners[unit] = n.self().Address
+				n.shards[unit] = &owned{cancel: func() {}, done: make(chan struct{})}
+			}
+			n.alive = append(n.alive, owners.Member{Address: netip.MustParseAddrPort(otherAddress), Weight: n.self().Weight})
+			now := n.config.Clock.Moment().Steady
+			m.confirmed = now - test.since
+			m.level(t.Context(), now, []string{"p", "q", fleetUnit})
+			if keeps := len(n.shards) == 3; keeps != test.keeps {
+				t.Errorf("it owns %d of 3 units", len(n.shards))
+			}
+		})
+	}
+}
--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -42,6 +42,7 @@
 	generation int64
 	listed     int64 // generation whose members are known
 	joined     time.Duration
+	confirmed  time.Duration // when a renewal was last answered
 	balanced   time.Duration
 	changed    time.Duration            // when members last came or went
 	quiet      map[string]time.Duration // when a unit may be claimed again
@@ -126,6 +127,7 @@
 		return
 	}
 	m.generation = generation
+	m.confirmed = n.config.Clock.Moment().Steady
 	if m.listed == generation && m.joined > 0 {
 		return
 	}
@@ -279,6 +281,9 @@
 	if now < m.changed+balancePause || m.balanced > 0 && now < m.balanced+balancePause {
 		return
 	}
+	if now > m.confirmed+usualTTL {
+		return // the store is out of reach: who lives may have changed, and the change could not be written
+	}
 	offer, ok := owners.Surplus(n.self(), units, n.alive, n.owners)
 	if !ok {
 		return
