--- a/internal/jobs/machines/order.go
+++ b/internal/jobs/machines/order.go
@@ -39,11 +39,11 @@
 	var take func(now time.Duration)
 	switch a := o.action.(type) {
 	case MoveAction:
-		outcome := o.send(func() error { return k.config.Machines.Move(ctx, a.Instance, a.Pool, k.config.Holder, k.claim.Epoch()) })
+		outcome := o.outcome(k.config.Machines.Move(ctx, a.Instance, a.Pool, k.config.Holder, k.claim.Epoch()))
 		k.config.Logger.Info("instance moved", zap.String("machine", a.Instance), zap.String("pool", a.Pool), zap.Int("outcome", int(outcome)))
 		take = func(now time.Duration) { k.planner.Moved(now, a, outcome) }
 	case MaintainAction:
-		outcome := o.send(func() error { return k.config.Machines.Maintain(ctx, a.Instance, a.Wave, k.config.Holder, k.claim.Epoch()) })
+		outcome := o.outcome(k.config.Machines.Maintain(ctx, a.Instance, a.Wave, k.config.Holder, k.claim.Epoch()))
 		k.config.Logger.Info("instance maintained", zap.String("machine", a.Instance), zap.Int("wave", a.Wave), zap.Int("outcome", int(outcome)))
 		take = func(now time.Duration) { k.planner.Maintained(now, a, outcome) }
 	}
@@ -53,16 +53,6 @@
 	}
 }
 
-// send gives the order unless the process has stood still since it was decided and the proof is too old by now.
-func (o *order) send(give func() error) Outcome {
-	k := o.keeper
-	if age := k.config.Clock.Moment().Steady - k.provenAt(); age > proofLife {
-		k.config.Logger.Warn("an order for an instance came too late to be given", zap.Duration("proof_age", age))
-		return Refused
-	}
-	return o.outcome(give())
-}
-
 func (o *order) outcome(err error) Outcome {
 	var refused worker.RefusedError
 	switch {
