--- a/internal/jobs/instance/move.go
+++ b/internal/jobs/instance/move.go
@@ -65,20 +65,26 @@
 	}
 	n.untold = nil
 	if len(n.shards) > 0 {
-		go n.tellFormer(ctx, records)
+		go (&telling{instance: n, records: records}).run(ctx)
 	}
 }
 
-// tellFormer stores former pools; it tries again until the store has them or the time is over.
-func (n *Instance) tellFormer(ctx context.Context, records []stream.Record) {
-	ctx, cancel := context.WithTimeout(ctx, tellLimit)
+// telling stores the former pools of queues.
+type telling struct {
+	instance *Instance
+	records  []stream.Record
+}
+
+// run tries again until the store has the records or the time is over.
+func (t *telling) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
 	for ctx.Err() == nil {
-		_, err := n.config.Log.Append(ctx, ownerTable(), records, nil)
+		_, err := t.instance.config.Log.Append(ctx, ownerTable(), t.records, nil)
 		if err == nil {
 			return
 		}
-		n.config.Logger.Warn("could not store the former pools of queues", zap.Error(err))
+		t.instance.config.Logger.Warn("could not store the former pools of queues", zap.Error(err))
 		sleep(ctx, tryPause)
 	}
 }
--- a/internal/jobs/pool/world_test.go
+++ b/internal/jobs/pool/world_test.go
@@ -402,7 +402,7 @@
 	}
 	f()
 	switch {
-	case o.deaf: // neither a proof nor a refusal
+	case o.deaf: // no answer, neither a proof nor a refusal
 	case o.epoch == o.w.epoch:
 		o.proven = o.w.now
 	case !o.writing && o.w.now-o.proven > time.Second:
