--- a/internal/jobs/instance/move.go
+++ b/internal/jobs/instance/move.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"strings"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -19,9 +18,6 @@
 // maxFormer bounds the pools that are remembered of one queue.
 const maxFormer = 4
 
-// tellLimit bounds the tries to store them.
-const tellLimit = 10 * time.Second
-
 // noteMoves remembers the pools that queues are taken from, where their jobs stay; the caller holds the lock.
 func (n *Instance) noteMoves(before, after *catalog.Config) {
 	for _, old := range before.Queues {
