machines: Pass on what is left of an instance's rest

Fix: the record says for how long each is to be left alone; a successor passes on what is left, and an order that was answered leaves one turn. TestRestIsPassedOnAsItIs fails with the whole time passed on (1.5, 3.0 and 4.5 s too long).

--- a/internal/jobs/machines/keeper.go
+++ b/internal/jobs/machines/keeper.go
@@ -65,8 +65,8 @@
 	round     int64
 	outcomes  chan func(now time.Duration) // run by loop
 	proven    atomic.Int64                 // steady time at which the newest answered proof was sent, in nanoseconds; 0 for none
-	recent    map[string]time.Duration     // instances that were ordered about lately
-	inherited []string                     // the same, of earlier holders
+	recent    map[string]time.Duration     // instances that were ordered about lately, until when others leave them alone
+	inherited map[string]time.Duration     // the same of earlier holders, for how long from the claim
 	listed    time.Duration
 	instances []catalog.Instance
 	loads     map[string]Load
@@ -82,7 +82,7 @@
 func NewKeeper(c KeeperConfig) *Keeper {
 	return &Keeper{
 		config: c, planner: NewPlanner(), dealer: limit.NewDealer(), outcomes: make(chan func(time.Duration), 256), loads: map[string]Load{},
-		orders: map[string]Orders{}, done: map[int]int{}, finished: map[int]bool{}, stored: map[int][]string{}, recent: map[string]time.Duration{},
+		orders: map[string]Orders{}, done: map[int]int{}, finished: map[int]bool{}, stored: map[int][]string{}, recent: map[string]time.Duration{}, inherited: map[string]time.Duration{},
 	}
 }
 
@@ -108,9 +108,9 @@
 		return errors.Annotate(err, "taking over the instances")
 	}
 	// What earlier holders recorded before they lost their claims may be carried out until their orders are given up.
-	for _, name := range k.inherited {
-		k.planner.Rest(name, proven+orderLife+k.config.Turn)
-		k.recent[name] = proven
+	for name, rest := range k.inherited {
+		k.planner.Rest(name, proven+rest)
+		k.recent[name] = proven + rest
 	}
 	return nil
 }
--- a/internal/jobs/machines/order.go
+++ b/internal/jobs/machines/order.go
@@ -37,21 +37,28 @@
 
 func (o *order) run(ctx context.Context) {
 	k := o.keeper
+	var outcome Outcome
 	var take func(now time.Duration)
 	call, cancel := context.WithTimeout(ctx, o.until-k.config.Clock.Moment().Steady)
 	defer cancel()
 	switch a := o.action.(type) {
 	case MoveAction:
-		outcome := o.outcome(k.config.Machines.Move(call, a.Instance, a.Pool, k.config.Holder, k.claim.Epoch()))
+		outcome = o.outcome(k.config.Machines.Move(call, a.Instance, a.Pool, k.config.Holder, k.claim.Epoch()))
 		k.config.Logger.Info("instance moved", zap.String("machine", a.Instance), zap.String("pool", a.Pool), zap.Int("outcome", int(outcome)))
 		take = func(now time.Duration) { k.planner.Moved(now, a, outcome) }
 	case MaintainAction:
-		outcome := o.outcome(k.config.Machines.Maintain(call, a.Instance, a.Wave, k.config.Holder, k.claim.Epoch()))
+		outcome = o.outcome(k.config.Machines.Maintain(call, a.Instance, a.Wave, k.config.Holder, k.claim.Epoch()))
 		k.config.Logger.Info("instance maintained", zap.String("machine", a.Instance), zap.Int("wave", a.Wave), zap.Int("outcome", int(outcome)))
 		take = func(now time.Duration) { k.planner.Maintained(now, a, outcome) }
 	}
+	taken := func(now time.Duration) {
+		take(now)
+		if outcome != Unanswered {
+			k.answered(now, instanceOf(o.action))
+		}
+	}
 	select {
-	case k.outcomes <- take:
+	case k.outcomes <- taken:
 	case <-ctx.Done():
 	}
 }
--- a/internal/jobs/machines/recent_test.go
+++ b/internal/jobs/machines/recent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,3 +56,33 @@
 		}
 	}
 }
+
+// TestRestIsPassedOnAsItIs has holders in a row that give one order each: what an early one has ordered about is left alone
+// for what is left of its time, not for the whole of it again.
+func TestRestIsPassedOnAsItIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, log := context.Background(), &recentLog{}
+		clock := bubbleClock{began: time.Now()}
+		began := clock.Moment().Steady
+		for i, instance := range []string{"m0", "m1", "m2", "m3"} {
+			k := NewKeeper(KeeperConfig{Log: log, Clock: clock, Logger: zap.NewNop(), Turn: 3 * time.Second})
+			if err := k.takeOver(ctx); err != nil {
+				t.Fatal(err)
+			}
+			if till := k.planner.busy["m0"]; till > began+k.rest() {
+				t.Errorf("holder %d leaves m0 alone for %v too long", i, till-began-k.rest())
+			}
+			if err := k.record(ctx, clock.Moment().Steady, []Action{MoveAction{Instance: instance}}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			k.answered(clock.Moment().Steady, instance)
+			if err := k.record(ctx, clock.Moment().Steady, []Action{MoveAction{Instance: "m9"}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if names, err := Recent(log.items[len(log.items)-1].Record); err != nil || slices.Contains(names, "m0") {
+			t.Errorf("the log names %v, %v", names, err)
+		}
+	})
+}
--- a/internal/jobs/machines/record.go
+++ b/internal/jobs/machines/record.go
@@ -26,11 +26,23 @@
 // recentKey is the key of the instances that were ordered about lately.
 const recentKey = "recent"
 
-// recentRecord names the instances that the holder of the claim has ordered about lately.
+// recentRecord names the instances that holders of the claim have ordered about lately.
 type recentRecord struct {
-	Names []string `cbor:"1,keyasint,omitempty"`
+	Names []string        `cbor:"1,keyasint,omitempty"`
+	Rests []time.Duration `cbor:"2,keyasint,omitempty"` // for how long a successor leaves each alone
 }
 
+// rest returns for how long a successor leaves an instance of the record alone; an earlier version did not say so.
+func (r *recentRecord) rest(number int, whole time.Duration) time.Duration {
+	if number < len(r.Rests) {
+		return r.Rests[number]
+	}
+	return whole
+}
+
+// rest is the time from the recording of an order until another holder may order the same instance about.
+func (k *Keeper) rest() time.Duration { return orderLife + k.config.Turn }
+
 // record stores which instances are about to be ordered about, so that a successor leaves them alone for
 // a while; orders that are not recorded are not given.
 func (k *Keeper) record(ctx context.Context, now time.Duration, actions []Action) error {
@@ -38,15 +50,16 @@
 		return nil
 	}
 	for _, a := range actions {
-		k.recent[instanceOf(a)] = now
+		k.recent[instanceOf(a)] = now + k.rest()
 	}
 	var r recentRecord
-	for name, since := range k.recent {
-		if now-since > orderLife+k.config.Turn {
+	for name, till := range k.recent {
+		if till <= now {
 			delete(k.recent, name)
 			continue
 		}
 		r.Names = append(r.Names, name)
+		r.Rests = append(r.Rests, till-now)
 	}
 	return k.append(ctx, recentKey, r)
 }
@@ -61,22 +74,34 @@
 	return ""
 }
 
+// answered notes that an order will not be carried out any more.
+func (k *Keeper) answered(now time.Duration, instance string) {
+	k.recent[instance] = min(k.recent[instance], now+k.config.Turn)
+}
+
 // Recent returns the instances that a record of the keeper's table names as ordered about lately.
 func Recent(r stream.Record) ([]string, error) {
+	recent, err := recentOf(r)
+	return recent.Names, err
+}
+
+func recentOf(r stream.Record) (recentRecord, error) {
 	var recent recentRecord
 	if r.Key != recentKey || len(r.Value) == 0 {
-		return nil, nil
+		return recent, nil
 	}
 	err := cbor.Unmarshal(r.Value, &recent)
-	return recent.Names, errors.Annotate(err, "decoding the recent orders for instances")
+	return recent, errors.Annotate(err, "decoding the recent orders for instances")
 }
 
 func (k *Keeper) load(r stream.Record) {
-	names, err := Recent(r)
+	recent, err := recentOf(r)
 	if err != nil {
 		k.config.Logger.Error("a stored record cannot be read", zap.Error(err))
 	}
-	k.inherited = append(k.inherited, names...)
+	for i, name := range recent.Names {
+		k.inherited[name] = recent.rest(i, k.rest())
+	}
 	if !strings.HasPrefix(r.Key, wavePrefix) || len(r.Value) == 0 {
 		return
 	}
