--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -15,7 +15,7 @@
 // leaseSlack covers rounding and the way of an order, on top of a lease.
 const leaseSlack = 150 * time.Millisecond
 
-// host is one life of a worker with what runs there.
+// host is a worker, through all its lives under one id, with what runs or may run there.
 type host struct {
 	info      catalog.Worker // its newest entry, which may be that of an earlier life
 	born      time.Time      // start of its newest life that is known, zero when none was said
--- a/internal/jobs/pool/look.go
+++ b/internal/jobs/pool/look.go
@@ -117,16 +117,16 @@
 	if !ok {
 		return
 	}
-	present := a.Sent >= h.met // sent when the newest life was known
+	current := a.Sent >= h.met // sent when the newest life was known
 	switch {
-	case !present:
+	case !current:
 	case a.Urgent:
 		h.urgent = false
 	default:
 		h.looking = false
 	}
 	if err != nil {
-		if present {
+		if current {
 			p.unseen(at, h, a.To, err)
 		}
 		return
@@ -147,9 +147,9 @@
 	if p.takeEnds(at, h, report.Ended) {
 		h.nextLook = at.Steady + max(lookGap, time.Duration(len(p.workers))*time.Second/looksASec)
 	}
-	shown := p.takeRunning(at, h, report.Running)
+	present := p.takeRunning(at, h, report.Running)
 	if len(report.Ended) < fullReport {
-		p.settle(at, h, a.Sent, shown)
+		p.settle(at, h, a.Sent, present)
 	}
 }
 
