pool, instance: Say why a run is over and how many workers were lost under its task

Change: each end has a cause; tasks count the workers that were lost under them, stored with the progress of their job; metric marigoldshed_runs_lost_total. Nothing decides by it yet. Measured: go test of the jobs packages passes.

--- a/internal/jobs/instance/metrics.go
+++ b/internal/jobs/instance/metrics.go
@@ -9,6 +9,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
 // Metrics holds the metrics of one instance.
@@ -20,6 +21,7 @@
 	ownerSteps *prometheus.HistogramVec // seconds of the steps of an owner's control loop, by pool and part
 	jobs       *prometheus.HistogramVec // seconds of a job, by team, queue and outcome
 	runs       *prometheus.CounterVec   // ended runs, by pool and outcome
+	lostRuns   *prometheus.CounterVec   // runs whose end no worker has reported, by pool and cause
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -38,8 +40,11 @@
 		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldshed_runs_total", Help: "Runs that have ended.",
 		}, []string{"pool", "end"}),
+		lostRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigoldshed_runs_lost_total", Help: "Runs whose end no worker has reported.",
+		}, []string{"pool", "cause"}),
 	}
-	m.Registry.MustRegister(m.calls, m.startWait, m.taskWait, m.ownerSteps, m.jobs, m.runs)
+	m.Registry.MustRegister(m.calls, m.startWait, m.taskWait, m.ownerSteps, m.jobs, m.runs, m.lostRuns)
 	return m
 }
 
@@ -98,14 +103,19 @@
 	o.metrics.taskWait.WithLabelValues(spec.Team, spec.Queue, reason).Observe(took.Seconds())
 }
 
-func (o *observer) Ended(_ *job.Spec, task job.Name, run int, worker, how string) {
+func (o *observer) Ended(_ *job.Spec, e pool.RunEnd) {
+	how := e.Outcome.String()
 	o.metrics.runs.WithLabelValues(o.pool, how).Inc()
+	if e.Cause != pool.Reported {
+		o.metrics.lostRuns.WithLabelValues(o.pool, e.Cause.String()).Inc()
+	}
 	level := zap.DebugLevel
-	if how != "done" && how != "stopped" {
+	if e.Outcome != worker.Done && e.Outcome != worker.Stopped {
 		level = zap.InfoLevel
 	}
-	o.logger.Log(level, "run ended", zap.String("job", string(task.Job)), zap.Int("step", task.Step), zap.Int("index", task.Index),
-		zap.Int("run", run), zap.String("worker", worker), zap.String("how", how))
+	o.logger.Log(level, "run ended", zap.String("job", string(e.Task.Job)), zap.Int("step", e.Task.Step), zap.Int("index", e.Task.Index),
+		zap.Int("run", e.Run), zap.String("worker", e.Worker), zap.String("how", how), zap.String("cause", e.Cause.String()),
+		zap.Duration("survived", e.Survived), zap.Int("beside", e.Beside), zap.Int("crashes", e.Crashes))
 }
 
 func (o *observer) JobEnded(spec *job.Spec, state job.State, took time.Duration) {
--- a/internal/jobs/job/job.go
+++ b/internal/jobs/job/job.go
@@ -29,6 +29,7 @@
 	Name       Name
 	Done       bool
 	Failures   int    // failed runs
+	Crashes    int    // workers that crashed or fell silent while they had a run
 	Run        int    // number of the latest run, 0 before the first
 	Worker     string // worker that has or may have the latest run, empty when no run can exist
 	Checkpoint string // latest known checkpoint to resume from
--- a/internal/jobs/job/progress.go
+++ b/internal/jobs/job/progress.go
@@ -9,6 +9,15 @@
 	Begun       bool                 `cbor:"3,keyasint,omitempty"`
 	Occurrences []occurrenceProgress `cbor:"4,keyasint,omitempty"`
 	Next        int                  `cbor:"5,keyasint,omitempty"` // number of the next occurrence to become due
+	Crashes     []crashProgress      `cbor:"6,keyasint,omitempty"`
+}
+
+// crashProgress describes a task that is not done and under which workers have crashed.
+type crashProgress struct {
+	Occurrence int `cbor:"1,keyasint,omitempty"`
+	Step       int `cbor:"2,keyasint,omitempty"`
+	Index      int `cbor:"3,keyasint,omitempty"`
+	Crashes    int `cbor:"4,keyasint,omitempty"`
 }
 
 type occurrenceProgress struct {
@@ -36,10 +45,23 @@
 		if progress, changed := o.progress(); changed {
 			p.Occurrences = append(p.Occurrences, progress)
 		}
+		p.Crashes = append(p.Crashes, o.crashes()...)
 	}
 	return p
 }
 
+func (o *Occurrence) crashes() []crashProgress {
+	var list []crashProgress
+	for s := range o.Steps {
+		for i := range o.Steps[s] {
+			if t := &o.Steps[s][i]; !t.Done && t.Crashes > 0 {
+				list = append(list, crashProgress{Occurrence: o.Number, Step: s, Index: i, Crashes: t.Crashes})
+			}
+		}
+	}
+	return list
+}
+
 func (o *Occurrence) progress() (occurrenceProgress, bool) {
 	progress := occurrenceProgress{Number: o.Number, Done: make([][]byte, len(o.Steps))}
 	changed := false
@@ -76,6 +98,11 @@
 			}
 		}
 	}
+	for _, c := range p.Crashes {
+		if t := j.Task(Name{Job: j.Spec.ID, Occurrence: c.Occurrence, Step: c.Step, Index: c.Index}); t != nil {
+			t.Crashes = max(0, c.Crashes)
+		}
+	}
 }
 
 func (j *Job) restore(o *Occurrence, progress occurrenceProgress) {
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -31,12 +31,13 @@
 	runs               map[worker.Run]*run
 	orphans            id.Set[worker.Run] // runs of jobs unknown to this owner; nothing new starts while there are any
 
-	clock     time.Duration // worker's steady clock at clockAt
-	clockAt   time.Duration
-	leaseEnd  time.Duration // when all its runs have certainly expired unless renewed
-	lastEnd   int64         // number of the newest applied end; numbering restarts with each incarnation
-	storedEnd int64         // ends up to this number are stored
-	ackedEnd  int64         // ends up to this number were acknowledged to the worker
+	clock       time.Duration // worker's steady clock at clockAt
+	clockAt     time.Duration
+	newestClock time.Duration // highest reading of its clock in an answer of this incarnation
+	leaseEnd    time.Duration // when all its runs have certainly expired unless renewed
+	lastEnd     int64         // number of the newest applied end; numbering restarts with each incarnation
+	storedEnd   int64         // ends up to this number are stored
+	ackedEnd    int64         // ends up to this number were acknowledged to the worker
 
 	answered             bool          // has answered a poll of this owner
 	incarnationConfirmed bool          // answered the newest poll, so the next one may acknowledge ends
--- a/internal/jobs/pool/incarnation.go
+++ b/internal/jobs/pool/incarnation.go
@@ -24,6 +24,7 @@
 		p.resetIncarnation(at, h)
 	}
 	h.clock, h.clockAt = a.Clock, at.Steady
+	h.newestClock = max(h.newestClock, a.Clock)
 	return true
 }
 
@@ -53,6 +54,7 @@
 // order may have reached either incarnation, and a poll of the new one shows which runs it has.
 func (p *Pool) resetIncarnation(at Moment, h *host) {
 	p.config.Observer.WorkerChanged(h.info.ID, "started again")
+	h.recordLoss(h.lossCause())
 	for _, r := range h.runs {
 		if r.phase == stopped {
 			// The stop that the earlier incarnation confirmed does not prevent the run from starting on the new one.
@@ -61,7 +63,7 @@
 	}
 	h.orphans = nil
 	h.lastEnd, h.storedEnd, h.ackedEnd = 0, 0, 0
-	h.clock, h.clockAt = 0, at.Steady
+	h.clock, h.clockAt, h.newestClock = 0, at.Steady, 0
 	// The worker cuts leases that refer to the clock of the earlier incarnation to the longest allowed lease.
 	h.extendLease(at.Steady, max(p.config.Lease, p.config.MaxLease))
 	h.answered, h.incarnationConfirmed, h.retired, h.survivedRetirement, h.ended = false, false, false, false, false
@@ -89,8 +91,9 @@
 // loseRuns ends every run of a worker as lost.
 func (p *Pool) loseRuns(at Moment, h *host) {
 	h.orphans = nil
+	h.recordLoss(h.lossCause())
 	for _, r := range h.runs {
-		p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost})
+		p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost}, Absent)
 	}
 }
 
--- a/internal/jobs/pool/poll.go
+++ b/internal/jobs/pool/poll.go
@@ -43,9 +43,10 @@
 	if len(h.runs)+len(h.orphans) == 0 || at.Steady <= h.leaseEnd {
 		return
 	}
+	h.recordLoss(Silent)
 	for _, r := range h.runs {
 		if r.phase != storing {
-			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Expired})
+			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Expired}, Silent)
 		}
 	}
 	h.orphans = nil
@@ -189,7 +190,7 @@
 		h.lastEnd = end.Number
 		fresh = true
 		if r := h.runs[end.Run]; r != nil {
-			p.ended(at, r, end)
+			p.ended(at, r, end, Reported)
 		} else if end.Outcome == worker.Done {
 			p.finishLate(at, h.info.ID, end)
 		}
@@ -225,6 +226,7 @@
 			p.stopOrphan(at, h, reported.Run)
 			continue
 		}
+		r.recordShown()
 		p.confirm(at, r)
 		r.percent = reported.Percent
 		if reported.Checkpoint != "" && !r.orphaned {
@@ -259,11 +261,11 @@
 		}
 		switch r.phase {
 		case running, stopped:
-			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost})
+			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost}, Absent)
 		case indeterminate:
 			if r.began == inheritedStart {
 				// The worker has seen a higher fence by now, so it will refuse the earlier owner's order.
-				p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost})
+				p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost}, Absent)
 				continue
 			}
 			p.stop(at, r)
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -30,7 +30,7 @@
 type Observer interface {
 	Placed(spec *job.Spec, task job.Name, run int, worker string, waited time.Duration)
 	RunBegun(spec *job.Spec, waits Waits) // a worker has confirmed the first run of a task
-	Ended(spec *job.Spec, task job.Name, run int, worker, how string)
+	Ended(spec *job.Spec, end RunEnd)
 	JobEnded(spec *job.Spec, state job.State, took time.Duration)
 	WorkerChanged(worker, what string)
 	Unexpected(task *job.Task, run int, worker, what string)
@@ -182,7 +182,7 @@
 
 func (noopObserver) Placed(*job.Spec, job.Name, int, string, time.Duration) {}
 func (noopObserver) RunBegun(*job.Spec, Waits)                              {}
-func (noopObserver) Ended(*job.Spec, job.Name, int, string, string)         {}
+func (noopObserver) Ended(*job.Spec, RunEnd)                                {}
 func (noopObserver) JobEnded(*job.Spec, job.State, time.Duration)           {}
 func (noopObserver) WorkerChanged(string, string)                           {}
 func (noopObserver) Unexpected(*job.Task, int, string, string)              {}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -38,6 +38,8 @@
 	percent         int           // speed in percent, as last reported
 	orderedPercent  int           // ordered speed in percent
 	overTargetSince time.Duration // steady time since which its latency is over the target, 0 if it is not
+	shownAt         time.Duration // the worker's clock when its answer first showed the run, 0 if none has
+	loss            *loss         // set once its worker's incarnation has ended or is out of reach
 
 	stepTimes               // times of its step
 	chosen    time.Duration // steady time at which its worker was chosen
@@ -137,7 +139,9 @@
 	var other worker.IncarnationEndedError
 	switch {
 	case err == nil:
-		p.updateClock(at, h, reply)
+		if p.updateClock(at, h, reply) {
+			r.recordShown()
+		}
 		h.unresponsive = false
 		p.confirm(at, r)
 	case errors.As(err, &refused):
@@ -146,7 +150,7 @@
 	case errors.As(err, &other):
 		p.handleOtherIncarnation(at, h, a.To)
 		if p.find(a.To.ID, a.Start.Run) == r {
-			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost})
+			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost}, Absent)
 		}
 	default:
 		h.unresponsive = true
@@ -196,7 +200,7 @@
 	if reason == worker.Invalid {
 		r.job.job.Fail(r.task, at.Wall)
 	}
-	p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost, Checkpoint: r.task.Checkpoint})
+	p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost, Checkpoint: r.task.Checkpoint}, Refused)
 }
 
 // stop ends a run that may exist.
@@ -259,8 +263,9 @@
 }
 
 // ended applies the end of a run.
-func (p *Pool) ended(at Moment, r *run, end worker.End) {
+func (p *Pool) ended(at Moment, r *run, end worker.End, cause Cause) {
 	t, e := r.task, r.job
+	described := describeEnd(r, end, cause)
 	p.release(r)
 	if r.orphaned {
 		if end.Outcome == worker.Done {
@@ -269,9 +274,14 @@
 		return
 	}
 	p.touch(e)
-	p.config.Observer.Ended(&e.job.Spec, t.Name, r.id.Number, r.host.info.ID, end.Outcome.String())
+	current := !t.Done && t.Run == r.id.Number
+	if current && described.Cause.isCrash() {
+		t.Crashes++
+	}
+	described.Crashes = t.Crashes
+	p.config.Observer.Ended(&e.job.Spec, described)
 	p.learn(at, r, end.Outcome)
-	if t.Done || t.Run != r.id.Number {
+	if !current {
 		return
 	}
 	if end.Checkpoint != "" {
