pool: Add failing tests of tasks that crash the workers that start them

Change: simulated workers crash under deadly tasks, at the start or in the middle of the work, and are back under a new or the same id; the BUDGET of the users is checked.

--- /dev/null
+++ b/internal/jobs/pool/crash_test.go
@@ -0,0 +1,97 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+)
+
+// deadlyDay submits 60 jobs in 12 s, every tenth with a task that crashes the workers that start it.
+func deadlyDay(w *simulation, after time.Duration) (deadly []job.ID) {
+	w.submit("00000000000000ff", longRunningJob())
+	for i := range 60 {
+		name := fmt.Sprintf("%016x", i)
+		if i%10 == 5 {
+			deadly = append(deadly, job.ID(name))
+			w.deadly[job.Name{Job: job.ID(name)}] = after
+		}
+		w.after(time.Duration(1000+w.random.IntN(11000))*time.Millisecond, func() { w.submit(name, shortJob(1+w.random.IntN(6))) })
+	}
+	return deadly
+}
+
+// TestTaskThatCrashesWorkersIsGivenUp guards against incident 25: one task crashed worker after worker, and tasks of
+// other jobs were started beside it each time.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	tests := []struct {
+		name   string
+		after  time.Duration
+		sameID bool
+		script func(w *simulation)
+	}{
+		{"at its start", 10 * time.Millisecond, false, func(*simulation) {}},
+		{"at its start, workers are back under their ids", 10 * time.Millisecond, true, func(*simulation) {}},
+		{"in the middle of its work", 450 * time.Millisecond, false, func(*simulation) {}},
+		{"while owners change", 10 * time.Millisecond, false, func(w *simulation) {
+			for i := range 6 {
+				w.after(time.Duration(3+4*i)*time.Second, func() { w.takeOver() })
+			}
+		}},
+		{"while answers are lost", 10 * time.Millisecond, false, func(w *simulation) { w.faults = faults{lostAfter: 0.1} }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				w := newSimulation(seed, 8)
+				w.sameID = test.sameID
+				w.takeOver()
+				deadly := deadlyDay(w, test.after)
+				test.script(w)
+				w.run(60 * time.Second)
+				checkDeadlyDay(t, w, seed, deadly)
+			}
+		})
+	}
+}
+
+func checkDeadlyDay(t *testing.T, w *simulation, seed uint64, deadly []job.ID) {
+	t.Helper()
+	for _, v := range w.violations {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+	if left := w.unfinished(); len(left) > 0 {
+		t.Errorf("seed %d: %d jobs have not ended: %v", seed, len(left), left)
+	}
+	owner := w.owners[len(w.owners)-1]
+	for name, s := range w.log {
+		state, _ := owner.pool.State(name)
+		_, isDeadly := w.deadly[job.Name{Job: name}]
+		switch {
+		case isDeadly && state != job.Failed:
+			t.Errorf("seed %d: job %s, which crashes workers, is %v", seed, name, state)
+		case !isDeadly && !s.Spec.LongRunning() && state != job.Completed:
+			t.Errorf("seed %d: job %s, which crashes nothing, is %v", seed, name, state)
+		}
+	}
+	if len(w.crashed) < len(deadly) {
+		t.Errorf("seed %d: %d crashes, so the day proves nothing", seed, len(w.crashed))
+	}
+}
+
+// TestTaskThatCrashedAWorkerStartsAlone guards against incident 25: a task under which a worker had just crashed was
+// started beside others again while a worker was free.
+func TestTaskThatCrashedAWorkerStartsAlone(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newSimulation(seed, 8)
+		w.takeOver()
+		deadlyDay(w, 10*time.Millisecond)
+		w.run(60 * time.Second)
+		for _, c := range w.crashed {
+			if c.nth > 1 && c.beside > 0 && c.hadFree {
+				t.Errorf("seed %d: crash %d under %v took %d runs of other jobs with it", seed, c.nth, c.under, c.beside)
+			}
+		}
+	}
+}
--- a/internal/jobs/pool/simulated_worker_test.go
+++ b/internal/jobs/pool/simulated_worker_test.go
@@ -126,10 +126,14 @@
 	f.runs[s.Run] = run
 	w.activeRuns[s.Task]++
 	w.workerOf[s.Task] = f.id
+	serial := run.serial
+	if after, deadly := w.deadly[s.Task]; deadly {
+		f.crashAfter(after, s.Run, serial)
+		return
+	}
 	if step.LongRunning {
 		return
 	}
-	serial := run.serial
 	w.after(w.work[s.Task], func() {
 		if now, ok := f.runs[s.Run]; !ok || now.serial != serial {
 			return
@@ -200,7 +204,11 @@
 }
 
 func (w *simulation) isStopping(task job.Name) bool {
-	for run := range w.workers[w.workerOf[task]].runs {
+	f := w.workers[w.workerOf[task]]
+	if f == nil {
+		return false
+	}
+	for run := range f.runs {
 		if run.Task == task && w.stopOrdered[run] {
 			return true
 		}
--- a/internal/jobs/pool/simulation_test.go
+++ b/internal/jobs/pool/simulation_test.go
@@ -28,11 +28,16 @@
 	failures    map[job.Name]int
 	activeRuns  map[job.Name]int // number of current runs
 	failureRate float64
-	cordoned    []string                 // cordoned workers
-	stopOrdered map[worker.Run]bool      // runs that were ordered to stop
-	workerOf    map[job.Name]string      // worker that started the newest run
-	jobEnds     map[job.ID]time.Duration // when the end of a job was stored
-	entryDelay  time.Duration            // from the restart of a worker under its id until its entry shows the restart
+	cordoned    []string                   // cordoned workers
+	stopOrdered map[worker.Run]bool        // runs that were ordered to stop
+	workerOf    map[job.Name]string        // worker that started the newest run
+	jobEnds     map[job.ID]time.Duration   // when the end of a job was stored
+	entryDelay  time.Duration              // from the restart of a worker under its id until its entry shows the restart
+	deadly      map[job.Name]time.Duration // tasks that crash each worker that starts them, and after how long
+	crashes     map[job.Name]int           // workers that have crashed under a task
+	afterThree  map[job.Name]int           // starts of a task after three workers had crashed under it
+	sameID      bool                       // crashed workers are back under their ids
+	crashed     []crash
 }
 
 // faults are the probabilities of faults for a single order.
@@ -63,7 +68,7 @@
 	w := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, log: map[job.ID]*StoredState{},
 		work: map[job.Name]time.Duration{}, done: map[job.Name]bool{}, ackedDone: map[job.Name]bool{}, failures: map[job.Name]int{}, activeRuns: map[job.Name]int{}, stopOrdered: map[worker.Run]bool{}, workerOf: map[job.Name]string{},
-		jobEnds: map[job.ID]time.Duration{},
+		jobEnds: map[job.ID]time.Duration{}, deadly: map[job.Name]time.Duration{}, crashes: map[job.Name]int{}, afterThree: map[job.Name]int{},
 	}
 	for i := range workers {
 		w.addWorker(fmt.Sprintf("w%d", i))
