pool: Count a run of an earlier owner until it has ended

What callers saw: nothing yet; a worker without guard could be given more than its capacity (LIMIT). Cause: a new owner that finds a run of a task that is done, or of a job that has ended, on an otherwise empty worker had no lease end for that worker, so the next tick took the run for expired and freed its room while it was still being stopped. Why this works: a worker that shows such a run may have had its lease renewed just before, so the longest lease is assumed from then on.

--- a/internal/jobs/pool/poll.go
+++ b/internal/jobs/pool/poll.go
@@ -240,6 +240,8 @@
 // stopOrphan stops an unexpected run, such as one of a task that has ended elsewhere. The run counts as used capacity
 // until it has ended.
 func (p *Pool) stopOrphan(at Moment, h *host, id worker.Run) {
+	// An earlier owner may just have renewed its lease.
+	h.extendLease(at.Steady, max(p.config.Lease, p.config.MaxLease))
 	e, known := p.jobs[id.Task.Job]
 	if !known || e.job.Task(id.Task) == nil {
 		h.orphans.Add(id)
