pool, job: Start suspected tasks alone, and give up those that crash workers

In each crash the culprit was among the one to three jobs whose runs had started within 50 ms before it. Change: job.CrashRecord keeps, with the progress of the job, at which age of its runs workers crashed under a task. The tasks that started last on a crashed worker are suspected and start alone, or beside tasks that were suspected and have been cleared; a run that outlives the age of the crashes clears its task. A task is given up after two crashes at one age, the last one while it was alone; three if anything else may be the cause, five for long-running tasks. At most a quarter of the workers runs suspected tasks, an eighth is kept free. Silence of many workers at once, and a pause of the owner, count for no task; nor does a run that may not have arrived. Why this works: a task that crashes each worker that starts it does so at one age of its runs, so it cannot be cleared and is alone from its second start on; tasks beside it reach that age and are cleared within 0.2 s.

--- a/internal/jobs/instance/metrics.go
+++ b/internal/jobs/instance/metrics.go
@@ -21,6 +21,7 @@
 	ownerSteps *prometheus.HistogramVec // seconds of the steps of an owner's control loop, by pool and part
 	jobs       *prometheus.HistogramVec // seconds of a job, by team, queue and outcome
 	runs       *prometheus.CounterVec   // ended runs, by pool and outcome
+	givenUp    *prometheus.CounterVec   // tasks that were given up since they crash workers, by pool
 	lostRuns   *prometheus.CounterVec   // runs whose end no worker has reported, by pool and cause
 }
 
@@ -40,11 +41,14 @@
 		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldshed_runs_total", Help: "Runs that have ended.",
 		}, []string{"pool", "end"}),
+		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigoldshed_tasks_given_up_total", Help: "Tasks that were given up since they crash workers.",
+		}, []string{"pool"}),
 		lostRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldshed_runs_lost_total", Help: "Runs whose end no worker has reported.",
 		}, []string{"pool", "cause"}),
 	}
-	m.Registry.MustRegister(m.calls, m.startWait, m.taskWait, m.ownerSteps, m.jobs, m.runs, m.lostRuns)
+	m.Registry.MustRegister(m.calls, m.startWait, m.taskWait, m.ownerSteps, m.jobs, m.runs, m.lostRuns, m.givenUp)
 	return m
 }
 
@@ -115,7 +119,14 @@
 	}
 	o.logger.Log(level, "run ended", zap.String("job", string(e.Task.Job)), zap.Int("step", e.Task.Step), zap.Int("index", e.Task.Index),
 		zap.Int("run", e.Run), zap.String("worker", e.Worker), zap.String("how", how), zap.String("cause", e.Cause.String()),
-		zap.Duration("survived", e.Survived), zap.Int("beside", e.Beside), zap.Int("crashes", e.Crashes))
+		zap.Duration("survived", e.Survived), zap.Duration("until", e.Until), zap.Int("beside", e.Beside), zap.Bool("suspect", e.Suspect),
+		zap.Int("crashes", e.Crashes))
+}
+
+func (o *observer) GivenUp(spec *job.Spec, t *job.Task) {
+	o.metrics.givenUp.WithLabelValues(o.pool).Inc()
+	o.logger.Warn("gave up a task that crashes workers", zap.String("job", string(spec.ID)), zap.String("queue", spec.Queue),
+		zap.Int("step", t.Name.Step), zap.Int("index", t.Name.Index), zap.Int("run", t.Run), zap.Int("crashes", t.Crash.Crashes))
 }
 
 func (o *observer) JobEnded(spec *job.Spec, state job.State, took time.Duration) {
--- a/internal/jobs/job/job.go
+++ b/internal/jobs/job/job.go
@@ -28,8 +28,8 @@
 type Task struct {
 	Name       Name
 	Done       bool
-	Failures   int    // failed runs
-	Crashes    int    // workers that crashed or fell silent while they had a run
+	Failures   int // failed runs
+	Crash      CrashRecord
 	Run        int    // number of the latest run, 0 before the first
 	Worker     string // worker that has or may have the latest run, empty when no run can exist
 	Checkpoint string // latest known checkpoint to resume from
@@ -180,6 +180,13 @@
 	}
 }
 
+// GiveUp ends the job as failed, since a task of it crashes workers.
+func (j *Job) GiveUp(now time.Time) {
+	if !j.State.Ended() {
+		j.end(Failed, now)
+	}
+}
+
 // Cancel cancels the job and reports whether the job had not ended before.
 func (j *Job) Cancel(now time.Time) bool {
 	if j.State.Ended() {
--- a/internal/jobs/job/job_test.go
+++ b/internal/jobs/job/job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"testing"
 	"time"
 
@@ -108,6 +109,7 @@
 	running := &j.Occurrences[1].Steps[0][1]
 	j.Start(running, "w")
 	running.Failures, running.Checkpoint, running.Leaving = 1, "c", true
+	running.Crash.Add(Crash{Instance: "i", From: time.Millisecond, Until: time.Second, Suspect: true, Certain: true})
 	data, err := cbor.Marshal(j.Progress())
 	if err != nil {
 		t.Fatal(err)
@@ -125,7 +127,7 @@
 		t.Error("a done task is not done after the restore")
 	}
 	got := again.Occurrences[1].Steps[0][1]
-	if got != *running {
+	if !reflect.DeepEqual(got, *running) {
 		t.Errorf("restores %+v, not %+v", got, *running)
 	}
 	if again.Advance(noon.Add(2 * time.Hour)) {
--- a/internal/jobs/job/progress.go
+++ b/internal/jobs/job/progress.go
@@ -14,10 +14,10 @@
 
 // crashProgress describes a task that is not done and under which workers have crashed.
 type crashProgress struct {
-	Occurrence int `cbor:"1,keyasint,omitempty"`
-	Step       int `cbor:"2,keyasint,omitempty"`
-	Index      int `cbor:"3,keyasint,omitempty"`
-	Crashes    int `cbor:"4,keyasint,omitempty"`
+	Occurrence int         `cbor:"1,keyasint,omitempty"`
+	Step       int         `cbor:"2,keyasint,omitempty"`
+	Index      int         `cbor:"3,keyasint,omitempty"`
+	Record     CrashRecord `cbor:"4,keyasint"`
 }
 
 type occurrenceProgress struct {
@@ -54,8 +54,8 @@
 	var list []crashProgress
 	for s := range o.Steps {
 		for i := range o.Steps[s] {
-			if t := &o.Steps[s][i]; !t.Done && t.Crashes > 0 {
-				list = append(list, crashProgress{Occurrence: o.Number, Step: s, Index: i, Crashes: t.Crashes})
+			if t := &o.Steps[s][i]; !t.Done && t.Crash.Crashes > 0 {
+				list = append(list, crashProgress{Occurrence: o.Number, Step: s, Index: i, Record: t.Crash})
 			}
 		}
 	}
@@ -100,7 +100,7 @@
 	}
 	for _, c := range p.Crashes {
 		if t := j.Task(Name{Job: j.Spec.ID, Occurrence: c.Occurrence, Step: c.Step, Index: c.Index}); t != nil {
-			t.Crashes = max(0, c.Crashes)
+			t.Crash = c.Record
 		}
 	}
 }
--- a/internal/jobs/pool/crash_test.go
+++ b/internal/jobs/pool/crash_test.go
@@ -85,12 +85,53 @@
 func TestTaskThatCrashedAWorkerStartsAlone(t *testing.T) {
 	for seed := range uint64(10) {
 		w := newSimulation(seed, 8)
-		w.takeOver()
+		o := w.takeOver()
+		observer := &isolationObserver{owner: o}
+		o.pool.config.Observer = observer
 		deadlyDay(w, 10*time.Millisecond)
 		w.run(60 * time.Second)
-		for _, c := range w.crashed {
-			if c.nth > 1 && c.beside > 0 && c.hadFree {
-				t.Errorf("seed %d: crash %d under %v took %d runs of other jobs with it", seed, c.nth, c.under, c.beside)
+		for _, c := range observer.accompanied {
+			t.Errorf("seed %d: %s", seed, c)
+		}
+		if observer.restarts == 0 {
+			t.Errorf("seed %d: no task was started again after a crash, so the day proves nothing", seed)
+		}
+	}
+}
+
+// isolationObserver records the tasks that start beside runs of other jobs, after a worker has crashed right after their
+// start, while the owner knows a free worker.
+type isolationObserver struct {
+	noopObserver
+	owner       *fakeOwner
+	crashed     map[job.Name]bool
+	restarts    int
+	accompanied []string
+}
+
+func (o *isolationObserver) Ended(_ *job.Spec, e RunEnd) {
+	if o.crashed == nil {
+		o.crashed = map[job.Name]bool{}
+	}
+	if _, deadly := o.owner.w.deadly[e.Task]; deadly && e.Cause == Crashed {
+		o.crashed[e.Task] = true
+	}
+}
+
+func (o *isolationObserver) Placed(spec *job.Spec, task job.Name, run int, name string, _ time.Duration) {
+	if !o.crashed[task] {
+		return
+	}
+	o.restarts++
+	p := o.owner.pool
+	for _, r := range p.workers[name].runs {
+		if r.job.job.Spec.ID == spec.ID {
+			continue
+		}
+		for other, h := range p.workers {
+			if other != name && len(h.runs) == 0 && p.usable(o.owner.w.moment(), h) && h.free().Covers(needOf(&spec.Steps[task.Step])) {
+				o.accompanied = append(o.accompanied, fmt.Sprintf("run %d of %v starts beside %v while %s is free", run, task, r.id, other))
+				return
 			}
 		}
 	}
--- a/internal/jobs/pool/gang.go
+++ b/internal/jobs/pool/gang.go
@@ -21,9 +21,13 @@
 	}
 	for _, group := range gangHosts(step, hosts) {
 		if p.placeMembers(at, it, latest, group, o) {
+			it.entry.suspectSince = 0
 			return
 		}
 	}
+	if it.hasSuspects() {
+		it.entry.recordUnisolated(at)
+	}
 }
 
 // gangHosts returns the groups of workers that a gang may be placed on, best first. If the gang should stay on one
@@ -104,6 +108,15 @@
 	return count
 }
 
+// hostForMember returns a worker for a member of a gang, or nil if it fits nowhere.
+func (p *Pool) hostForMember(at Moment, it *item, t *job.Task, hosts []*host, o *offer) *host {
+	step := &it.entry.job.Spec.Steps[it.step]
+	if t.Crash.Suspected {
+		return p.hostForSuspect(at, it, step, hosts, o)
+	}
+	return p.hostFor(it, step, hosts, o)
+}
+
 // placeMembers starts all members of a gang on some workers, or none.
 func (p *Pool) placeMembers(at Moment, it *item, latest int, hosts []*host, o *offer) bool {
 	step := &it.entry.job.Spec.Steps[it.step]
@@ -113,7 +126,7 @@
 		tasks[i].Run = latest
 		var h *host
 		if p.team(it.entry.job.Spec.Team).admits(fullNeed(step)) {
-			h = p.hostFor(it, step, hosts, o)
+			h = p.hostForMember(at, it, &tasks[i], hosts, o)
 		}
 		if h == nil {
 			for _, r := range placed {
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -41,9 +41,13 @@
 
 	answered             bool          // has answered a poll of this owner
 	incarnationConfirmed bool          // answered the newest poll, so the next one may acknowledge ends
+	silentSince          time.Duration // steady time by which it did not answer a call, 0 if it has answered since
+	unanswered           int           // polls in a row that it did not answer
 	unresponsive         bool          // did not answer the last order, or refused a poll
 	polling              bool          // a poll is outstanding
 	urgentPolling        bool          // an urgent poll is outstanding
+	pollDue              time.Duration // when the outstanding poll has to be answered, 0 if none is
+	urgentDue            time.Duration // the same of the urgent one
 	nextPoll             time.Duration // when to poll again
 	lastPollSent         time.Duration // when the newest answered poll was sent
 	avoidUntil           time.Duration // gets no new work before
@@ -52,6 +56,7 @@
 	lastDone             time.Duration // when a run last ended with outcome done
 	failures             int           // consecutive failed runs
 	penalties            int
+	onProbation          int           // runs on probation
 	slowness             float64       // moving average of run time divided by estimate, 0 if unknown
 	lastPaced            time.Duration // when its best-effort tasks were last paced
 }
--- a/internal/jobs/pool/incarnation.go
+++ b/internal/jobs/pool/incarnation.go
@@ -25,6 +25,7 @@
 	}
 	h.clock, h.clockAt = a.Clock, at.Steady
 	h.newestClock = max(h.newestClock, a.Clock)
+	h.silentSince, h.unanswered = 0, 0
 	return true
 }
 
@@ -54,7 +55,7 @@
 // order may have reached either incarnation, and a poll of the new one shows which runs it has.
 func (p *Pool) resetIncarnation(at Moment, h *host) {
 	p.config.Observer.WorkerChanged(h.info.ID, "started again")
-	h.recordLoss(h.lossCause())
+	p.recordLoss(at, h, h.lossCause())
 	for _, r := range h.runs {
 		if r.phase == stopped {
 			// The stop that the earlier incarnation confirmed does not prevent the run from starting on the new one.
@@ -68,6 +69,7 @@
 	h.extendLease(at.Steady, max(p.config.Lease, p.config.MaxLease))
 	h.answered, h.incarnationConfirmed, h.retired, h.survivedRetirement, h.ended = false, false, false, false, false
 	h.polling, h.urgentPolling, h.unresponsive = false, false, false
+	h.silentSince, h.unanswered, h.pollDue, h.urgentDue = 0, 0, 0, 0
 	h.firstSeen, h.nextPoll = at.Steady, at.Steady
 }
 
@@ -91,7 +93,7 @@
 // loseRuns ends every run of a worker as lost.
 func (p *Pool) loseRuns(at Moment, h *host) {
 	h.orphans = nil
-	h.recordLoss(h.lossCause())
+	p.recordLoss(at, h, h.lossCause())
 	for _, r := range h.runs {
 		p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost}, Absent)
 	}
--- /dev/null
+++ b/internal/jobs/pool/isolation.go
@@ -0,0 +1,172 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+)
+
+// Limits for the wait of a suspected task for a worker of its own.
+const (
+	isolationTimeout  = 4 * time.Second        // then any of the workers kept free for suspected tasks will do
+	isolationRequest  = 300 * time.Millisecond // then the pool asks for one more worker
+	isolationFraction = 8                      // at most one of so many workers is kept free for suspected tasks
+	probationFraction = 4                      // at most one of so many workers runs suspected tasks alone
+)
+
+// hasSuspects reports whether a suspected task of a step waits for a run.
+func (it *item) hasSuspects() bool {
+	if !it.entry.suspected {
+		return false
+	}
+	return slices.ContainsFunc(it.occurrence.Steps[it.step], func(t job.Task) bool { return t.Waiting() && t.Crash.Suspected })
+}
+
+// countSuspects counts the suspected tasks of the step that wait for a run.
+func (it *item) countSuspects() int {
+	count := 0
+	tasks := it.occurrence.Steps[it.step]
+	for i := range tasks {
+		if tasks[i].Waiting() && tasks[i].Crash.Suspected {
+			count++
+		}
+	}
+	return count
+}
+
+// placeSuspects starts the suspected tasks of a step on workers of their own.
+func (p *Pool) placeSuspects(at Moment, it *item, hosts []*host, o *offer) {
+	step := &it.entry.job.Spec.Steps[it.step]
+	tm := p.team(it.entry.job.Spec.Team)
+	tasks := it.occurrence.Steps[it.step]
+	for i := range tasks {
+		t := &tasks[i]
+		if !t.Waiting() || !t.Crash.Suspected {
+			continue
+		}
+		if !tm.admits(fullNeed(step)) {
+			return
+		}
+		h := p.hostForSuspect(at, it, step, hosts, o)
+		if h == nil {
+			it.entry.recordUnisolated(at)
+			return
+		}
+		p.place(at, it.entry, t, h)
+	}
+	it.entry.suspectSince = 0
+}
+
+// recordUnisolated records that a suspected task of a job has found no worker.
+func (e *entry) recordUnisolated(at Moment) {
+	if e.suspectSince == 0 {
+		e.suspectSince = at.Steady
+	}
+}
+
+// hostForSuspect returns a worker for a suspected task: one without runs that a crash would be a pity for, or after
+// isolationTimeout any of those that are kept free for suspected tasks, which other work may not have left yet.
+func (p *Pool) hostForSuspect(at Moment, it *item, step *job.Step, hosts []*host, o *offer) *host {
+	since := it.entry.suspectSince
+	expired := since > 0 && at.Steady-since > isolationTimeout
+	need := needOf(step)
+	var best *host
+	for _, h := range hosts {
+		if !h.free().Covers(need) || !h.info.Has(step.Label) || !h.allowsAnother(it, step) {
+			continue
+		}
+		if !h.isQuarantine(it.entry) && (!expired || !o.isolated[h] || h.onProbation > 0) {
+			continue
+		}
+		if h.onProbation > 0 {
+			return h // with suspected tasks of the same job
+		}
+		if best == nil || p.compareForSuspect(at, h, best) < 0 {
+			best = h
+		}
+	}
+	if best != nil && o.countOnProbation() >= max(1, len(o.hosts)/probationFraction) {
+		return nil
+	}
+	return best
+}
+
+// countOnProbation counts the workers that run suspected tasks alone.
+func (o *offer) countOnProbation() int {
+	count := 0
+	for _, h := range o.hosts {
+		if h.onProbation > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// isQuarantine reports whether a worker has no runs but those of one job on probation, or of tasks that were suspected
+// and have outlived their probation.
+func (h *host) isQuarantine(e *entry) bool {
+	for _, r := range h.runs {
+		if r.job != e && (r.onProbation || !r.cleared) {
+			return false
+		}
+	}
+	return true
+}
+
+// compareForSuspect orders workers by how much their crash would cost, and how little it would say: instances that have
+// not crashed lately come first, then workers with little work.
+func (p *Pool) compareForSuspect(at Moment, a, b *host) int {
+	if x, y := p.hasCrashedRecently(at, a), p.hasCrashedRecently(at, b); x != y {
+		if x {
+			return 1
+		}
+		return -1
+	}
+	if x, y := a.countLongRunning(), b.countLongRunning(); x != y {
+		return x - y
+	}
+	if x, y := a.countUncleared(), b.countUncleared(); x != y {
+		return x - y
+	}
+	return a.used.CPU - b.used.CPU
+}
+
+func (h *host) countLongRunning() int {
+	count := 0
+	for _, r := range h.runs {
+		if r.step.LongRunning {
+			count++
+		}
+	}
+	return count
+}
+
+// countUncleared counts the runs of tasks that no probation has cleared.
+func (h *host) countUncleared() int {
+	count := 0
+	for _, r := range h.runs {
+		if !r.cleared {
+			count++
+		}
+	}
+	return count
+}
+
+// isolate keeps the workers whose crash would cost least free for suspected tasks, at most one for each waiting step.
+func (p *Pool) isolate(at Moment, items []item, o *offer) {
+	wanted := 0
+	for i := range items {
+		if items[i].hasSuspects() {
+			wanted++
+		}
+	}
+	if wanted == 0 {
+		return
+	}
+	safest := slices.DeleteFunc(slices.Clone(o.hosts), func(h *host) bool { return h.onProbation > 0 })
+	slices.SortStableFunc(safest, func(a, b *host) int { return p.compareForSuspect(at, a, b) })
+	for _, h := range safest[:min(len(safest), wanted, max(1, len(o.hosts)/isolationFraction))] {
+		o.isolated[h] = true
+	}
+}
--- a/internal/jobs/pool/loss.go
+++ b/internal/jobs/pool/loss.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
@@ -12,22 +14,29 @@
 
 // Causes of the end of a run, as far as the owner can tell.
 const (
-	Reported Cause = iota // the worker listed the end
-	Refused               // the worker refused the start, so the run never existed
-	Absent                // the worker does not have the run, and its incarnation is still the one that the order went to
-	Crashed               // the worker's incarnation ended without notice
-	Left                  // the worker's incarnation ended after a notice or by an order
-	Silent                // the worker was out of reach until its lease had expired
+	Reported  Cause = iota // the worker listed the end
+	Refused                // the worker refused the start, so the run never existed
+	Absent                 // the worker does not have the run, and its incarnation is still the one that the order went to
+	Crashed                // the worker's incarnation ended without notice
+	Left                   // the worker's incarnation ended after a notice or by an order
+	Silent                 // the worker answered no call until its lease had expired
+	Unrenewed              // the owner did not renew the lease in time, though the worker may be well
 )
 
 // String returns the cause's name.
 func (c Cause) String() string {
-	return [...]string{"reported", "refused", "absent", "crashed", "left", "silent"}[c]
+	return [...]string{"reported", "refused", "absent", "crashed", "left", "silent", "unrenewed"}[c]
 }
 
-// isCrash reports whether the worker may have crashed under the run.
+// isCrash reports whether the worker seems to have crashed under the run.
 func (c Cause) isCrash() bool { return c == Crashed || c == Silent }
 
+// Limits for the silence of a worker that may be a crash.
+const (
+	silentCalls   = 3 // unanswered polls in a row; fewer may be a pause of the owner
+	silentWorkers = 3 // that may have fallen silent at one moment; more are a fault of the network
+)
+
 // RunEnd describes the end of a run for logs and metrics.
 type RunEnd struct {
 	Task     job.Name
@@ -36,15 +45,22 @@
 	Outcome  worker.Outcome
 	Cause    Cause
 	Survived time.Duration // for how long the worker is known to have had the run
+	Until    time.Duration // age at which a lost run was certainly over
+	Suspect  bool          // a lost run that was among those that had started last on its worker
 	Beside   int           // runs that were lost with the same worker
 	Crashes  int           // workers that have crashed or fallen silent under the task
 }
 
 // loss is what the owner knows of a run whose worker's incarnation has ended or is out of reach.
 type loss struct {
-	cause    Cause
-	survived time.Duration // see RunEnd
-	beside   int           // see RunEnd
+	cause       Cause
+	survived    time.Duration // see RunEnd
+	until       time.Duration // see RunEnd
+	beside      int           // see RunEnd
+	youngest    bool          // no run on the worker was clearly younger
+	onProbation bool          // the run was on probation
+	accompanied bool          // runs of other jobs, not cleared by a probation, were on the worker
+	again       bool          // an earlier worker of the same instance had crashed shortly before
 }
 
 // recordShown records that an answer of the worker's newest incarnation shows the run.
@@ -54,6 +70,9 @@
 	}
 }
 
+// isSeen reports whether this owner has ordered the run or seen it on its worker.
+func (r *run) isSeen() bool { return r.ordered > 0 || r.shownAt > 0 }
+
 // survived returns for how long, by the worker's clock, its answers show that it had a run.
 func (h *host) survived(r *run) time.Duration {
 	if r.shownAt == 0 {
@@ -62,6 +81,44 @@
 	return max(0, h.newestClock-r.shownAt)
 }
 
+// recordUnanswered records that the worker did not answer a call, and that it had to do so by the given time.
+func (p *Pool) recordUnanswered(at Moment, h *host, by time.Duration) {
+	by = min(by, at.Steady)
+	if h.silentSince == 0 || by < h.silentSince {
+		h.silentSince = by
+	}
+}
+
+// recordOverdue records the outstanding calls that the worker should have answered by now.
+func (p *Pool) recordOverdue(at Moment, h *host) {
+	due := []time.Duration{h.pollDue, h.urgentDue}
+	for _, r := range h.runs {
+		if r.phase == sending {
+			due = append(due, r.ordered+answerTime)
+		}
+	}
+	for _, by := range due {
+		if by > 0 && by <= at.Steady {
+			p.recordUnanswered(at, h, by)
+		}
+	}
+}
+
+// ageAtSilence returns how old a run can have been when its worker stopped answering. It returns unknownAge if an
+// earlier owner ordered the run.
+func (h *host) ageAtSilence(at Moment, r *run) time.Duration {
+	if r.ordered == 0 {
+		return unknownAge
+	}
+	if h.silentSince == 0 {
+		return at.Steady - r.ordered
+	}
+	return max(0, h.silentSince-r.ordered)
+}
+
+// unknownAge is an age that no run outlives.
+const unknownAge = 1000 * time.Hour
+
 // lossCause returns why a worker's incarnation has ended.
 func (h *host) lossCause() Cause {
 	if h.info.Draining || h.retired {
@@ -70,17 +127,51 @@
 	return Crashed
 }
 
+// expiryCause returns why a worker's lease has expired. A worker that is not listed any more is gone.
+func (p *Pool) expiryCause(h *host) Cause {
+	if !h.listed {
+		return h.lossCause()
+	}
+	if h.unanswered < silentCalls {
+		return Unrenewed
+	}
+	together := 0
+	for _, other := range p.workers {
+		if other.unanswered > 0 && other.clockAt <= h.silentSince && h.clockAt <= other.silentSince {
+			together++
+		}
+	}
+	if together > silentWorkers {
+		return Unrenewed
+	}
+	return Silent
+}
+
 // recordLoss records for each run that was sent to a worker's incarnation that this incarnation has ended or is out of
 // reach. It ends no run.
-func (h *host) recordLoss(cause Cause) {
+func (p *Pool) recordLoss(at Moment, h *host, cause Cause) {
+	p.recordOverdue(at, h)
 	var lost []*run
+	youngest := time.Duration(math.MaxInt64)
 	for _, r := range h.runs {
 		if r.phase != storing && r.loss == nil {
 			lost = append(lost, r)
+			if r.isSeen() {
+				youngest = min(youngest, h.survived(r))
+			}
 		}
 	}
+	if len(lost) == 0 {
+		return
+	}
+	again := cause == Crashed && p.recordInstanceCrash(at, h)
 	for _, r := range lost {
-		r.loss = &loss{cause: cause, survived: h.survived(r), beside: len(lost) - 1}
+		survived := h.survived(r)
+		accompanied := slices.ContainsFunc(lost, func(other *run) bool { return other.job != r.job && !other.cleared })
+		r.loss = &loss{
+			cause: cause, survived: survived, until: max(survived, h.ageAtSilence(at, r)), beside: len(lost) - 1,
+			youngest: r.isSeen() && survived-youngest <= suspectWindow, onProbation: r.onProbation, accompanied: accompanied, again: again,
+		}
 	}
 }
 
@@ -91,7 +182,7 @@
 		Task: r.id.Task, Run: r.id.Number, Worker: r.host.info.ID, Outcome: end.Outcome, Cause: cause, Survived: r.host.survived(r),
 	}
 	if cause != Reported && cause != Refused && r.loss != nil {
-		d.Cause, d.Survived, d.Beside = r.loss.cause, r.loss.survived, r.loss.beside
+		d.Cause, d.Survived, d.Until, d.Beside, d.Suspect = r.loss.cause, r.loss.survived, r.loss.until, r.loss.beside, r.loss.youngest
 	}
 	return d
 }
--- a/internal/jobs/pool/offer.go
+++ b/internal/jobs/pool/offer.go
@@ -12,6 +12,7 @@
 type offer struct {
 	hosts         []*host        // fullest first
 	reserved      map[*host]bool // kept free for long-running tasks that could not be placed yet
+	isolated      map[*host]bool // kept free for suspected tasks
 	unplacedNeeds []catalog.Resources
 }
 
@@ -50,7 +51,7 @@
 	need := needOf(step)
 	var best *host
 	for _, h := range hosts {
-		if o.reserved[h] && !step.LongRunning || !h.free().Covers(need) || !h.info.Has(step.Label) || !h.allowsAnother(it, step) {
+		if o.isolated[h] || h.onProbation > 0 || o.reserved[h] && !step.LongRunning || !h.free().Covers(need) || !h.info.Has(step.Label) || !h.allowsAnother(it, step) {
 			continue
 		}
 		if best == nil || p.isBetter(it, step, h, best) {
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -45,7 +45,8 @@
 		}
 		return int(a.key - b.key)
 	})
-	o := &offer{hosts: p.candidates(at), reserved: map[*host]bool{}}
+	o := &offer{hosts: p.candidates(at), reserved: map[*host]bool{}, isolated: map[*host]bool{}}
+	p.isolate(at, items, o)
 	for i := range items {
 		p.placeItem(at, &items[i], o)
 	}
@@ -153,13 +154,17 @@
 func (p *Pool) placeItem(at Moment, it *item, o *offer) {
 	step := &it.entry.job.Spec.Steps[it.step]
 	it.entry.stepTimesOf(at, it.occurrence.Number, it.step)
-	if o.cannotFit(step) {
+	suspects := it.hasSuspects()
+	if o.cannotFit(step) && !suspects {
 		return
 	}
 	hosts := o.hosts
 	if it.entry.job.Spec.Policy.Advised {
 		hosts = p.advised(at, it, hosts)
 	}
+	if suspects && !step.Gang {
+		p.placeSuspects(at, it, hosts, o)
+	}
 	if step.Gang {
 		p.placeGang(at, it, hosts, o)
 		return
@@ -168,7 +173,7 @@
 	tasks := it.occurrence.Steps[it.step]
 	for i := range tasks {
 		t := &tasks[i]
-		if !t.Waiting() {
+		if !t.Waiting() || t.Crash.Suspected {
 			continue
 		}
 		if !tm.admits(fullNeed(step)) {
--- a/internal/jobs/pool/poll.go
+++ b/internal/jobs/pool/poll.go
@@ -20,6 +20,8 @@
 	fencedPollGap       = time.Second            // after a poll that was refused because of a higher fence
 	clockMaxAge         = time.Minute            // age after which the clock of an idle worker is read again
 	maxReportedEnds     = 500                    // ends in a full report; the worker may have more
+	answerTime          = 50 * time.Millisecond  // that a worker needs to answer a call
+	probationPollGap    = 100 * time.Millisecond // between polls of a worker with a run on probation
 )
 
 // Tick issues the polls and repeated stops that are due and ends runs whose lease has certainly expired.
@@ -43,10 +45,11 @@
 	if len(h.runs)+len(h.orphans) == 0 || at.Steady <= h.leaseEnd {
 		return
 	}
-	h.recordLoss(Silent)
+	cause := p.expiryCause(h)
+	p.recordLoss(at, h, cause)
 	for _, r := range h.runs {
 		if r.phase != storing {
-			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Expired}, Silent)
+			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Expired}, cause)
 		}
 	}
 	h.orphans = nil
@@ -67,8 +70,8 @@
 	if h.ended || !h.info.Address.IsValid() || at.Steady < h.nextPoll {
 		return
 	}
-	indeterminate := h.hasIndeterminateRun()
-	if h.polling && (h.urgentPolling || !indeterminate || h.unresponsive) {
+	urgent := h.needsUrgentPoll(at)
+	if h.polling && (h.urgentPolling || !urgent || h.unresponsive) {
 		return
 	}
 	busy := len(h.runs)+len(h.orphans) > 0
@@ -88,19 +91,27 @@
 	if busy && h.answered && !h.unresponsive {
 		renewal.Until = h.leaseUntil(at.Steady, p.config.Lease)
 		h.extendLease(at.Steady, p.config.Lease)
-		if !indeterminate {
+		if !urgent {
 			renewal.Wait = maxPollWait
 		}
 	}
 	a := PollAction{To: h.target(), Renewal: renewal, Urgent: h.polling, Sent: at.Steady}
 	if h.polling {
-		h.urgentPolling = true
+		h.urgentPolling, h.urgentDue = true, a.due()
 	} else {
-		h.polling = true
+		h.polling, h.pollDue = true, a.due()
 	}
 	p.actions = append(p.actions, a)
 }
 
+// needsUrgentPoll reports whether a worker is to be polled without waiting for the end of a run.
+func (h *host) needsUrgentPoll(at Moment) bool {
+	return h.hasIndeterminateRun() || h.onProbation > 0 && at.Steady-h.lastPollSent >= probationPollGap
+}
+
+// due returns when a poll has to be answered.
+func (a PollAction) due() time.Duration { return a.Sent + a.Renewal.Wait + answerTime }
+
 // hasIndeterminateRun reports whether a worker has runs that an immediate poll would resolve: no poll sent after
 // their order was answered or abandoned has been answered yet.
 func (h *host) hasIndeterminateRun() bool {
@@ -122,13 +133,13 @@
 	switch {
 	case !current:
 	case a.Urgent:
-		h.urgentPolling = false
+		h.urgentPolling, h.urgentDue = false, 0
 	default:
-		h.polling = false
+		h.polling, h.pollDue = false, 0
 	}
 	if err != nil {
 		if current {
-			p.handlePollError(at, h, a.To, err)
+			p.handlePollError(at, h, a, err)
 		}
 		return
 	}
@@ -149,25 +160,28 @@
 		h.nextPoll = at.Steady + max(pollGap, time.Duration(len(p.workers))*time.Second/maxPollsPerSecond)
 	}
 	present := p.applyRunning(at, h, report.Running)
+	p.updateProbation(h)
 	if len(report.Ended) < maxReportedEnds {
 		p.resolveMissing(at, h, a.Sent, present)
 	}
 }
 
 // handlePollError handles a poll that was not answered or was refused.
-func (p *Pool) handlePollError(at Moment, h *host, to worker.Target, err error) {
+func (p *Pool) handlePollError(at Moment, h *host, a PollAction, err error) {
 	var refused worker.RefusedError
 	var other worker.IncarnationEndedError
 	h.incarnationConfirmed = false
 	switch {
 	case errors.As(err, &other):
-		p.handleOtherIncarnation(at, h, to)
+		p.handleOtherIncarnation(at, h, a.To)
 	case errors.As(err, &refused):
 		p.updateClock(at, h, refused.Reply)
 		h.unresponsive = true
 		h.nextPoll = at.Steady + fencedPollGap
 		p.config.Observer.WorkerChanged(h.info.ID, "refused a look")
 	default:
+		p.recordUnanswered(at, h, a.due())
+		h.unanswered++
 		if !h.unresponsive {
 			p.config.Observer.WorkerChanged(h.info.ID, "does not answer")
 		}
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -31,6 +31,7 @@
 	Placed(spec *job.Spec, task job.Name, run int, worker string, waited time.Duration)
 	RunBegun(spec *job.Spec, waits Waits) // a worker has confirmed the first run of a task
 	Ended(spec *job.Spec, end RunEnd)
+	GivenUp(spec *job.Spec, task *job.Task) // the task crashes workers, so its job has failed
 	JobEnded(spec *job.Spec, state job.State, took time.Duration)
 	WorkerChanged(worker, what string)
 	Unexpected(task *job.Task, run int, worker, what string)
@@ -47,6 +48,8 @@
 	advice           map[job.Name]*advice // by step, for advised queues
 	rescues          map[job.Name]int     // runs stopped because they took too long, by task
 	unplaceableSince time.Duration        // steady time since which a long-running task has found no worker, 0 if none
+	suspected        bool                 // a task of it is or was suspected to crash workers
+	suspectSince     time.Duration        // steady time since which a suspected task has found no worker, 0 if none
 	ready            time.Duration        // steady time since which its newest ready step can start
 	stepTimes        map[[2]int]stepTimes // by occurrence and step
 }
@@ -68,6 +71,7 @@
 	actions          []Action
 	dropped          []job.ID // jobs to be removed from the log
 	cordonedUntil    time.Duration
+	instanceCrashes  map[string]time.Duration // steady time of the newest crash of each instance's workers
 	arrivals         arrivals
 	weights          map[string]int // teams' relative shares when the pool is full
 	lastPlanned      time.Duration  // when the capacity was last planned
@@ -86,7 +90,7 @@
 	}
 	return &Pool{
 		config: c, jobs: map[job.ID]*entry{}, cancelled: map[job.ID]time.Duration{}, workers: map[string]*host{},
-		teams: map[string]*team{}, changed: map[job.ID]struct{}{},
+		teams: map[string]*team{}, changed: map[job.ID]struct{}{}, instanceCrashes: map[string]time.Duration{},
 	}
 }
 
@@ -183,6 +187,7 @@
 func (noopObserver) Placed(*job.Spec, job.Name, int, string, time.Duration) {}
 func (noopObserver) RunBegun(*job.Spec, Waits)                              {}
 func (noopObserver) Ended(*job.Spec, RunEnd)                                {}
+func (noopObserver) GivenUp(*job.Spec, *job.Task)                           {}
 func (noopObserver) JobEnded(*job.Spec, job.State, time.Duration)           {}
 func (noopObserver) WorkerChanged(string, string)                           {}
 func (noopObserver) Unexpected(*job.Task, int, string, string)              {}
--- a/internal/jobs/pool/restore.go
+++ b/internal/jobs/pool/restore.go
@@ -61,6 +61,7 @@
 		for s := range o.Steps {
 			for i := range o.Steps[s] {
 				t := &o.Steps[s][i]
+				e.suspected = e.suspected || t.Crash.Suspected
 				if t.Done || !t.Placed() {
 					continue
 				}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -39,6 +39,8 @@
 	orderedPercent  int           // ordered speed in percent
 	overTargetSince time.Duration // steady time since which its latency is over the target, 0 if it is not
 	shownAt         time.Duration // the worker's clock when its answer first showed the run, 0 if none has
+	cleared         bool          // its task was suspected until the run had lasted for long enough
+	onProbation     bool          // its task is suspected, and it has not yet run for long enough
 	loss            *loss         // set once its worker's incarnation has ended or is out of reach
 
 	stepTimes               // times of its step
@@ -81,6 +83,7 @@
 		id: worker.Run{Task: t.Name, Number: t.Run}, task: t, job: e, step: step, host: h, need: needOf(step), orderedPercent: 100,
 	}
 	h.runs[r.id] = r
+	r.startProbation()
 	h.used = h.used.Add(r.need)
 	tm := p.team(e.job.Spec.Team)
 	tm.used = tm.used.Add(fullNeed(step))
@@ -89,6 +92,7 @@
 
 // release removes a run from its worker's run table and frees its resources.
 func (p *Pool) release(r *run) {
+	r.endProbation()
 	delete(r.host.runs, r.id)
 	r.host.used = r.host.used.Sub(r.need)
 	tm := p.team(r.job.job.Spec.Team)
@@ -154,6 +158,7 @@
 		}
 	default:
 		h.unresponsive = true
+		p.recordUnanswered(at, h, r.ordered+answerTime)
 		r.settled = at.Steady
 		if r.phase == sending {
 			r.phase = indeterminate
@@ -276,9 +281,9 @@
 	p.touch(e)
 	current := !t.Done && t.Run == r.id.Number
 	if current && described.Cause.isCrash() {
-		t.Crashes++
+		p.recordCrash(at, r)
 	}
-	described.Crashes = t.Crashes
+	described.Crashes = t.Crash.Crashes
 	p.config.Observer.Ended(&e.job.Spec, described)
 	p.learn(at, r, end.Outcome)
 	if !current {
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -214,6 +214,14 @@
 	Usable      bool
 }
 
+// lacksWorker reports whether a waiting task of a step has found no worker for so long that the pool needs one more.
+func (e *entry) lacksWorker(at Moment, step *job.Step) bool {
+	if e.suspectSince > 0 && at.Steady-e.suspectSince > isolationRequest {
+		return true
+	}
+	return step.LongRunning && e.unplaceableSince > 0 && at.Steady-e.unplaceableSince > unplaceableAfter
+}
+
 // countsAsCapacity reports whether a worker counts as capacity of the pool. A worker that this owner has not reached
 // yet counts.
 func (p *Pool) countsAsCapacity(at Moment, h *host) bool {
@@ -232,7 +240,7 @@
 			if it.occurrence.Steps[it.step][i].Waiting() {
 				l.addWaiting(at, &it, step)
 				requested[it.entry.job.Spec.Team] = requested[it.entry.job.Spec.Team].Add(fullNeed(step))
-				if step.LongRunning && it.entry.unplaceableSince > 0 && at.Steady-it.entry.unplaceableSince > unplaceableAfter {
+				if it.entry.lacksWorker(at, step) {
 					l.Unplaceable++
 				}
 			}
--- a/internal/jobs/pool/simulated_crash_test.go
+++ b/internal/jobs/pool/simulated_crash_test.go
@@ -8,14 +8,6 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
-// crash is the crash of a worker under a deadly task.
-type crash struct {
-	under   job.Name
-	nth     int // crashes under the task so far
-	beside  int // runs of other jobs that were lost with it
-	hadFree bool
-}
-
 // workerDowntime is how long a crashed worker is away.
 const workerDowntime = 3400 * time.Millisecond
 
@@ -39,18 +31,10 @@
 }
 
 func (w *simulation) recordCrash(f *fakeWorker, under job.Name) {
-	c := crash{under: under}
 	for run := range f.runs {
 		w.crashes[run.Task]++
-		if run.Task.Job != under.Job {
-			c.beside++
-		}
-	}
-	c.nth = w.crashes[under]
-	for _, other := range w.workers {
-		c.hadFree = c.hadFree || other != f && !other.dead && len(other.runs) == 0
 	}
-	w.crashed = append(w.crashed, c)
+	w.crashed = append(w.crashed, under)
 }
 
 // replace starts a crashed worker again, under its id or under a new one.
--- a/internal/jobs/pool/simulation_test.go
+++ b/internal/jobs/pool/simulation_test.go
@@ -37,7 +37,7 @@
 	crashes     map[job.Name]int           // workers that have crashed under a task
 	afterThree  map[job.Name]int           // starts of a task after three workers had crashed under it
 	sameID      bool                       // crashed workers are back under their ids
-	crashed     []crash
+	crashed     []job.Name                 // tasks under which workers have crashed, in order
 }
 
 // faults are the probabilities of faults for a single order.
--- a/internal/jobs/pool/stats.go
+++ b/internal/jobs/pool/stats.go
@@ -6,6 +6,8 @@
 	Capacity, Used                   int // capacity and usage of these workers in thousandths of a core
 	Workers                          int // workers that may get new work
 	Waiting, Capped                  int // ready tasks, and those among them that their team's limit holds back
+	Suspected                        int // part of Waiting that has to start alone since workers crashed under it
+	OnProbation                      int // workers that get no other work since they run such a task
 	Unconfirmed                      int // part of Used by runs that no worker has confirmed yet
 	UsedAtRiskOrLate, UsedInfeasible int // parts of Used by one-time jobs that are at risk or late, and by infeasible ones
 }
@@ -30,6 +32,7 @@
 		step := &it.entry.job.Spec.Steps[it.step]
 		count := it.countWaiting()
 		s.Waiting += count
+		s.Suspected += it.countSuspects()
 		if !p.team(it.entry.job.Spec.Team).admits(fullNeed(step)) {
 			s.Capped += count
 		}
@@ -39,6 +42,9 @@
 			continue
 		}
 		s.Workers++
+		if h.onProbation > 0 {
+			s.OnProbation++
+		}
 		s.Capacity += h.info.Capacity.CPU
 		s.Used += h.used.CPU
 		s.addRuns(h)
