pool, machines: Ask the instance service about workers that do not answer

What callers saw: the tasks beside a crashing one started again 3.4 s after the crash (median of 76), which is more than the whole time that short jobs have; the same after every other crash of a worker. Cause: an owner took a run for over only when a later worker answered at the address or the lease had expired. The instance service shows an instance without its worker at once, and the autoscaler reads that list every 0.4 s, but used it for moves only. Change: an owner numbers each silence of a worker and sends it with its load; the autoscaler answers with the numbers of those whose instance no longer has the worker in a list that was requested after the question. The owner ends the runs that answers of the worker had shown. Runs whose start is uncertain remain as before, as the order may reach a later incarnation under the same id. Why this is safe: the number is unique among all owners and ends with the worker's next answer, so neither a late answer nor one for an earlier owner can end a run of a later incarnation (TestLateWordOfAGoneWorkerEndsNoLaterRun); an instance missing in the list proves nothing. TestRunsOfACrashedWorkerStartAgainAtOnce fails 20 of 20 times when the question is not asked.

--- a/internal/jobs/machines/autoscaler.go
+++ b/internal/jobs/machines/autoscaler.go
@@ -70,6 +70,7 @@
 	listed             time.Duration
 	instances          []catalog.Instance
 	loads              map[string]Load
+	exchanged          time.Duration // steady time at which these loads had arrived
 	orders             map[string]Orders
 	sizes              map[string]Size
 	waitLogged         time.Duration // when the waits of waves were last logged
@@ -222,6 +223,7 @@
 		wait.Go(func() {
 			orders := a.orders[pool]
 			orders.Fence, orders.Round, orders.Allocations = a.claim.Epoch(), a.round, allocations[pool]
+			orders.Gone = goneSince(a.loads[pool].Silences, a.exchanged, a.listed, a.instances)
 			load, err := a.config.Exchange(ctx, pool, orders)
 			if err != nil {
 				a.config.Logger.Debug("pool did not answer the autoscaler", zap.String("pool", pool), zap.Error(err))
@@ -234,5 +236,5 @@
 		})
 	}
 	wait.Wait()
-	a.loads = loads
+	a.loads, a.exchanged = loads, a.config.Clock.Moment().Steady
 }
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -22,6 +22,7 @@
 	LimitDemands limit.Demands  `cbor:"8,keyasint,omitempty"`  // demand of the teams that have a limit
 	Labels       map[string]int `cbor:"9,keyasint,omitempty"`  // demand that only instances with the label can meet
 	Racks        map[string]int `cbor:"10,keyasint,omitempty"` // demand whose data is on the rack
+	Silences     []Silence      `cbor:"11,keyasint,omitempty"` // workers that do not answer their pool
 }
 
 // Host is a worker of a pool.
@@ -44,6 +45,7 @@
 	Retired          []string `cbor:"3,keyasint,omitempty"` // workers whose instances were moved or taken down
 
 	Allocations limit.Allocations `cbor:"8,keyasint,omitempty"` // allocations of the teams' limits; nil leaves them unchanged
+	Gone        []int64           `cbor:"9,keyasint,omitempty"` // numbers of the silences after which the instance no longer had the worker
 }
 
 // Action is an order for an instance; its outcome is reported back to the Planner.
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -42,6 +42,7 @@
 	answered             bool          // has answered a poll of this owner
 	incarnationConfirmed bool          // answered the newest poll, so the next one may acknowledge ends
 	silentSince          time.Duration // steady time by which it did not answer a call, 0 if it has answered since
+	silence              int64         // number of the newest silence
 	unanswered           int           // polls in a row that it did not answer
 	unresponsive         bool          // did not answer the last order, or refused a poll
 	polling              bool          // a poll is outstanding
--- a/internal/jobs/pool/loss.go
+++ b/internal/jobs/pool/loss.go
@@ -81,14 +81,6 @@
 	return max(0, h.newestClock-r.shownAt)
 }
 
-// recordUnanswered records that the worker did not answer a call, and that it had to do so by the given time.
-func (p *Pool) recordUnanswered(at Moment, h *host, by time.Duration) {
-	by = min(by, at.Steady)
-	if h.silentSince == 0 || by < h.silentSince {
-		h.silentSince = by
-	}
-}
-
 // recordOverdue records the outstanding calls that the worker should have answered by now.
 func (p *Pool) recordOverdue(at Moment, h *host) {
 	due := []time.Duration{h.pollDue, h.urgentDue}
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -71,6 +71,7 @@
 	actions          []Action
 	dropped          []job.ID // jobs to be removed from the log
 	cordonedUntil    time.Duration
+	silences         int64                    // silences of workers so far
 	instanceCrashes  map[string]time.Duration // steady time of the newest crash of each instance's workers
 	arrivals         arrivals
 	weights          map[string]int // teams' relative shares when the pool is full
--- a/internal/jobs/pool/simulated_worker_test.go
+++ b/internal/jobs/pool/simulated_worker_test.go
@@ -249,7 +249,7 @@
 
 func (f *fakeWorker) entry() catalog.Worker {
 	return catalog.Worker{
-		ID: f.id, Pool: "p", Address: netip.MustParseAddrPort("127.0.0.1:1"), Capacity: f.capacity, Clock: f.clock(),
+		ID: f.id, Pool: "p", Instance: f.instance(), Address: netip.MustParseAddrPort("127.0.0.1:1"), Capacity: f.capacity, Clock: f.clock(),
 		StartedAt: f.incarnationStart, Draining: f.draining,
 	}
 }
--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -73,9 +73,13 @@
 		s.autoscalerFence, s.autoscalerRound = o.Fence, o.Round
 		s.pool.SetCordoned(at, o.Cordoned, o.ScheduledToDrain)
 		s.pool.Retire(o.Retired)
+		s.pool.EndGone(at, o.Gone)
 		s.pool.SetAllocations(at, o.Allocations)
 		s.pool.SetObtainable(at, o.Obtainable, o.Incoming)
 		load = loadOf(s.pool.Load(at))
+		for _, silence := range s.pool.Silences() {
+			load.Silences = append(load.Silences, machines.Silence(silence))
+		}
 		s.placeRequested = true
 	})
 	if rejected {
