pool: Check a start again once it is stored

A worker that had shrunk meanwhile was brought over its capacity (LIMIT), a draining or evacuated one got new work, and a start to a worker that had just crashed left a run whose fate nobody knows. Change: a stored run is dropped instead of sent when its worker has ended, falls silent, drains, is cordoned or evacuated, or its capacity no longer covers what is placed there; its task waits again. Members of a gang start all or none, so they are not held back. Why this works: the check is made on the control thread in the same step in which the order is handed over. Measured: TestStartIsCheckedAgainOnceItIsStored failed in 4 of 5 cases before.

--- a/internal/jobs/job/crash.go
+++ b/internal/jobs/job/crash.go
@@ -22,9 +22,9 @@
 	Strikes   int           `cbor:"2,keyasint,omitempty"` // newest crashes in a row that may have come at one age of the run
 	From      time.Duration `cbor:"3,keyasint,omitempty"` // lower bound of that age
 	Until     time.Duration `cbor:"4,keyasint,omitempty"` // upper bound of that age
-	Uncertain int           `cbor:"7,keyasint,omitempty"` // strikes of runs that no answer of the worker had shown
 	Suspected bool          `cbor:"5,keyasint,omitempty"` // the next run has to be alone on its worker
-	Instances []string      `cbor:"6,keyasint,omitempty"` // instances of these workers
+	Instances []string      `cbor:"6,keyasint,omitempty"` // instances of the workers that crashed at that age
+	Uncertain int           `cbor:"7,keyasint,omitempty"` // strikes of runs that no answer of the worker had shown
 }
 
 // Crash is the crash of a worker under a run.
--- a/internal/jobs/pool/pool_test.go
+++ b/internal/jobs/pool/pool_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 )
 
@@ -96,6 +97,16 @@
 			}
 			w.after(13*time.Second, func() { w.cordoned = nil })
 		}},
+		{"workers shrink and grow", faults{lostAfter: 0.02}, func(w *simulation) {
+			for i := range 24 {
+				f := w.workers[fmt.Sprintf("w%d", i%4)]
+				whole := f.capacity
+				at := time.Duration(300+i*350+w.random.IntN(300)) * time.Millisecond
+				w.after(at, func() { f.setCapacity(catalog.Resources{CPU: 1700, MemoryMB: 4000}) })
+				w.after(at+time.Duration(400+w.random.IntN(600))*time.Millisecond, func() { f.setCapacity(whole) })
+			}
+			w.after(3*time.Second, func() { w.takeOver() })
+		}},
 		{"a worker drains", faults{}, func(w *simulation) {
 			w.after(time.Second, func() { w.workers["w2"].draining = true })
 		}},
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -103,12 +103,12 @@
 	}
 }
 
-// send orders the start of a stored run, or drops the run if its job has ended meanwhile.
+// send orders the start of a stored run, or drops the run if its job has ended or its worker must not get it any more.
 func (p *Pool) send(at Moment, r *run) {
 	if r.phase != storing || p.find(r.host.info.ID, r.id) != r {
 		return
 	}
-	if r.job.job.State.Ended() {
+	if r.job.job.State.Ended() || !p.mayStillStart(r) {
 		p.release(r)
 		p.touch(r.job)
 		return
@@ -123,6 +123,17 @@
 	}})
 }
 
+// mayStillStart reports whether what has become known of a worker since a run was placed there allows its start. The
+// members of a gang start all or none, so they are not held back.
+func (p *Pool) mayStillStart(r *run) bool {
+	h := r.host
+	if r.step.Gang {
+		return true
+	}
+	return !h.ended && !h.retired && !h.cordoned && !h.unresponsive && !h.info.Draining && !p.evacuated.Has(h.info.DataCentre) &&
+		h.info.Capacity.Covers(h.used)
+}
+
 // find returns a run in a worker's run table, or nil.
 func (p *Pool) find(name string, id worker.Run) *run {
 	h, ok := p.workers[name]
--- /dev/null
+++ b/internal/jobs/pool/send_test.go
@@ -0,0 +1,63 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+)
+
+// TestStartIsCheckedAgainOnceItIsStored guards against orders that rest on what was true before the log answered: a worker
+// may have shrunk, be draining or have fallen silent since its run was placed.
+func TestStartIsCheckedAgainOnceItIsStored(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(p *Pool, at Moment, info catalog.Worker)
+		starts int
+	}{
+		{"nothing changes", func(*Pool, Moment, catalog.Worker) {}, 4},
+		{"the worker shrinks", func(p *Pool, at Moment, info catalog.Worker) {
+			info.Capacity.CPU = 1700
+			p.SetWorkers(at, []catalog.Worker{info})
+		}, 2},
+		{"the worker drains", func(p *Pool, at Moment, info catalog.Worker) {
+			info.Draining = true
+			p.SetWorkers(at, []catalog.Worker{info})
+		}, 0},
+		{"its data centre is evacuated", func(p *Pool, _ Moment, info catalog.Worker) {
+			p.SetEvacuated(id.Set[id.DataCentre]{info.DataCentre: {}})
+		}, 0},
+		{"the worker falls silent", func(p *Pool, at Moment, info catalog.Worker) {
+			p.RecordPoll(at, PollAction{To: worker.Target{ID: info.ID, Address: info.Address}, Sent: at.Steady}, worker.Report{}, errLost)
+		}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newSimulation(1, 1)
+			f := w.workers["w0"]
+			p := New(Config{Name: "p", Fence: 1, Lease: testLease, Retention: time.Minute})
+			p.SetWorkers(w.moment(), w.list())
+			p.RecordPoll(w.moment(), PollAction{To: p.workers["w0"].target(), Sent: w.moment().Steady}, f.report(), nil)
+			spec := shortJob(4)
+			spec.ID = "0000000000000001"
+			p.Submit(w.moment(), spec)
+			p.Place(w.moment())
+			batch := p.Flush()
+			w.now += 2 * time.Second
+			test.change(p, w.moment(), f.entry())
+			p.Actions()
+			p.RecordStored(w.moment(), batch)
+			starts := 0
+			for _, a := range p.Actions() {
+				if _, ok := a.(StartAction); ok {
+					starts++
+				}
+			}
+			if starts != test.starts {
+				t.Errorf("%d starts are sent, want %d", starts, test.starts)
+			}
+		})
+	}
+}
