pool: Ask about registered workers only

A worker that is back under its id, answers, and misses one call before it registers would have been taken for gone; nothing new starts there before it has registered, but an order that was on its way may have. Change: a silent worker is asked about only when its entry describes its newest incarnation. Measured: TestNoQuestionAboutAWorkerThatHasNotRegistered failed before.

--- a/internal/jobs/pool/silence.go
+++ b/internal/jobs/pool/silence.go
@@ -32,11 +32,12 @@
 	}
 }
 
-// Silences returns the silent workers on which this owner knows runs.
+// Silences returns the silent workers on which this owner knows runs. An instance is listed without its worker until the
+// worker has registered, so no question is asked about an incarnation that has not.
 func (p *Pool) Silences() []Silence {
 	var list []Silence
 	for name, h := range p.workers {
-		if h.silentSince > 0 && !h.ended && h.info.Instance != "" && h.hasShownRun() {
+		if h.silentSince > 0 && !h.ended && h.hasCurrentInfo() && h.info.Instance != "" && h.hasShownRun() {
 			list = append(list, Silence{Worker: name, Instance: h.info.Instance, Number: h.silence})
 		}
 	}
--- a/internal/jobs/pool/silence_test.go
+++ b/internal/jobs/pool/silence_test.go
@@ -49,3 +49,26 @@
 		})
 	}
 }
+
+// TestNoQuestionAboutAWorkerThatHasNotRegistered checks that a worker that is back under its id, and that the instance
+// service does not show before it has registered, is not asked about.
+func TestNoQuestionAboutAWorkerThatHasNotRegistered(t *testing.T) {
+	w, o := newSettledSimulation(t)
+	w.submit("0000000000000001", shortJob(4))
+	w.run(1100 * time.Millisecond)
+	for _, h := range o.pool.workers {
+		if len(h.runs) == 0 {
+			continue
+		}
+		o.pool.recordUnanswered(w.moment(), h, w.moment().Steady)
+		if len(o.pool.Silences()) != 1 {
+			t.Fatalf("%d questions about a silent worker with runs, want 1", len(o.pool.Silences()))
+		}
+		h.startedAt = h.startedAt.Add(time.Second)
+		if len(o.pool.Silences()) != 0 {
+			t.Error("a question about an incarnation that has not registered")
+		}
+		return
+	}
+	t.Fatal("no worker has a run")
+}
