--- a/internal/jobs/pool/isolation.go
+++ b/internal/jobs/pool/isolation.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// hostForSuspect returns a worker for a suspected task: one without runs that a crash would be a pity for, or after
-// isolationTimeout any of those that are kept free for suspected tasks, which other work may not have left yet.
+// hostForSuspect returns a worker for a suspected task, or nil if it has to wait: an empty or quarantined one, or after
+// isolationTimeout any of those that are kept free for suspected tasks, on which other runs may not have ended yet.
 func (p *Pool) hostForSuspect(at Moment, it *item, step *job.Step, hosts []*host, o *offer) *host {
 	since := it.entry.suspectSince
 	expired := since > 0 && at.Steady-since > isolationTimeout
@@ -103,8 +103,8 @@
 	return count
 }
 
-// isQuarantine reports whether a worker has no runs but those of one job on probation, or of tasks that were suspected
-// and have outlived their probation.
+// isQuarantine reports whether a worker has no runs but those of the given job, and of tasks that were suspected and have
+// outlived their probation.
 func (h *host) isQuarantine(e *entry) bool {
 	for _, r := range h.runs {
 		if r.job != e && (r.onProbation || !r.cleared) {
@@ -114,8 +114,8 @@
 	return true
 }
 
-// compareForSuspect orders workers by how much their crash would cost, and how little it would say: instances that have
-// not crashed lately come first, then workers with little work.
+// compareForSuspect orders workers for a suspected task: first those whose crash could be put down to nothing else, on
+// instances that have not crashed lately, then those whose crash would cost least.
 func (p *Pool) compareForSuspect(at Moment, a, b *host) int {
 	if x, y := p.hasCrashedRecently(at, a), p.hasCrashedRecently(at, b); x != y {
 		if x {
--- a/internal/jobs/pool/probation.go
+++ b/internal/jobs/pool/probation.go
@@ -7,7 +7,7 @@
 )
 
 // A task may crash each worker that starts it, and a worker runs many tasks. The load pattern: some jobs of a busy queue
-// do so, and each crash takes a worker and all its runs away for seconds. The tasks that started last on a crashed worker
+// do so, and each crash ends all runs of a worker and keeps it away for seconds. The tasks that started last on a crashed worker
 // are suspected; a suspected task starts again alone on a worker, which gets other work once the run has outlived the age
 // at which the worker crashed. A task that crashes another worker at that age is given up.
 
