--- a/review/world/scenarios.go
+++ b/review/world/scenarios.go
@@ -10,6 +10,8 @@
 	switch name {
 	case "twice":
 		return playTwice
+	case "cancel":
+		return playCancel
 	}
 	return nil
 }
