--- a/review/world/scenarios.go
+++ b/review/world/scenarios.go
@@ -12,6 +12,8 @@
 		return playTwice
 	case "cancel":
 		return playCancel
+	case "cuts":
+		return playCuts
 	}
 	return nil
 }
