--- a/review/world/scenarios.go
+++ b/review/world/scenarios.go
@@ -14,6 +14,8 @@
 		return playCancel
 	case "cuts":
 		return playCuts
+	case "wide":
+		return playWide
 	}
 	return nil
 }
