--- a/review/world/scenarios.go
+++ b/review/world/scenarios.go
@@ -16,6 +16,8 @@
 		return playCuts
 	case "wide":
 		return playWide
+	case "pending":
+		return playPending
 	}
 	return nil
 }
