--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/review-world ] || exit 2
-exec target/review-world -scenario wide -dir "$here"
+exec target/review-world -scenario cuts -dir "$here"
