--- a/review/world/check.go
+++ b/review/world/check.go
@@ -14,6 +14,7 @@
 	length time.Duration // of each task
 	lasts  bool          // its tasks run until the job is cancelled
 	tasks  int
+	gang   bool // its tasks work only together
 }
 
 // start is one start of a task on a worker.
@@ -55,21 +56,21 @@
 	c.jobs[id] = j
 }
 
-// started records a start and returns how long the task takes and whether it lasts.
-func (c *checker) started(task string, run int, spec string, k *worker) (time.Duration, bool) {
+// started records a start and returns its job.
+func (c *checker) started(task string, run int, spec string, k *worker) *jobInfo {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j := c.jobs[jobOf(task)]
 	if j == nil || j.spec != spec {
 		c.unasked = append(c.unasked, task)
 		c.write("UNASKED: worker %s of %s starts %s, which no client sent", k.id, k.pool, task)
-		return time.Second, false
+		return &jobInfo{length: time.Second}
 	}
 	c.starts = append(c.starts, &start{task: task, run: run, worker: k.id, pool: k.pool, at: time.Now()})
 	if !c.quiet {
 		c.write("worker %s of %s starts %s run %d", k.id, k.pool, task, run)
 	}
-	return j.length, j.lasts
+	return j
 }
 
 func (c *checker) find(task string, run int, worker string) *start {
--- a/review/world/client.go
+++ b/review/world/client.go
@@ -21,8 +21,13 @@
 	body   string
 }
 
-// call sends one call to an instance.
+// call sends one call to an instance on a new channel.
 func (w *world) call(f *front, method string, q queue, rest, body string) answer {
+	return w.callOn(w.http, f, method, q, rest, body)
+}
+
+// callOn sends one call to an instance on a client's own channels.
+func (w *world) callOn(channel *http.Client, f *front, method string, q queue, rest, body string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), timeBudget)
 	defer cancel()
 	url := fmt.Sprintf("http://%s:%d%s%s", f.ip, frontPort, q.prefix, rest)
@@ -34,7 +39,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Authorization", "Token "+clientKey)
 	request.Header.Set("Marigoldshed-Deadline-Ms", fmt.Sprint(timeBudget.Milliseconds()))
-	response, err := w.http.Do(request)
+	response, err := channel.Do(request)
 	a := answer{}
 	if err == nil {
 		data, readErr := io.ReadAll(response.Body)
@@ -87,17 +92,20 @@
 
 // phase is a step of a job, in the clients' format.
 type phase struct {
-	Count          int  `json:"count"`
-	CPU            int  `json:"cpu,omitempty"`
-	MemMB          int  `json:"mem_mb,omitempty"`
-	EstMS          int  `json:"est_ms,omitempty"`
-	LongRunning    bool `json:"long_running,omitempty"`
-	MaxUnavailable int  `json:"max_unavailable,omitempty"`
+	Count          int    `json:"count"`
+	CPU            int    `json:"cpu,omitempty"`
+	MemMB          int    `json:"mem_mb,omitempty"`
+	EstMS          int    `json:"est_ms,omitempty"`
+	LongRunning    bool   `json:"long_running,omitempty"`
+	MaxUnavailable int    `json:"max_unavailable,omitempty"`
+	MaxPerServer   int    `json:"max_per_server,omitempty"`
+	Gang           bool   `json:"gang,omitempty"`
+	Requires       string `json:"requires,omitempty"`
 }
 
 // jobBody registers a job with the checker and returns its body.
 func (w *world) jobBody(id string, length time.Duration, p phase) string {
-	j := &jobInfo{spec: "work of " + id, length: length, lasts: p.LongRunning, tasks: p.Count}
+	j := &jobInfo{spec: "work of " + id, length: length, lasts: p.LongRunning, tasks: p.Count, gang: p.Gang}
 	w.check.send(id, j)
 	data, _ := json.Marshal(map[string]any{"spec": j.spec, "phases": []phase{p}})
 	return string(data)
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -50,7 +50,7 @@
 		fmt.Fprintln(os.Stderr, limitText+err.Error())
 		return couldNot
 	}
-	w, err := newWorld(filepath.Join(*dir, "record.txt"), temporary)
+	w, err := newWorld(filepath.Join(*dir, "record.txt"), temporary, map[string]int{"label": 2}[*name])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, limitText+err.Error())
 		return couldNot
--- a/review/world/scenarios.go
+++ b/review/world/scenarios.go
@@ -16,6 +16,10 @@
 		return playCuts
 	case "wide":
 		return playWide
+	case "stale":
+		return playStale
+	case "gang":
+		return playGang
 	case "pending":
 		return playPending
 	}
--- a/review/world/worker.go
+++ b/review/world/worker.go
@@ -21,6 +21,7 @@
 	startupTime   = 200 * time.Millisecond // until a task that lasts is at work
 	maxEnds       = 500
 	maxHoldWait   = 2 * time.Second
+	gangTime      = 3 * time.Second       // after which a member of a gang ends alone
 	leaseInterval = 20 * time.Millisecond // between two checks of the lease
 )
 
@@ -30,6 +31,7 @@
 	began   time.Time
 	timer   *time.Timer
 	stopped bool
+	present bool // all members of its gang are present
 }
 
 type runEnd struct {
@@ -47,6 +49,7 @@
 	pool    string
 	zone    string
 	rack    string
+	kind    string
 	addr    string
 	born    time.Time
 	server  *http.Server
@@ -70,7 +73,7 @@
 	}
 	w.serial++
 	k := &worker{
-		world: w, id: fmt.Sprintf("i-%08x", 0x7f000000+w.serial), machine: m.name, pool: m.pool, zone: m.zone, rack: m.rack,
+		world: w, id: fmt.Sprintf("i-%08x", 0x7f000000+w.serial), machine: m.name, pool: m.pool, zone: m.zone, rack: m.rack, kind: m.kind,
 		addr: listener.Addr().String(), born: time.Now(), runs: map[string]*taskRun{}, closed: map[string]int{},
 		endAdded: make(chan struct{}),
 	}
@@ -102,7 +105,7 @@
 			sequence++
 			k.world.store.put("servers", k.id, map[string]any{
 				"backend": k.pool, "addr": k.addr, "zone": k.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-				"capacity": resources(workerCPU, workerMemMB), "labels": []string{"a", k.rack}, "clock_ms": k.clock().Milliseconds(),
+				"capacity": resources(workerCPU, workerMemMB), "labels": []string{k.kind, k.rack}, "clock_ms": k.clock().Milliseconds(),
 				"sequence": sequence, "machine": k.machine, "born": k.born.UnixMilli(),
 			})
 		}
@@ -119,10 +122,16 @@
 	for task, r := range k.runs {
 		r.timer.Stop()
 		k.world.check.ended(task, r.run, k.id, "lost")
+		go k.world.breakGang(task, r.run)
 	}
 	k.runs = map[string]*taskRun{}
 	k.mu.Unlock()
 	_ = k.server.Close()
+}
+
+// leave ends the lifetime and removes the worker's entry.
+func (k *worker) leave() {
+	k.terminate()
 	k.world.store.put("servers", k.id, nil)
 }
 
@@ -140,6 +149,27 @@
 	k.world.check.ended(task, r.run, k.id, outcome)
 	close(k.endAdded)
 	k.endAdded = make(chan struct{})
+	if outcome != "done" {
+		go k.world.breakGang(task, r.run)
+	}
+}
+
+// endRun ends a run if it is still there.
+func (k *worker) endRun(task string, r *taskRun, outcome string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.runs[task] == r && !k.over {
+		k.end(task, outcome)
+	}
+}
+
+// endAlone ends a member of a gang whose other members have not come.
+func (k *worker) endAlone(task string, r *taskRun) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.runs[task] == r && !r.present {
+		k.end(task, "alone")
+	}
 }
 
 type order struct {
@@ -239,15 +269,18 @@
 		return conflict("old")
 	}
 	r := &taskRun{run: o.Run, began: time.Now()}
-	length, lasts := k.world.check.started(o.Task, o.Run, o.Spec, k)
-	r.timer = time.AfterFunc(length, func() {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		if k.runs[o.Task] == r && !lasts {
-			k.end(o.Task, "done")
+	j := k.world.check.started(o.Task, o.Run, o.Spec, k)
+	k.runs[o.Task] = r
+	if j.gang {
+		r.timer = time.AfterFunc(gangTime, func() { k.endAlone(o.Task, r) })
+		go k.world.join(k, o.Task, r, j)
+		return http.StatusOK, map[string]any{}
+	}
+	r.timer = time.AfterFunc(j.length, func() {
+		if !j.lasts {
+			k.endRun(o.Task, r, "done")
 		}
 	})
-	k.runs[o.Task] = r
 	return http.StatusOK, map[string]any{}
 }
 
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -42,27 +42,36 @@
 	fronts    []*front
 	running   sync.WaitGroup
 
-	mu       sync.Mutex
-	serial   int
-	turn     int
-	machines []*machine
-	queues   []queue
-	version  int
+	gangs struct {
+		mu      sync.Mutex
+		present map[string][]gangMember
+	}
+
+	mu     sync.Mutex
+	serial int
+	turn   int
+
+	secondKind int // workers of the first service that are of kind b
+	machines   []*machine
+	queues     []queue
+	version    int
 }
 
 func (w *world) note(format string, args ...any) { w.check.note(format, args...) }
 
 // newWorld starts the platform and the workers.
-func newWorld(recordPath, temporary string) (*world, error) {
+func newWorld(recordPath, temporary string, secondKind int) (*world, error) {
 	file, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
 	}
 	w := &world{
-		check: &checker{record: file, began: time.Now(), jobs: map[string]*jobInfo{}}, store: newStore(), temporary: temporary,
+		secondKind: secondKind,
+		check:      &checker{record: file, began: time.Now(), jobs: map[string]*jobInfo{}}, store: newStore(), temporary: temporary,
 		http:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		network: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250),
 	}
+	w.gangs.present = map[string][]gangMember{}
 	if w.storeAddr, err = serve(w.store); err != nil {
 		return nil, err
 	}
@@ -95,7 +104,10 @@
 func (w *world) addMachines(pool string, count int) {
 	for range count {
 		n := len(w.machines)
-		m := &machine{name: fmt.Sprintf("m-%d", n), pool: pool, zone: zoneNames[n%len(zoneNames)], rack: fmt.Sprintf("r1-%d", n/4)}
+		m := &machine{name: fmt.Sprintf("m-%d", n), pool: pool, kind: "a", zone: zoneNames[n%len(zoneNames)], rack: fmt.Sprintf("r1-%d", n/4)}
+		if pool == poolNames[0] && len(w.machines) < w.secondKind {
+			m.kind = "b"
+		}
 		w.machines = append(w.machines, m)
 		w.startWorker(m)
 	}
