--- a/review/world/scenarios.go
+++ b/review/world/scenarios.go
@@ -20,6 +20,8 @@
 		return playStale
 	case "gang":
 		return playGang
+	case "label":
+		return playLabel
 	case "pending":
 		return playPending
 	}
