--- a/review/world/twice.go
+++ b/review/world/twice.go
@@ -10,8 +10,11 @@
 
 // playTwice: the processes are killed right after a config is acknowledged that sends a queue to another service, and a
 // request for a job that was accepted before arrives again. With VARIANT=rename nothing is killed; instead the config
-// removes the queue's route and adds one of another name for the same host and path.
+// removes the queue's route and adds one of another name for the same host and path. VARIANT=frozen is playFrozen.
 func playTwice(w *world, trouble bool) (int, error) {
+	if os.Getenv("VARIANT") == "frozen" {
+		return playFrozen(w, trouble)
+	}
 	before := w.queues[0]
 	job := id(1)
 	body := w.jobBody(job, 25*time.Second, phase{Count: 4, CPU: 1700, MemMB: 256, EstMS: 25000})
@@ -55,3 +58,58 @@
 	}
 	return held, nil
 }
+
+// playFrozen: an instance is frozen while a config sends a queue to another service. Requests for jobs that have been
+// accepted there arrive again on channels that were opened to the frozen instance before.
+func playFrozen(w *world, trouble bool) (int, error) {
+	const jobs = 10
+	before := w.queues[0]
+	var frozen *front
+	for _, f := range w.fronts {
+		if f != w.ownerOf(poolNames[0]) && f != w.ownerOf(poolNames[1]) {
+			frozen = f
+		}
+	}
+	channels := make([]*http.Client, jobs)
+	for i := range channels {
+		channels[i] = &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		if a := w.callOn(channels[i], frozen, http.MethodGet, before, "", ""); a.status != http.StatusOK {
+			return couldNot, fmt.Errorf("a channel was answered with %d", a.status)
+		}
+	}
+	began := time.Now()
+	if trouble {
+		w.note("platform: the machine of %s freezes", frozen.name)
+		frozen.signal(syscall.SIGSTOP)
+		defer frozen.signal(syscall.SIGCONT)
+	}
+	q := w.moveQueue(0, poolNames[1])
+	time.Sleep(time.Second)
+	bodies := make([]string, jobs)
+	w.each(jobs, func(i int) {
+		bodies[i] = w.jobBody(id(i), 20*time.Second, phase{Count: 1, CPU: 1700, MemMB: 256, EstMS: 20000})
+		for end := time.Now().Add(timeBudget); time.Now().Before(end); time.Sleep(retryPause) {
+			if f := w.pick(frozen); f != nil && w.call(f, http.MethodPost, q, id(i), bodies[i]).status == http.StatusOK {
+				return
+			}
+		}
+	})
+	if trouble {
+		time.AfterFunc(max(300*time.Millisecond, freezeTime-time.Since(began)), func() {
+			frozen.signal(syscall.SIGCONT)
+			w.note("platform: the machine of %s wakes after %.2f s", frozen.name, time.Since(began).Seconds())
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	w.note("the requests for the jobs arrive again at %s", frozen.name)
+	w.each(jobs, func(i int) { w.callOn(channels[i], frozen, http.MethodPost, q, id(i), bodies[i]) })
+	time.Sleep(30 * time.Second)
+	status := held
+	for i := range jobs {
+		for _, text := range w.check.twice(id(i)) {
+			w.note("TWICE: %s", text)
+			status = broken
+		}
+	}
+	return status, nil
+}
