--- a/review/world/check.go
+++ b/review/world/check.go
@@ -14,6 +14,8 @@
 	length time.Duration // of each task
 	lasts  bool          // its tasks run until the job is cancelled
 	tasks  int
+	cpu    int // of each task
+	memMB  int
 	gang   bool // its tasks work only together
 }
 
@@ -26,7 +28,7 @@
 	at     time.Time
 	ended  time.Time // zero while it runs
 	how    string
-	noted  bool // ack_offset has reached its end
+	noted  bool // its end is taken note of
 }
 
 // checker records what the workers ran.
@@ -93,13 +95,12 @@
 	}
 }
 
-func (c *checker) noted(task string, run int, how string) {
+// noted records that ack_offset has reached the end of a run on a worker whose lease did not lapse in between.
+func (c *checker) noted(task string, run int, worker string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range c.starts {
-		if s.task == task && s.run == run && s.how == how {
-			s.noted = true
-		}
+	if s := c.find(task, run, worker); s != nil && !s.ended.IsZero() {
+		s.noted = true
 	}
 }
 
--- a/review/world/client.go
+++ b/review/world/client.go
@@ -105,8 +105,11 @@
 
 // jobBody registers a job with the checker and returns its body.
 func (w *world) jobBody(id string, length time.Duration, p phase) string {
-	j := &jobInfo{spec: "work of " + id, length: length, lasts: p.LongRunning, tasks: p.Count, gang: p.Gang}
+	j := &jobInfo{spec: "work of " + id, length: length, lasts: p.LongRunning, tasks: p.Count, gang: p.Gang, cpu: p.CPU, memMB: p.MemMB}
 	w.check.send(id, j)
+	w.mu.Lock()
+	w.lastSent = time.Now()
+	w.mu.Unlock()
 	data, _ := json.Marshal(map[string]any{"spec": j.spec, "phases": []phase{p}})
 	return string(data)
 }
--- a/review/world/gang.go
+++ b/review/world/gang.go
@@ -81,7 +81,8 @@
 		return couldNot, fmt.Errorf("the lasting jobs do not all run")
 	}
 	q, job := w.queues[1], id(1)
-	if !w.submit(q, job, 8*time.Second, phase{Count: members, CPU: 1000, MemMB: 256, EstMS: 8000, MaxPerServer: 1, Gang: true}) {
+	gang := phase{Count: members, CPU: 1000, MemMB: 256, EstMS: 8000, MaxPerServer: 1, Gang: true}
+	if !w.submit(q, job, 8*time.Second, gang) {
 		return couldNot, fmt.Errorf("the gang was not accepted")
 	}
 	if !w.await(10*time.Second, func() bool { return w.check.running(job) == members }) {
@@ -98,7 +99,7 @@
 		return state == `{"state":"completed"}`
 	})
 	w.note("the gang's job is shown as %s, with %d tasks running", state, w.check.running(job))
-	if state != `{"state":"completed"}` && w.check.running(job) == 0 {
+	if state != `{"state":"completed"}` && w.isLost(job, q.backend, gang) {
 		return broken, nil
 	}
 	return held, nil
--- a/review/world/label.go
+++ b/review/world/label.go
@@ -17,7 +17,8 @@
 		return couldNot, fmt.Errorf("the lasting job does not run")
 	}
 	time.Sleep(3 * time.Second)
-	if !w.submit(q, job, 6*time.Second, phase{Count: 1, CPU: 1000, MemMB: 256, EstMS: 6000, Requires: "b"}) {
+	ordinary := phase{Count: 1, CPU: 1000, MemMB: 256, EstMS: 6000, Requires: "b"}
+	if !w.submit(q, job, 6*time.Second, ordinary) {
 		return couldNot, fmt.Errorf("the job was not accepted")
 	}
 	if !w.await(10*time.Second, func() bool { return w.check.running(job) == 1 }) {
@@ -42,7 +43,7 @@
 		return state == `{"state":"completed"}`
 	})
 	w.note("the job is shown as %s, with %d tasks running; %d lasting tasks run", state, w.check.running(job), w.check.running(lasting))
-	if state != `{"state":"completed"}` && w.check.running(job) == 0 {
+	if state != `{"state":"completed"}` && w.isLost(job, q.backend, ordinary) {
 		return broken, nil
 	}
 	return held, nil
--- a/review/world/store.go
+++ b/review/world/store.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -57,8 +58,15 @@
 	renewedAt time.Time
 }
 
+// share is one partition of a group's topics.
+type share struct {
+	topic string
+	part  int
+}
+
 type group struct {
 	members    map[string]*member
+	holders    map[share]string
 	generation int64
 }
 
@@ -296,6 +304,8 @@
 		Member string   `json:"member"`
 		Topics []string `json:"topics"`
 		TTL    int64    `json:"ttl_ms"`
+
+		Generation int64 `json:"generation"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
 		return http.StatusBadRequest, []byte("{}")
@@ -304,16 +314,14 @@
 	defer s.mu.Unlock()
 	g := s.group(b.Group)
 	if strings.HasSuffix(r.URL.Path, "leave") {
-		if g.members[b.Member] != nil {
-			delete(g.members, b.Member)
-			g.generation++
-		}
+		g.drop(b.Member)
 		return reply(http.StatusOK, map[string]any{})
 	}
 	if g.members[b.Member] == nil {
 		g.generation++
 	}
 	g.members[b.Member] = &member{name: b.Member, topics: b.Topics, ttl: time.Duration(b.TTL) * time.Millisecond, renewedAt: time.Now()}
+	g.distribute(b.Member, b.Generation)
 	own := [][]any{}
 	for _, row := range g.rows() {
 		if row[2] == b.Member {
@@ -327,40 +335,68 @@
 func (s *store) group(name string) *group {
 	g, ok := s.groups[name]
 	if !ok {
-		g = &group{members: map[string]*member{}}
+		g = &group{members: map[string]*member{}, holders: map[share]string{}}
 		s.groups[name] = g
 	}
 	for name, m := range g.members {
 		if time.Since(m.renewedAt) > m.ttl {
-			delete(g.members, name)
-			g.generation++
+			g.drop(name)
 		}
 	}
 	return g
 }
 
-// rows distributes the partitions of the group's topics evenly.
-func (g *group) rows() [][]any {
-	var names []string
-	topics := map[string]bool{}
+// drop removes a member, whose partitions are free at once.
+func (g *group) drop(name string) {
+	if g.members[name] == nil {
+		return
+	}
+	delete(g.members, name)
+	g.generation++
+	for at, holder := range g.holders {
+		if holder == name {
+			delete(g.holders, at)
+		}
+	}
+	g.distribute("", 0)
+}
+
+// distribute gives free partitions to the members that an even distribution names. A member that has joined with the
+// newest generation gives up those that are no longer its own.
+func (g *group) distribute(joined string, generation int64) {
+	var names, topics []string
 	for name, m := range g.members {
 		names = append(names, name)
 		for _, t := range m.topics {
-			topics[t] = true
+			if !slices.Contains(topics, t) {
+				topics = append(topics, t)
+			}
 		}
 	}
 	sort.Strings(names)
-	var sorted []string
-	for t := range topics {
-		sorted = append(sorted, t)
+	sort.Strings(topics)
+	if len(names) == 0 {
+		return
 	}
-	sort.Strings(sorted)
-	rows := [][]any{}
-	for _, t := range sorted {
+	n := 0
+	for _, t := range topics {
 		for part := range storeParts {
-			rows = append(rows, []any{t, part, names[len(rows)%len(names)], 0})
+			at, due := share{topic: t, part: part}, names[n%len(names)]
+			n++
+			if holder := g.holders[at]; holder == "" || holder == joined && generation >= g.generation {
+				g.holders[at] = due
+			}
 		}
 	}
+}
+
+// rows returns topic, partition, member and offset of each partition.
+func (g *group) rows() [][]any {
+	rows := [][]any{}
+	for at, holder := range g.holders {
+		rows = append(rows, []any{at.topic, at.part, holder, 0})
+	}
+	sort.Slice(rows, func(i, j int) bool { return fmt.Sprint(rows[i]) < fmt.Sprint(rows[j]) })
 	return rows
 }
 
--- a/review/world/wide.go
+++ b/review/world/wide.go
@@ -16,10 +16,11 @@
 		w.note("the job of 14,000 tasks is accepted")
 	}
 	time.Sleep(2 * time.Second)
+	small := phase{Count: 6, CPU: 800, MemMB: 256, EstMS: 800}
 	var ordinary []string
 	for i := range 10 {
 		job := id(100 + i)
-		if w.submit(q, job, 800*time.Millisecond, phase{Count: 6, CPU: 800, MemMB: 256, EstMS: 800}) {
+		if w.submit(q, job, 800*time.Millisecond, small) {
 			ordinary = append(ordinary, job)
 			w.note("ordinary job %s is accepted", job)
 		}
@@ -30,7 +31,7 @@
 	for _, job := range ordinary {
 		a := w.until(3*time.Second, http.MethodGet, q, job, "", http.StatusOK, http.StatusGone)
 		w.note("ordinary job %s: %d starts, %d %s", job, len(w.check.runsOf(job)), a.status, a.body)
-		if len(w.check.runsOf(job)) == 0 {
+		if a.status == http.StatusOK && a.body != `{"state":"completed"}` && status == held && w.isLost(job, q.backend, small) {
 			status = broken
 		}
 	}
--- a/review/world/worker.go
+++ b/review/world/worker.go
@@ -39,6 +39,7 @@
 	task    string
 	run     int
 	outcome string
+	at      time.Time
 }
 
 // worker is one lifetime of a worker.
@@ -61,6 +62,7 @@
 	closed   map[string]int // by task, the highest run that was stopped or has ended
 	ends     []runEnd
 	lastEnd  int64
+	lapsedAt time.Time // when the lease was last seen to have lapsed
 	over     bool
 	cut      bool // neither orders nor answers pass
 	endAdded chan struct{}
@@ -95,6 +97,7 @@
 			return
 		}
 		if k.clock() > k.leaseEnd {
+			k.lapsedAt = time.Now()
 			for task := range k.runs {
 				k.end(task, "lapsed")
 			}
@@ -145,7 +148,7 @@
 	delete(k.runs, task)
 	k.closed[task] = max(k.closed[task], r.run)
 	k.lastEnd++
-	k.ends = append(k.ends, runEnd{number: k.lastEnd, task: task, run: r.run, outcome: outcome})
+	k.ends = append(k.ends, runEnd{number: k.lastEnd, task: task, run: r.run, outcome: outcome, at: time.Now()})
 	k.world.check.ended(task, r.run, k.id, outcome)
 	close(k.endAdded)
 	k.endAdded = make(chan struct{})
@@ -305,6 +308,9 @@
 }
 
 func (k *worker) hold(ctx context.Context, o order) (int, map[string]any) {
+	if k.clock() > k.leaseEnd {
+		k.lapsedAt = time.Now()
+	}
 	if o.Until > 0 {
 		k.extendLease(o)
 	}
@@ -314,7 +320,9 @@
 			kept = append(kept, e)
 			continue
 		}
-		k.world.check.noted(e.task, e.run, e.outcome)
+		if !k.lapsedAt.After(e.at) {
+			k.world.check.noted(e.task, e.run, k.id)
+		}
 	}
 	k.ends = kept
 	if added := k.endAdded; o.Wait > 0 && len(k.ends) == 0 {
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -47,9 +47,10 @@
 		present map[string][]gangMember
 	}
 
-	mu     sync.Mutex
-	serial int
-	turn   int
+	mu       sync.Mutex
+	serial   int
+	turn     int
+	lastSent time.Time // when a client last handed a job in
 
 	secondKind int // workers of the first service that are of kind b
 	machines   []*machine
