pool, job: Count a silent worker as crashed only once that is certain

Cause: a worker that answered nothing until its lease had expired was recorded as crashed under each of its runs, for good. Five of these records give a task up, however long it ran in between. A worker whose entry had expired in a cut counted likewise.

Change: the loss of a silent worker's runs stays open until the end of its incarnation is certain, and an answer of the same incarnation drops it. A missing entry counts until the worker answers. A job is given up only after two certain crashes under runs that were shown; for tasks with crashes that is stored, for the next owner.

Why this works: nothing that is only inferred is kept against a task once the opposite shows, whatever number of cuts comes.

--- a/internal/jobs/job/crash.go
+++ b/internal/jobs/job/crash.go
@@ -18,13 +18,15 @@
 // CrashRecord is what is known of the workers that crashed under a task. A task that crashes each worker that starts it
 // does so at about the same age of each run, so crashes at other ages, and a run that grows older, speak for the task.
 type CrashRecord struct {
-	Crashes   int           `cbor:"1,keyasint,omitempty"` // workers that crashed or fell silent while they had a run, or may have had it
+	Crashes   int           `cbor:"1,keyasint,omitempty"` // workers that crashed while they had a run, or may have had it
 	Strikes   int           `cbor:"2,keyasint,omitempty"` // newest crashes in a row that may have come at one age of the run
 	From      time.Duration `cbor:"3,keyasint,omitempty"` // lower bound of that age
 	Until     time.Duration `cbor:"4,keyasint,omitempty"` // upper bound of that age
 	Suspected bool          `cbor:"5,keyasint,omitempty"` // the next run has to be alone on its worker
 	Instances []string      `cbor:"6,keyasint,omitempty"` // instances of the workers that crashed at that age
 	Uncertain int           `cbor:"7,keyasint,omitempty"` // strikes of runs that no answer of the worker had shown
+	Certain   int           `cbor:"8,keyasint,omitempty"` // crashes of workers that certainly had a run
+	Shown     int           `cbor:"9,keyasint,omitempty"` // newest run that was seen on its worker, of a task with crashes
 }
 
 // Crash is the crash of a worker under a run.
@@ -39,7 +41,7 @@
 // Add records a crash. An instance whose workers crash under older runs of the task again and again may be at fault
 // itself, so its crashes count once.
 func (c *CrashRecord) Add(crash Crash) {
-	c.Crashes++
+	c.Presume(crash.Certain)
 	if !crash.Certain && !crash.Alone {
 		c.Suspected = c.Suspected || crash.Suspect || c.Crashes >= repeatedCrashes
 		return
@@ -48,6 +50,22 @@
 	c.Suspected = c.Suspected || crash.Suspect || c.Strikes >= repeatedCrashes
 }
 
+// Presume counts a crash that is not certain yet; certain tells whether the worker certainly had the run.
+func (c *CrashRecord) Presume(certain bool) {
+	c.Crashes++
+	if certain {
+		c.Certain++
+	}
+}
+
+// Retract takes a presumed crash back.
+func (c *CrashRecord) Retract(certain bool) {
+	c.Crashes--
+	if certain {
+		c.Certain--
+	}
+}
+
 func (c *CrashRecord) addStrike(crash Crash) {
 	if c.Strikes == 0 || crash.From > c.Until+ageTolerance || crash.Until < c.From-ageTolerance {
 		c.Strikes, c.From, c.Until, c.Uncertain = 0, crash.From, crash.Until, 0
@@ -74,7 +92,7 @@
 	if !c.Suspected && c.Strikes == 0 || age <= c.Probation() {
 		return false
 	}
-	*c = CrashRecord{Crashes: c.Crashes}
+	*c = CrashRecord{Crashes: c.Crashes, Certain: c.Certain, Shown: c.Shown}
 	return true
 }
 
--- a/internal/jobs/pool/crash_test.go
+++ b/internal/jobs/pool/crash_test.go
@@ -34,6 +34,8 @@
 		{"at its start", 10 * time.Millisecond, false, func(*simulation) {}},
 		{"at its start, workers are back under their ids", 10 * time.Millisecond, true, func(*simulation) {}},
 		{"in the middle of its work", 450 * time.Millisecond, false, func(*simulation) {}},
+		{"at its start, workers are away for longer than a lease", 10 * time.Millisecond, false, func(w *simulation) { w.downtime = 6 * time.Second }},
+		{"in the middle of its work, workers are away for longer than a lease", 450 * time.Millisecond, true, func(w *simulation) { w.downtime = 6 * time.Second }},
 		{"while owners change", 10 * time.Millisecond, false, func(w *simulation) {
 			for i := range 6 {
 				w.after(time.Duration(3+4*i)*time.Second, func() { w.takeOver() })
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -30,6 +30,7 @@
 	used               catalog.Resources
 	runs               map[worker.Run]*run
 	orphans            id.Set[worker.Run] // runs of jobs unknown to this owner; nothing new starts while there are any
+	open               openLosses
 
 	clock       time.Duration // worker's steady clock at clockAt
 	clockAt     time.Duration
--- a/internal/jobs/pool/incarnation.go
+++ b/internal/jobs/pool/incarnation.go
@@ -26,6 +26,7 @@
 	h.clock, h.clockAt = a.Clock, at.Steady
 	h.newestClock = max(h.newestClock, a.Clock)
 	h.silentSince, h.unanswered = 0, 0
+	p.retractLosses(h)
 	return true
 }
 
@@ -56,6 +57,7 @@
 func (p *Pool) resetIncarnation(at Moment, h *host) {
 	p.config.Observer.WorkerChanged(h.info.ID, "started again")
 	p.recordLoss(at, h, h.lossCause())
+	p.closeLosses(at, h, h.lossCause())
 	for _, r := range h.runs {
 		if r.phase == stopped {
 			// The stop that the earlier incarnation confirmed does not prevent the run from starting on the new one.
@@ -94,6 +96,7 @@
 func (p *Pool) loseRuns(at Moment, h *host) {
 	h.orphans = nil
 	p.recordLoss(at, h, h.lossCause())
+	p.closeLosses(at, h, h.lossCause())
 	for _, r := range h.runs {
 		p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost}, Absent)
 	}
--- a/internal/jobs/pool/loss.go
+++ b/internal/jobs/pool/loss.go
@@ -19,7 +19,7 @@
 	Absent                 // the worker does not have the run, and its incarnation is still the one that the order went to
 	Crashed                // the worker's incarnation ended without notice
 	Left                   // the worker's incarnation ended after a notice or by an order
-	Silent                 // the worker answered no call until its lease had expired
+	Silent                 // the worker answered no call until its lease had expired: it may have crashed, or may be cut off and live on
 	Unrenewed              // the owner did not renew the lease in time, though the worker may be well
 )
 
@@ -28,9 +28,6 @@
 	return [...]string{"reported", "refused", "absent", "crashed", "left", "silent", "unrenewed"}[c]
 }
 
-// isCrash reports whether the worker seems to have crashed under the run.
-func (c Cause) isCrash() bool { return c == Crashed || c == Silent }
-
 // Limits for the silence of a worker that may be a crash.
 const (
 	silentCalls   = 3 // unanswered polls in a row; fewer may be a pause of the owner
@@ -60,16 +57,25 @@
 	youngest    bool          // no run on the worker was clearly younger
 	onProbation bool          // the run was on probation
 	accompanied bool          // runs of other jobs, not cleared by a probation, were on the worker
+	certain     bool          // an answer of the worker has shown the run, to this owner or to an earlier one
 	again       bool          // an earlier worker of the same instance had crashed shortly before
 }
 
-// recordShown records that an answer of the worker's newest incarnation shows the run.
-func (r *run) recordShown() {
+// recordShown records that an answer of the worker's newest incarnation shows the run. A later owner learns it of the
+// tasks under which workers have crashed.
+func (p *Pool) recordShown(r *run) {
 	if r.shownAt == 0 || r.loss != nil {
 		r.shownAt, r.loss = r.host.newestClock, nil
 	}
+	if c := &r.task.Crash; c.Crashes > 0 && c.Shown != r.id.Number && !r.orphaned {
+		c.Shown = r.id.Number
+		p.touch(r.job)
+	}
 }
 
+// wasOnWorker reports whether an answer of the worker has shown the run, to this owner or to an earlier one.
+func (r *run) wasOnWorker() bool { return r.shownAt > 0 || r.task.Crash.Shown == r.id.Number }
+
 // isSeen reports whether this owner has ordered the run or seen it on its worker.
 func (r *run) isSeen() bool { return r.ordered > 0 || r.shownAt > 0 }
 
@@ -119,10 +125,13 @@
 	return Crashed
 }
 
-// expiryCause returns why a worker's lease has expired. A worker that is not listed any more is gone.
+// expiryCause returns why a worker's lease has expired.
 func (p *Pool) expiryCause(h *host) Cause {
 	if !h.listed {
-		return h.lossCause()
+		if h.lossCause() == Left {
+			return Left
+		}
+		return Silent
 	}
 	if h.unanswered < silentCalls {
 		return Unrenewed
@@ -146,6 +155,9 @@
 	var lost []*run
 	youngest := time.Duration(math.MaxInt64)
 	for _, r := range h.runs {
+		if r.loss != nil && r.loss.cause == Silent {
+			r.loss.cause = cause
+		}
 		if r.phase != storing && r.loss == nil {
 			lost = append(lost, r)
 			if r.isSeen() {
@@ -162,7 +174,7 @@
 		accompanied := slices.ContainsFunc(lost, func(other *run) bool { return other.job != r.job && !other.cleared })
 		r.loss = &loss{
 			cause: cause, survived: survived, until: max(survived, h.ageAtSilence(at, r)), beside: len(lost) - 1,
-			youngest: r.isSeen() && survived-youngest <= suspectWindow, onProbation: r.onProbation, accompanied: accompanied, again: again,
+			youngest: r.isSeen() && survived-youngest <= suspectWindow, onProbation: r.onProbation, accompanied: accompanied, certain: r.wasOnWorker(), again: again,
 		}
 	}
 }
--- a/internal/jobs/pool/poll.go
+++ b/internal/jobs/pool/poll.go
@@ -30,7 +30,8 @@
 	p.expireAllocations(at)
 	for name, h := range p.workers {
 		p.expireRuns(at, h)
-		if !h.listed && len(h.runs) == 0 && h.storedEnd <= h.ackedEnd {
+		p.updateOpenLosses(at, h)
+		if !h.listed && len(h.runs)+len(h.open.runs) == 0 && h.storedEnd <= h.ackedEnd {
 			delete(p.workers, name)
 			continue
 		}
@@ -48,6 +49,9 @@
 	cause := p.expiryCause(h)
 	p.recordLoss(at, h, cause)
 	for _, r := range h.runs {
+		if cause == Silent && r.awaitsVerdict(at) {
+			continue
+		}
 		if r.phase != storing {
 			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Expired}, cause)
 		}
@@ -240,7 +244,7 @@
 			p.stopOrphan(at, h, reported.Run)
 			continue
 		}
-		r.recordShown()
+		p.recordShown(r)
 		p.confirm(at, r)
 		r.percent = reported.Percent
 		if reported.Checkpoint != "" && !r.orphaned {
--- a/internal/jobs/pool/probation.go
+++ b/internal/jobs/pool/probation.go
@@ -18,23 +18,43 @@
 	doubtfulStrikeLimit    = 3 // if something else may be the cause
 	accompaniedStrikeLimit = 4 // if runs of other jobs that no probation had cleared were on the worker
 	longRunningStrikeLimit = 5
-	crashLimit             = 5 // crashes of any kind after which a task that is not long-running is given up
+	crashLimit             = 5 // crashes at any age after which a task that is not long-running is given up
 )
 
+// certainCrashes is the number of workers that have certainly crashed under a task that is given up.
+const certainCrashes = 2
+
 const (
 	suspectWindow = 50 * time.Millisecond // tasks that started at most this much before the last one are suspected too
 	maxProbation  = 10 * time.Second
 	faultWindow   = time.Minute // an instance whose workers crash twice within this time may be at fault
 )
 
-// recordCrash records a crash under the current run of a task, and gives up its job if the task crashes workers.
+// recordLostRun records what the end of a task's current run says of the task.
+func (p *Pool) recordLostRun(at Moment, r *run, cause Cause) {
+	switch cause {
+	case Crashed:
+		p.recordCrash(at, r)
+	case Silent:
+		r.host.keepLossOpen(at, r)
+	case Reported, Refused, Absent, Left, Unrenewed:
+	}
+}
+
+// recordCrash records a crash under a run of a task, which may give up the task's job.
 func (p *Pool) recordCrash(at Moment, r *run) {
 	t, e := r.task, r.job
 	t.Crash.Add(job.Crash{
 		Instance: r.host.instance(), From: r.loss.survived, Until: r.loss.until, Suspect: r.loss.youngest,
-		Certain: r.shownAt > 0, Alone: r.loss.onProbation,
+		Certain: r.loss.certain, Alone: r.loss.onProbation,
 	})
 	e.suspected = e.suspected || t.Crash.Suspected
+	p.giveUpCulprit(at, r)
+}
+
+// giveUpCulprit gives up the job of a lost run's task if the task crashes workers.
+func (p *Pool) giveUpCulprit(at Moment, r *run) {
+	t, e := r.task, r.job
 	if !r.showsCulprit() || e.job.State.Ended() {
 		return
 	}
@@ -49,6 +69,9 @@
 // showsCulprit reports whether the loss of a run's worker shows that its task crashes workers.
 func (r *run) showsCulprit() bool {
 	c := &r.task.Crash
+	if c.Certain < certainCrashes {
+		return false
+	}
 	if !r.step.LongRunning && c.Crashes >= crashLimit {
 		return true
 	}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -155,7 +155,7 @@
 	switch {
 	case err == nil:
 		if p.updateClock(at, h, reply) {
-			r.recordShown()
+			p.recordShown(r)
 		}
 		h.unresponsive = false
 		p.confirm(at, r)
@@ -291,8 +291,8 @@
 	}
 	p.touch(e)
 	current := !t.Done && t.Run == r.id.Number
-	if current && described.Cause.isCrash() {
-		p.recordCrash(at, r)
+	if current {
+		p.recordLostRun(at, r, described.Cause)
 	}
 	described.Crashes = t.Crash.Crashes
 	p.config.Observer.Ended(&e.job.Spec, described)
--- a/internal/jobs/pool/silence.go
+++ b/internal/jobs/pool/silence.go
@@ -44,13 +44,14 @@
 	return list
 }
 
+// hasShownRun reports whether an answer of the worker has shown one of its runs, or one that was lost when it fell silent.
 func (h *host) hasShownRun() bool {
 	for _, r := range h.runs {
 		if r.shownAt > 0 {
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(h.open.runs, func(r *run) bool { return r.shownAt > 0 })
 }
 
 // EndGone ends the runs of workers that their instances no longer have, given the numbers of the silences after which
@@ -70,6 +71,7 @@
 func (p *Pool) endShownRuns(at Moment, h *host) {
 	p.config.Observer.WorkerChanged(h.info.ID, "is gone from its instance")
 	p.recordLoss(at, h, h.lossCause())
+	p.closeLosses(at, h, h.lossCause())
 	for _, r := range h.runs {
 		if r.shownAt > 0 {
 			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost}, Absent)
--- a/internal/jobs/pool/simulated_crash_test.go
+++ b/internal/jobs/pool/simulated_crash_test.go
@@ -8,7 +8,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
-// workerDowntime is how long a crashed worker is away.
+// workerDowntime is how long a crashed worker is away unless a test asks for another time.
 const workerDowntime = 3400 * time.Millisecond
 
 // crashAfter crashes the worker when a run has lasted for the given time.
@@ -26,7 +26,7 @@
 		}
 		w.recordCrash(f, run.Task)
 		w.kill(f.id)
-		w.after(workerDowntime, func() { w.replace(f.id) })
+		w.after(w.downtime, func() { w.replace(f.id) })
 	})
 }
 
--- a/internal/jobs/pool/simulated_worker_test.go
+++ b/internal/jobs/pool/simulated_worker_test.go
@@ -28,6 +28,7 @@
 	lastEndNumber    int64
 	dead             bool
 	disconnected     bool
+	unlisted         bool // its entry is missing although it lives
 	draining         bool
 	polls            []func()
 }
--- a/internal/jobs/pool/simulation_test.go
+++ b/internal/jobs/pool/simulation_test.go
@@ -37,6 +37,7 @@
 	crashes     map[job.Name]int           // workers that have crashed under a task
 	afterThree  map[job.Name]int           // starts of a task after three workers had crashed under it
 	sameID      bool                       // crashed workers are back under their ids
+	downtime    time.Duration              // how long a crashed worker is away
 	crashed     []job.Name                 // tasks under which workers have crashed, in order
 }
 
@@ -68,7 +69,7 @@
 	w := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, log: map[job.ID]*StoredState{},
 		work: map[job.Name]time.Duration{}, done: map[job.Name]bool{}, ackedDone: map[job.Name]bool{}, failures: map[job.Name]int{}, activeRuns: map[job.Name]int{}, stopOrdered: map[worker.Run]bool{}, workerOf: map[job.Name]string{},
-		jobEnds: map[job.ID]time.Duration{}, deadly: map[job.Name]time.Duration{}, crashes: map[job.Name]int{}, afterThree: map[job.Name]int{},
+		jobEnds: map[job.ID]time.Duration{}, deadly: map[job.Name]time.Duration{}, crashes: map[job.Name]int{}, afterThree: map[job.Name]int{}, downtime: workerDowntime,
 	}
 	for i := range workers {
 		w.addWorker(fmt.Sprintf("w%d", i))
