instance, shard: Decide in the log where the jobs of a route may be

Cause: only those instances knew a queue's former pools that had seen one configuration replace another, by the queue's name; they stored it later, if at all. And a former pool accepted jobs from whoever had an old configuration.

Change: a pool is recorded as a holder of a route before it accepts the first job, with the version that sent the route there. Only the newest holder accepts. The owners of the others are asked for each job, and store that they accept none under a lower version; jobs that reach them through the intake all the same are forwarded.

Why this works: holders are in one order, which the log gives, and everyone who accepts has read it up to the holder that it uses. Of two versions, the higher one has sealed the pool of the lower one, or the lower one has seen the higher one and waits.

--- a/internal/jobs/catalog/catalog.go
+++ b/internal/jobs/catalog/catalog.go
@@ -15,7 +15,8 @@
 	Host    string
 	Prefix  string // the longest prefix of a path wins
 	Pool    string
-	Public  bool // no key is needed
+	Public  bool  // no key is needed
+	Version int64 // of the configuration that it is part of
 	Timeout time.Duration
 	Advised bool // starts need a ticket of the advice service
 
--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -36,14 +35,16 @@
 	if q == nil {
 		return catalog.Queue{}, "", NoQueueError{Host: host, Path: path}
 	}
+	found := *q
+	found.Version = c.Version
 	team := c.ByKey(key)
 	if team != nil {
-		return *q, team.Name, nil
+		return found, team.Name, nil
 	}
 	if !q.Public {
-		return *q, "", KeyError{}
+		return found, "", KeyError{}
 	}
-	return *q, "", nil
+	return found, "", nil
 }
 
 // MaxBodyBytes returns the maximum length of a request body in bytes.
@@ -61,18 +62,38 @@
 // Submit stores a job. The job is accepted if no error is returned. It may run after an UnknownError, and does not run
 // after any other error.
 func (n *Instance) Submit(ctx context.Context, q catalog.Queue, spec job.Spec) error {
+	for {
+		err := n.submitUnder(ctx, q, spec)
+		var moved movedError
+		if !errors.As(err, &moved) {
+			return err
+		}
+		if q, err = n.awaitMove(ctx, q); err != nil {
+			return err
+		}
+	}
+}
+
+// submitUnder stores a job under the configuration that a queue is part of. After a movedError the job does not run.
+func (n *Instance) submitUnder(ctx context.Context, q catalog.Queue, spec job.Spec) error {
 	spec.Queue, spec.Pool = q.Name, q.Pool
 	spec.Policy = job.Policy{Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Target: q.Target, Advised: q.Advised}
 	spec.Accepted = n.config.Clock.Moment().Wall
 	if err := spec.Check(); err != nil {
 		return err
 	}
-	if known, err := n.inFormerPool(ctx, q, spec.ID); err != nil || known {
+	h, err := n.holderOf(ctx, q)
+	if err != nil {
 		return err
 	}
-	err := n.submitToOwner(ctx, spec)
+	spec.Route, spec.Version = h.route, h.version
+	if known, err := n.isHeldBy(ctx, n.otherPools(h.route, h.pool), h, spec.ID); err != nil || known {
+		return err
+	}
+	err = n.submitToOwner(ctx, spec)
 	var overloaded OverloadedError
-	if err == nil || errors.As(err, &overloaded) {
+	var moved movedError
+	if err == nil || errors.As(err, &overloaded) || errors.As(err, &moved) {
 		return err
 	}
 	var rejected shard.RejectedError
@@ -100,8 +121,8 @@
 // ownerTimeout bounds a submission or a cancellation at the owner of a pool.
 const ownerTimeout = 1200 * time.Millisecond
 
-// submitToOwner submits a job to the owner of its pool. After an OverloadedError or a shard.RejectedError the owner has
-// not stored the job. After any other error the job may be stored, but only once however often it is submitted.
+// submitToOwner submits a job to the owner of its pool. After an OverloadedError, a movedError or a shard.RejectedError the
+// owner has not stored the job. After any other error the job may be stored, but only once however often it is submitted.
 func (n *Instance) submitToOwner(ctx context.Context, spec job.Spec) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
@@ -112,8 +133,12 @@
 	if here != nil {
 		err := here.Submit(ctx, spec)
 		var overloaded pool.OverloadedError
-		if errors.As(err, &overloaded) {
+		var sealed shard.SealedError
+		switch {
+		case errors.As(err, &overloaded):
 			return OverloadedError{Retry: overloaded.Wait}
+		case errors.As(err, &sealed):
+			return movedError{Queue: spec.Queue}
 		}
 		return err
 	}
@@ -123,6 +148,8 @@
 		return shard.RejectedError{Reason: err.Error()}
 	case err == nil && reply.Rejected:
 		return OverloadedError{Retry: reply.RetryAfter}
+	case err == nil && reply.Sealed:
+		return movedError{Queue: spec.Queue}
 	case err == nil && reply.NotStored:
 		return shard.RejectedError{Reason: "the owner can store nothing"}
 	}
@@ -144,29 +171,6 @@
 	return answer.Known, err
 }
 
-// inFormerPool reports whether a job was submitted while its queue belonged to another pool.
-func (n *Instance) inFormerPool(ctx context.Context, q catalog.Queue, name job.ID) (bool, error) {
-	n.mu.RLock()
-	former, ownersKnown := slices.Clone(n.formerPools[q.Name]), n.ownersKnown
-	n.mu.RUnlock()
-	if !ownersKnown {
-		return false, NotReadyError{Reason: "the table of owners is not read yet", Retry: retryAfter}
-	}
-	for _, shardName := range former {
-		if shardName == q.Pool {
-			continue
-		}
-		_, known, err := n.queryState(ctx, shardName, name)
-		if err != nil {
-			return false, NotReadyError{Reason: err.Error(), Retry: retryAfter}
-		}
-		if known {
-			return true, nil
-		}
-	}
-	return false, nil
-}
-
 // store appends a record without a fence, directly or through another instance. The parameter indeterminate tells
 // whether the record may already be stored by an earlier call.
 func (n *Instance) store(ctx context.Context, t stream.Table, r stream.Record, indeterminate bool) error {
--- a/internal/jobs/instance/error.go
+++ b/internal/jobs/instance/error.go
@@ -16,6 +16,12 @@
 // Error returns the reason.
 func (e NotReadyError) Error() string { return "not ready: " + e.Reason }
 
+// movedError reports that a newer configuration sends a queue's route to another pool.
+type movedError struct{ Queue string }
+
+// Error returns the queue.
+func (e movedError) Error() string { return "queue " + e.Queue + " has moved to another pool" }
+
 // NoQueueError reports that no queue matches the host and path of a request.
 type NoQueueError struct{ Host, Path string }
 
--- a/internal/jobs/instance/feed.go
+++ b/internal/jobs/instance/feed.go
@@ -66,7 +66,15 @@
 	if err != nil {
 		return err
 	}
-	f.next = next
+	// The pages that were read are no snapshot: a record may be missing that is older than one of them.
+	tail, err := f.instance.proxiedLog.Read(ctx, f.table, next, 0)
+	if err != nil {
+		return err
+	}
+	for _, stored := range tail.Records {
+		all = append(all, stored.Record)
+	}
+	f.next = tail.Next
 	f.instance.recordReply()
 	f.replace(all)
 	f.reportProgress()
@@ -157,9 +165,6 @@
 	if n.catalog != nil && n.catalog.Version >= c.Version {
 		return
 	}
-	if n.catalog != nil {
-		n.recordMoves(n.catalog.Config, c)
-	}
 	n.catalog = &snapshot{c}
 	n.config.Logger.Info("configuration in force", zap.Int64("version", c.Version), zap.Int("queues", len(c.Queues)))
 }
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
@@ -45,24 +46,25 @@
 	config     Config
 	proxiedLog *proxiedLog
 
-	mu           sync.RWMutex // guards everything below
-	catalog      *snapshot
-	evacuated    id.Set[id.DataCentre]
-	waves        map[int]announcedWave
-	workers      map[string]catalog.Worker
-	formerPools  map[string][]string // previous pools by queue, newest last
-	unsavedMoves []string            // queues whose former pools are not stored yet
-	owners       owners.Table
-	ownersEnd    int64 // offset up to which the table of owners is read
-	alive        []owners.Member
-	partitions   int           // partitions of the group, as of alive
-	observer     bool          // stays out of the group, since enough heavier instances are in it
-	aliveAsOf    time.Duration // steady time of the request that returned alive
-	shards       map[string]*owned
-	lastReply    time.Duration // steady time of the newest reply of the store
-	stopping     bool
-	ownersKnown  bool
-	ownedSince   map[string]time.Duration // steady time at which this instance saw the owner of a shard change
+	holderWrites singleflight.Group // records of holders that are being written
+
+	mu          sync.RWMutex // guards everything below
+	catalog     *snapshot
+	evacuated   id.Set[id.DataCentre]
+	waves       map[int]announcedWave
+	workers     map[string]catalog.Worker
+	holders     map[catalog.Route][]holder
+	owners      owners.Table
+	ownersEnd   int64 // offset up to which the table of owners is read
+	alive       []owners.Member
+	partitions  int           // partitions of the group, as of alive
+	observer    bool          // stays out of the group, since enough heavier instances are in it
+	aliveAsOf   time.Duration // steady time of the request that returned alive
+	shards      map[string]*owned
+	lastReply   time.Duration // steady time of the newest reply of the store
+	stopping    bool
+	ownersKnown bool
+	ownedSince  map[string]time.Duration // steady time at which this instance saw the owner of a shard change
 
 	ownersChanged chan struct{}
 	stop          chan struct{} // closed when the instance is to stop
@@ -87,7 +89,7 @@
 func New(c Config) *Instance {
 	n := &Instance{
 		config: c, evacuated: id.Set[id.DataCentre]{}, waves: map[int]announcedWave{}, workers: map[string]catalog.Worker{},
-		formerPools: map[string][]string{}, shards: map[string]*owned{}, owners: owners.Table{}, ownedSince: map[string]time.Duration{}, ownersChanged: make(chan struct{}, 1), stop: make(chan struct{}), stopped: make(chan struct{}),
+		holders: map[catalog.Route][]holder{}, shards: map[string]*owned{}, owners: owners.Table{}, ownedSince: map[string]time.Duration{}, ownersChanged: make(chan struct{}, 1), stop: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	n.proxiedLog = &proxiedLog{Log: c.Log, instance: n}
 	return n
--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -191,10 +190,9 @@
 	n.config.Logger.Info("members changed", zap.Int("alive", len(alive)))
 }
 
-// applyOwner applies a record of the table of owners: the owner of a shard, or the former pools of a queue.
+// applyOwner applies a record of the table of owners: the owner of a shard, or a holder of a route.
 func (n *Instance) applyOwner(r stream.Record) {
-	if queue, ok := strings.CutPrefix(r.Key, formerPrefix); ok {
-		n.applyFormer(queue, r)
+	if n.applyHolder(r) {
 		return
 	}
 	address, err := netip.ParseAddrPort(string(r.Value))
@@ -257,7 +255,6 @@
 			n.config.Logger.Info("shard assigned to another instance", zap.String("unit", shardName), zap.Stringer("owner", n.owners[shardName]))
 		}
 	}
-	n.saveMoves(ctx)
 	m.takeOver(ctx, now, shardNames)
 	m.balance(ctx, now, shardNames)
 }
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -48,7 +48,10 @@
 	}
 	var overloaded pool.OverloadedError
 	var rejected shard.RejectedError
+	var sealed shard.SealedError
 	switch {
+	case errors.As(err, &sealed):
+		return relay.SubmitReply{Sealed: true}, nil
 	case errors.As(err, &overloaded):
 		return relay.SubmitReply{Rejected: true, RetryAfter: overloaded.Wait}, nil
 	case errors.As(err, &rejected):
@@ -57,6 +60,16 @@
 	return relay.SubmitReply{}, err
 }
 
+// HandleSeal tells whether a pool that this instance owns has a job, and seals the job's route there.
+func (n *Instance) HandleSeal(ctx context.Context, r relay.SealRequest) (relay.JobReply, error) {
+	s, err := n.localShard(r.Pool)
+	if err != nil {
+		return relay.JobReply{}, err
+	}
+	known, err := s.Seal(ctx, r.Route, r.Version, r.Job)
+	return relay.JobReply{Known: known}, err
+}
+
 // HandleCancel cancels a job of a pool that this instance owns.
 func (n *Instance) HandleCancel(ctx context.Context, q relay.JobRequest) (relay.JobReply, error) {
 	s, err := n.localShard(q.Pool)
--- a/internal/jobs/instance/shard.go
+++ b/internal/jobs/instance/shard.go
@@ -30,6 +30,7 @@
 		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(shardName, n.config.Logger), TimingObserver: n.config.Metrics.TimingObserver(shardName),
 		Settings: shard.Settings{Lease: set.Lease(), MaxLease: set.MaxLease, Retention: set.Retention, RemoteSlowdown: set.RemoteSlowdown},
 		View:     func() shard.View { return n.view(shardName) },
+		Forward:  n.forward,
 	})
 }
 
--- a/internal/jobs/instance/submit_test.go
+++ b/internal/jobs/instance/submit_test.go
@@ -76,12 +76,15 @@
 			})
 			n.owners["p"] = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 			n.ownersKnown = true
+			n.applyConfig(&catalog.Config{Version: 1})
+			q := catalog.Queue{Name: "q", Pool: "p", Version: 1}
+			n.addHolder(holder{route: q.Route(), pool: "p", version: 1})
 			n.lastReply = n.config.Clock.Moment().Steady - test.silence
 			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
 			defer cancel()
 			began := time.Now()
 			spec := job.Spec{ID: "5c0e7a21d94b36f8", Steps: []job.Step{{Count: 1}}}
-			err := n.Submit(ctx, catalog.Queue{Name: "q", Pool: "p"}, spec)
+			err := n.Submit(ctx, q, spec)
 			var refused NotReadyError
 			var unknown UnknownError
 			if got := errors.As(err, &refused); got != test.refused || !got && !errors.As(err, &unknown) {
--- a/internal/jobs/job/spec.go
+++ b/internal/jobs/job/spec.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 )
 
 // ID identifies a job; the caller chooses it.
@@ -60,6 +62,9 @@
 	Interval time.Duration `cbor:"9,keyasint,omitempty"`
 	Policy   Policy        `cbor:"10,keyasint"`
 	Accepted time.Time     `cbor:"11,keyasint"` // by the clock of the instance that accepted the job
+
+	Route   catalog.Route `cbor:"12,keyasint,omitempty"` // of the queue
+	Version int64         `cbor:"13,keyasint,omitempty"` // of the configuration that first sent the route to the pool
 }
 
 // Limits on the jobs of callers.
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
@@ -18,6 +19,7 @@
 	pendingPath = "/jobs.Relay/Pending"
 	storePath   = "/jobs.Relay/Store"
 	cordonPath  = "/jobs.Relay/Empty"
+	sealPath    = "/jobs.Relay/Seal"
 	submitPath  = "/jobs.Relay/Submit"
 	cancelPath  = "/jobs.Relay/Cancel"
 	ownsPath    = "/jobs.Relay/Owns"
@@ -31,11 +33,21 @@
 	Job  job.ID `cbor:"2,keyasint"`
 }
 
+// SealRequest asks the owner of a pool whether it has a job, and to accept no other job of a route under a configuration
+// older than the given version.
+type SealRequest struct {
+	Pool    string        `cbor:"1,keyasint"`
+	Job     job.ID        `cbor:"2,keyasint"`
+	Route   catalog.Route `cbor:"3,keyasint"`
+	Version int64         `cbor:"4,keyasint"`
+}
+
 // SubmitReply is the reply to a submitted job.
 type SubmitReply struct {
 	Rejected   bool          `cbor:"1,keyasint,omitempty"` // the job was rejected
 	RetryAfter time.Duration `cbor:"2,keyasint,omitempty"` // delay before the next attempt, if Rejected
 	NotStored  bool          `cbor:"3,keyasint,omitempty"` // the owner can store nothing now and has not stored the job
+	Sealed     bool          `cbor:"4,keyasint,omitempty"` // a newer configuration sends the job's route elsewhere; the job was not stored
 }
 
 // JobReply is the reply to a JobRequest about the state or the cancellation of a job.
@@ -81,6 +93,7 @@
 type Service interface {
 	HandleState(ctx context.Context, q JobRequest) (JobReply, error)
 	HandleSubmit(ctx context.Context, spec job.Spec) (SubmitReply, error)
+	HandleSeal(ctx context.Context, r SealRequest) (JobReply, error)
 	HandleCancel(ctx context.Context, q JobRequest) (JobReply, error)
 	HandleOwns(ctx context.Context, p PoolRequest) (OwnsReply, error)
 	HandlePending(ctx context.Context, p PoolRequest) (PendingReply, error)
@@ -108,6 +121,11 @@
 	return peer.Call[job.Spec, SubmitReply](ctx, c.peers, to, submitPath, &spec)
 }
 
+// Seal asks the owner of a pool for a job and seals the job's route there.
+func (c *Client) Seal(ctx context.Context, to netip.AddrPort, r SealRequest) (JobReply, error) {
+	return peer.Call[SealRequest, JobReply](ctx, c.peers, to, sealPath, &r)
+}
+
 // Cancel asks the owner of a pool to cancel a job.
 func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, q JobRequest) (JobReply, error) {
 	return peer.Call[JobRequest, JobReply](ctx, c.peers, to, cancelPath, &q)
@@ -138,6 +156,7 @@
 	mux := http.NewServeMux()
 	peer.Handle(mux, statePath, func(ctx context.Context, m *JobRequest) (JobReply, error) { return s.HandleState(ctx, *m) })
 	peer.Handle(mux, submitPath, func(ctx context.Context, m *job.Spec) (SubmitReply, error) { return s.HandleSubmit(ctx, *m) })
+	peer.Handle(mux, sealPath, func(ctx context.Context, m *SealRequest) (JobReply, error) { return s.HandleSeal(ctx, *m) })
 	peer.Handle(mux, cancelPath, func(ctx context.Context, m *JobRequest) (JobReply, error) { return s.HandleCancel(ctx, *m) })
 	peer.Handle(mux, pendingPath, func(ctx context.Context, m *PoolRequest) (PendingReply, error) { return s.HandlePending(ctx, *m) })
 	peer.Handle(mux, ownsPath, func(ctx context.Context, m *PoolRequest) (OwnsReply, error) { return s.HandleOwns(ctx, *m) })
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -303,6 +303,10 @@
 	if spec, ok := s.decodeSpec(r); ok {
 		s.intakeJobs.Store(spec.ID, struct{}{})
 		s.post(ctx, func(at pool.Moment) {
+			if s.checkSeal(&spec) != nil {
+				s.forward(ctx, spec)
+				return
+			}
 			s.pool.Submit(at, spec)
 			s.placeRequested = true
 		})
--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -21,6 +21,9 @@
 	var tail int64
 	query := func(pool.Moment) {
 		state, known = s.pool.State(name)
+		if _, forwarding := s.forwarding[name]; forwarding {
+			state, known = job.Queued, true
+		}
 		tail = s.intakeOffset
 	}
 	if err := s.do(ctx, query); err != nil || known {
--- /dev/null
+++ b/internal/jobs/shard/seal.go
@@ -0,0 +1,160 @@
+package shard
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+)
+
+// A queue's route may move to another pool, while some instances still have an older configuration. Before the new pool
+// accepts a job, the owner of each former one stores a seal: it accepts no more jobs of the route under older versions.
+// An instance may have written such a job to the intake already and told its caller so; these jobs are forwarded.
+
+// sealPrefix starts the keys of records in the output table that hold the lowest version under which a route's jobs are
+// accepted.
+const sealPrefix = "seal/"
+
+// seal is the lowest version under which the jobs of a route are accepted.
+type seal struct {
+	version int64
+	stored  <-chan struct{} // closed once the seal is stored
+}
+
+func sealRecord(route catalog.Route, version int64) stream.Record {
+	return stream.Record{Key: sealPrefix + string(route), Value: []byte(strconv.FormatInt(version, 10))}
+}
+
+// loadSeal applies a stored seal and ignores other records.
+func (s *Shard) loadSeal(r stream.Record) {
+	route, ok := strings.CutPrefix(r.Key, sealPrefix)
+	if !ok {
+		return
+	}
+	version, err := strconv.ParseInt(string(r.Value), 10, 64)
+	if err != nil {
+		s.config.Logger.Error("cannot decode the seal of a route", zap.String("key", r.Key), zap.Error(err))
+		return
+	}
+	stored := make(chan struct{})
+	close(stored)
+	s.seals[catalog.Route(route)] = seal{version: version, stored: stored}
+}
+
+// isSealed reports whether a job was submitted under a version that its route's seal excludes.
+func (s *Shard) isSealed(spec *job.Spec) bool { return spec.Version < s.seals[spec.Route].version }
+
+// Seal reports whether the pool has a job. Otherwise the pool will not accept it under a version below the given one, and
+// that is stored.
+func (s *Shard) Seal(ctx context.Context, route catalog.Route, version int64, name job.ID) (bool, error) {
+	if err := s.awaitStarted(ctx); err != nil {
+		return false, err
+	}
+	var known bool
+	var stored <-chan struct{}
+	err := s.do(ctx, func(pool.Moment) {
+		if known = s.has(name); !known {
+			stored = s.raiseSeal(route, version)
+		}
+	})
+	if err != nil || known {
+		return known, err
+	}
+	return false, s.awaitStored(ctx, stored)
+}
+
+// raiseSeal raises the seal of a route to at least a version, and returns a channel that is closed once that is stored.
+func (s *Shard) raiseSeal(route catalog.Route, version int64) <-chan struct{} {
+	if current, ok := s.seals[route]; ok && current.version >= version {
+		return current.stored
+	}
+	stored := make(chan struct{})
+	s.seals[route] = seal{version: version, stored: stored}
+	s.pendingRecords = append(s.pendingRecords, sealRecord(route, version))
+	s.callers = append(s.callers, stored)
+	s.config.Logger.Info("sealed a route that has moved", zap.String("pool", s.config.Pool), zap.String("route", string(route)), zap.Int64("version", version))
+	return stored
+}
+
+// takeSealed removes and returns those jobs of the intake that an excluded version has submitted and that have not started.
+func (s *Shard) takeSealed(jobs map[job.ID]*pool.StoredState, cancelled []job.ID) []job.Spec {
+	var sealed []job.Spec
+	for name, j := range jobs {
+		_, inIntake := s.intakeJobs.Load(name)
+		waits := j.Spec.ID != "" && j.Progress == nil && !slices.Contains(cancelled, name)
+		if inIntake && waits && s.isSealed(&j.Spec) {
+			sealed = append(sealed, j.Spec)
+			delete(jobs, name)
+		}
+	}
+	return sealed
+}
+
+// has reports whether the pool has a job, or will forward it.
+func (s *Shard) has(name job.ID) bool {
+	_, known := s.pool.State(name)
+	_, forwarding := s.forwarding[name]
+	return known || forwarding
+}
+
+// checkSeal returns a SealedError for a job that the pool must not accept, and a forwardedError for one that came to the
+// intake and is on its way to another pool.
+func (s *Shard) checkSeal(spec *job.Spec) error {
+	if _, known := s.pool.State(spec.ID); known || !s.isSealed(spec) {
+		return nil
+	}
+	if _, forwarding := s.forwarding[spec.ID]; forwarding {
+		return forwardedError{}
+	}
+	return SealedError{Pool: s.config.Pool}
+}
+
+// forwardedError reports a job that was accepted here and is on its way to another pool.
+type forwardedError struct{}
+
+// Error returns a fixed text.
+func (forwardedError) Error() string { return "shard: the job is being forwarded to another pool" }
+
+// SealedError reports a job that was not accepted because a newer configuration sends its route to another pool.
+type SealedError struct{ Pool string }
+
+// Error returns a message with the pool.
+func (e SealedError) Error() string { return "shard: a route has moved away from pool " + e.Pool }
+
+// forward hands a job that came to the intake under an excluded version to the pool that its route belongs to now.
+func (s *Shard) forward(ctx context.Context, spec job.Spec) {
+	if _, started := s.forwarding[spec.ID]; started {
+		return
+	}
+	s.forwarding[spec.ID] = struct{}{}
+	s.config.Logger.Info("forwarding a job of a route that has moved", zap.String("pool", s.config.Pool), zap.String("job", string(spec.ID)), zap.Int64("version", spec.Version))
+	f := &forwarding{shard: s, spec: spec}
+	s.inFlight.Go(func() { f.run(ctx) })
+}
+
+// forwarding is a job on its way to another pool.
+type forwarding struct {
+	shard *Shard
+	spec  job.Spec
+}
+
+func (f *forwarding) run(ctx context.Context) {
+	s := f.shard
+	if err := s.config.Forward(ctx, f.spec); err != nil {
+		s.config.Logger.Info("stopped forwarding a job", zap.String("job", string(f.spec.ID)), zap.Error(err))
+		return // a successor finds the job in the intake
+	}
+	s.post(ctx, func(pool.Moment) {
+		delete(s.forwarding, f.spec.ID)
+		if !s.has(f.spec.ID) { // otherwise its route has come back
+			s.expiredJobs = append(s.expiredJobs, f.spec.ID)
+		}
+	})
+}
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -56,6 +56,8 @@
 	Observer       pool.Observer
 	TimingObserver TimingObserver // may be nil
 	View           func() View
+	// Forward submits a job to the pool that its route belongs to now, and returns once that pool has it.
+	Forward func(ctx context.Context, spec job.Spec) error
 }
 
 // View is the part of the data published by operators and workers that concerns one pool.
@@ -102,13 +104,15 @@
 	intakeJobs      sync.Map        // IDs of the jobs in the intake
 	expiredJobs     []job.ID        // expired jobs to be removed from the intake
 	cleaning        bool
+	seals           map[catalog.Route]seal
+	forwarding      map[job.ID]struct{} // jobs of the intake that are on their way to another pool
 }
 
 // New returns a shard; Run starts it.
 func New(c Config) *Shard {
 	return &Shard{
 		config: c, stats: newLoopStats(c.TimingObserver), intake: IntakeTable(c.Pool), output: OutputTable(c.Pool), refresh: make(chan struct{}, 1),
-		events: make(chan event, eventQueueSize), started: make(chan struct{}), ended: make(chan struct{}),
+		events: make(chan event, eventQueueSize), seals: map[catalog.Route]seal{}, forwarding: map[job.ID]struct{}{}, started: make(chan struct{}), ended: make(chan struct{}),
 	}
 }
 
@@ -150,6 +154,7 @@
 	var cancelled []job.ID
 	if _, err := claim.ReadAll(ctx, s.config.Log, s.output, s.config.Logger, func(r stream.Record) {
 		s.loadTerm(r)
+		s.loadSeal(r)
 		s.loadProgress(jobs, r)
 		s.loadIntake(jobs, &cancelled, r)
 	}); err != nil {
@@ -165,6 +170,7 @@
 		return err
 	}
 	s.intakeOffset = next
+	sealed := s.takeSealed(jobs, cancelled)
 	var ordered []string
 	if _, err := claim.ReadAll(ctx, s.config.Log, machines.Table(), s.config.Logger, func(r stream.Record) { ordered = s.loadRecent(ordered, r) }); err != nil {
 		return err
@@ -191,6 +197,9 @@
 	for _, name := range cancelled {
 		s.pool.Cancel(at, name)
 	}
+	for _, spec := range sealed {
+		s.forward(ctx, spec)
+	}
 	s.config.Logger.Info("took over a pool", zap.String("pool", s.config.Pool), zap.Int("jobs", len(stored)), zap.Int64("offset", next),
 		zap.Duration("unseen_runs_wait", s.inheritedWait()))
 	return s.storeTerm(at)
--- a/internal/jobs/shard/submit.go
+++ b/internal/jobs/shard/submit.go
@@ -5,25 +5,35 @@
 	"fmt"
 	"time"
 
+	"github.com/juju/errors"
+
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
-// Submit accepts a job and returns once the job is stored. A pool.OverloadedError or a RejectedError says that the job
-// was rejected; after any other error the job may still be stored.
+// Submit accepts a job and returns once the job is stored. A pool.OverloadedError, a SealedError or a RejectedError says
+// that the job was rejected; after any other error the job may still be stored.
 func (s *Shard) Submit(ctx context.Context, spec job.Spec) error {
 	record, err := SpecRecord(&spec)
 	if err != nil {
 		return err
 	}
-	return s.storeRecord(ctx, record, func(at pool.Moment) error {
+	err = s.storeRecord(ctx, record, func(at pool.Moment) error {
+		if err := s.checkSeal(&spec); err != nil {
+			return err
+		}
 		if err := s.pool.Admit(at, &spec); err != nil {
 			return err
 		}
 		s.pool.Submit(at, spec)
 		return nil
 	})
+	var forwarded forwardedError
+	if errors.As(err, &forwarded) {
+		return nil
+	}
+	return err
 }
 
 // Cancel cancels a job and returns once the cancellation is stored. It reports whether the pool holds the job.
@@ -33,6 +43,9 @@
 		return known, err
 	}
 	return true, s.storeRecord(ctx, CancelRecord(name), func(at pool.Moment) error {
+		if _, forwarding := s.forwarding[name]; forwarding {
+			return forwardedError{}
+		}
 		s.pool.Cancel(at, name)
 		return nil
 	})
@@ -63,6 +76,11 @@
 	if rejected != nil {
 		return rejected
 	}
+	return s.awaitStored(ctx, stored)
+}
+
+// awaitStored waits until the channel of a record that goes into the next batch is closed.
+func (s *Shard) awaitStored(ctx context.Context, stored <-chan struct{}) error {
 	select {
 	case <-stored:
 		return nil
