pool: Keep workers free for suspected tasks that can run them

A gang of which three members were suspected never started again (scenario gang).

Cause: a suspected task starts on a worker of its own, or after 4 s on one of those that are kept free for suspected tasks. These were chosen by what their crash would cost, for all steps together, and not by whether they can run what waits. For a gang one was kept free, whatever the number of its suspected members, and the gang's own workers counted against the limit.

Change: workers are kept free for each waiting step, the one that has waited longest first, among those that can run its tasks, and as many as a gang's suspected members need. The limit counts the workers of other jobs.

Why this works: after the time-out the worker that is kept free is one that has the label, the room beside long-running tasks, the ticket and a place under the limit for each worker, so the wait ends.

--- a/internal/jobs/pool/advice.go
+++ b/internal/jobs/pool/advice.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
@@ -62,6 +63,20 @@
 	return t.text
 }
 
+// eligible returns those workers that may run a step. For an advised queue these are the workers with a ticket, or those that
+// the advice service has not barred if there are none.
+func (p *Pool) eligible(at Moment, it *item, hosts []*host) []*host {
+	if !it.entry.job.Spec.Policy.Advised {
+		return slices.Clone(hosts)
+	}
+	a := it.entry.adviceFor(stepName(it))
+	withTicket := slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool { return a.valid(h.info.ID, at.Steady) == "" })
+	if len(withTicket) > 0 {
+		return withTicket
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool { return a.barred[h.info.ID] })
+}
+
 // advised returns the workers that hold a ticket for a step, and asks about others while there is too little free
 // capacity on these for the waiting tasks.
 func (p *Pool) advised(at Moment, it *item, hosts []*host) []*host {
--- a/internal/jobs/pool/isolation.go
+++ b/internal/jobs/pool/isolation.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -66,7 +68,8 @@
 }
 
 // hostForSuspect returns a worker for a suspected task, or nil if it has to wait: an empty or quarantined one, or after
-// isolationTimeout any of those that are kept free for suspected tasks, on which other runs may not have ended yet.
+// isolationTimeout any of those that are kept free for suspected tasks, on which other runs, such as long-running ones, may
+// not have ended yet.
 func (p *Pool) hostForSuspect(at Moment, it *item, step *job.Step, hosts []*host, o *offer) *host {
 	since := it.entry.suspectSince
 	expired := since > 0 && at.Steady-since > isolationTimeout
@@ -86,18 +89,21 @@
 			best = h
 		}
 	}
-	if best != nil && o.countOnProbation() >= max(1, len(o.hosts)/probationFraction) {
+	if best != nil && o.countOnProbation(it.entry) >= max(1, len(o.hosts)/probationFraction) {
 		return nil
 	}
 	return best
 }
 
-// countOnProbation counts the workers that run suspected tasks alone.
-func (o *offer) countOnProbation() int {
+// countOnProbation counts the workers that run suspected tasks of jobs other than the given one alone.
+func (o *offer) countOnProbation(except *entry) int {
 	count := 0
 	for _, h := range o.hosts {
-		if h.onProbation > 0 {
-			count++
+		for _, r := range h.runs {
+			if r.onProbation && r.job != except {
+				count++
+				break
+			}
 		}
 	}
 	return count
@@ -153,20 +159,57 @@
 	return count
 }
 
-// isolate keeps the workers whose crash would cost least free for suspected tasks, at most one for each waiting step.
+// isolate keeps workers free for suspected tasks: for each waiting step one of those that can run its tasks and whose crash
+// would cost least, for a gang as many as its suspected members need. The steps that have waited longest come first; only
+// the first of them gets more than one worker in isolationFraction.
 func (p *Pool) isolate(at Moment, items []item, o *offer) {
-	wanted := 0
+	limit := max(1, len(o.hosts)/isolationFraction)
+	for _, it := range suspectedSteps(items) {
+		if len(o.isolated) > 0 && len(o.isolated) >= limit {
+			return
+		}
+		p.isolateFor(at, it, o)
+	}
+}
+
+// suspectedSteps returns the steps with suspected tasks that wait for a run, by how long they have waited for a worker.
+func suspectedSteps(items []item) []*item {
+	var steps []*item
 	for i := range items {
 		if items[i].hasSuspects() {
-			wanted++
+			steps = append(steps, &items[i])
 		}
 	}
-	if wanted == 0 {
-		return
+	slices.SortStableFunc(steps, func(a, b *item) int {
+		return cmp.Compare(a.entry.suspectSinceOr(math.MaxInt64), b.entry.suspectSinceOr(math.MaxInt64))
+	})
+	return steps
+}
+
+// suspectSinceOr returns since when a suspected task has found no worker, or the given time if none has been refused.
+func (e *entry) suspectSinceOr(none time.Duration) time.Duration {
+	if e.suspectSince == 0 {
+		return none
 	}
-	safest := slices.DeleteFunc(slices.Clone(o.hosts), func(h *host) bool { return h.onProbation > 0 })
-	slices.SortStableFunc(safest, func(a, b *host) int { return p.compareForSuspect(at, a, b) })
-	for _, h := range safest[:min(len(safest), wanted, max(1, len(o.hosts)/isolationFraction))] {
+	return e.suspectSince
+}
+
+// isolateFor keeps workers free for the suspected tasks of a step.
+func (p *Pool) isolateFor(at Moment, it *item, o *offer) {
+	step := &it.entry.job.Spec.Steps[it.step]
+	able := slices.DeleteFunc(p.eligible(at, it, o.hosts), func(h *host) bool {
+		return h.onProbation > 0 || o.isolated[h] || h.memberCapacity(step) == 0 || !h.allowsAnother(it, step)
+	})
+	slices.SortStableFunc(able, func(a, b *host) int { return p.compareForSuspect(at, a, b) })
+	missing := 1
+	if step.Gang {
+		missing = it.countSuspects()
+	}
+	for _, h := range able {
+		if missing <= 0 {
+			return
+		}
 		o.isolated[h] = true
+		missing -= h.memberCapacity(step)
 	}
 }
--- a/internal/jobs/pool/simulated_worker_test.go
+++ b/internal/jobs/pool/simulated_worker_test.go
@@ -28,6 +28,7 @@
 	lastEndNumber    int64
 	dead             bool
 	disconnected     bool
+	labels           []string
 	unlisted         bool // its entry is missing although it lives
 	draining         bool
 	polls            []func()
@@ -260,6 +261,6 @@
 func (f *fakeWorker) entry() catalog.Worker {
 	return catalog.Worker{
 		ID: f.id, Pool: "p", Instance: f.instance(), Address: netip.MustParseAddrPort("127.0.0.1:1"), Capacity: f.capacity, Clock: f.clock(),
-		StartedAt: f.incarnationStart, Draining: f.draining,
+		StartedAt: f.incarnationStart, Draining: f.draining, Labels: f.labels,
 	}
 }
