pool, instance: Say how an owner learned of a worker's end, and whether a run was shown

The line of an end now has `proof` (lease, later incarnation under the id, other worker at the address, later worker on the instance, instance without the worker) and `shown` (an answer had shown the run), and the line of a job that is given up the number of certain crashes.

--- a/internal/jobs/instance/metrics.go
+++ b/internal/jobs/instance/metrics.go
@@ -119,6 +119,7 @@
 	}
 	o.logger.Log(level, "run ended", zap.String("job", string(e.Task.Job)), zap.Int("step", e.Task.Step), zap.Int("index", e.Task.Index),
 		zap.Int("run", e.Run), zap.String("worker", e.Worker), zap.String("how", how), zap.String("cause", e.Cause.String()),
+		zap.Stringer("proof", e.Proof), zap.Bool("shown", e.Shown),
 		zap.Duration("survived", e.Survived), zap.Duration("until", e.Until), zap.Int("beside", e.Beside), zap.Bool("suspect", e.Suspect),
 		zap.Int("crashes", e.Crashes))
 }
@@ -126,7 +127,7 @@
 func (o *observer) GivenUp(spec *job.Spec, t *job.Task) {
 	o.metrics.givenUp.WithLabelValues(o.pool).Inc()
 	o.logger.Warn("gave up a task that crashes workers", zap.String("job", string(spec.ID)), zap.String("queue", spec.Queue),
-		zap.Int("step", t.Name.Step), zap.Int("index", t.Name.Index), zap.Int("run", t.Run), zap.Int("crashes", t.Crash.Crashes))
+		zap.Int("step", t.Name.Step), zap.Int("index", t.Name.Index), zap.Int("run", t.Run), zap.Int("crashes", t.Crash.Crashes), zap.Int("certain", t.Crash.Certain))
 }
 
 func (o *observer) JobEnded(spec *job.Spec, state job.State, took time.Duration) {
--- a/internal/jobs/pool/incarnation.go
+++ b/internal/jobs/pool/incarnation.go
@@ -56,8 +56,8 @@
 // order may have reached either incarnation, and a poll of the new one shows which runs it has.
 func (p *Pool) resetIncarnation(at Moment, h *host) {
 	p.config.Observer.WorkerChanged(h.info.ID, "started again")
-	p.recordLoss(at, h, h.lossCause())
-	p.closeLosses(at, h, h.lossCause())
+	p.recordLoss(at, h, h.lossCause(), LaterUnderID)
+	p.closeLosses(at, h, h.lossCause(), LaterUnderID)
 	for _, r := range h.runs {
 		if r.phase == stopped {
 			// The stop that the earlier incarnation confirmed does not prevent the run from starting on the new one.
@@ -76,9 +76,9 @@
 }
 
 // endWorker ends all runs of a worker that no longer exists and marks it as ended.
-func (p *Pool) endWorker(at Moment, h *host) {
+func (p *Pool) endWorker(at Moment, h *host, proof Proof) {
 	p.config.Observer.WorkerChanged(h.info.ID, "is over")
-	p.loseRuns(at, h)
+	p.loseRuns(at, h, proof)
 	h.ended = true
 	h.leaseEnd = 0
 	h.storedEnd, h.ackedEnd = 0, 0
@@ -88,15 +88,15 @@
 // unless that one has a different address by now.
 func (p *Pool) handleOtherIncarnation(at Moment, h *host, to worker.Target) {
 	if to.Address == h.info.Address {
-		p.endWorker(at, h)
+		p.endWorker(at, h, OtherAtAddress)
 	}
 }
 
 // loseRuns ends every run of a worker as lost.
-func (p *Pool) loseRuns(at Moment, h *host) {
+func (p *Pool) loseRuns(at Moment, h *host, proof Proof) {
 	h.orphans = nil
-	p.recordLoss(at, h, h.lossCause())
-	p.closeLosses(at, h, h.lossCause())
+	p.recordLoss(at, h, h.lossCause(), proof)
+	p.closeLosses(at, h, h.lossCause(), proof)
 	for _, r := range h.runs {
 		p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost}, Absent)
 	}
@@ -113,7 +113,7 @@
 	for name, h := range p.workers {
 		later, ok := newest[h.info.Instance]
 		if ok && later.ID != name && later.StartedAt.After(h.startedAt) && !h.ended {
-			p.endWorker(at, h)
+			p.endWorker(at, h, LaterOnInstance)
 		}
 	}
 }
--- a/internal/jobs/pool/loss.go
+++ b/internal/jobs/pool/loss.go
@@ -28,6 +28,24 @@
 	return [...]string{"reported", "refused", "absent", "crashed", "left", "silent", "unrenewed"}[c]
 }
 
+// Proof tells how an owner has learned that a worker's incarnation has ended or is out of reach.
+type Proof int
+
+// Proofs of the end of a worker's incarnation.
+const (
+	NoProof         Proof = iota
+	LeaseExpired          // its lease has expired
+	LaterUnderID          // a later incarnation answers under its id
+	OtherAtAddress        // another worker answers at its address
+	LaterOnInstance       // a later worker is listed on its instance
+	NotOnInstance         // the instance service lists its instance without it
+)
+
+// String returns the proof's name.
+func (p Proof) String() string {
+	return [...]string{"none", "lease", "later under its id", "other at its address", "later on its instance", "not on its instance"}[p]
+}
+
 // Limits for the silence of a worker that may be a crash.
 const (
 	silentCalls   = 3 // unanswered polls in a row; fewer may be a pause of the owner
@@ -41,6 +59,8 @@
 	Worker   string
 	Outcome  worker.Outcome
 	Cause    Cause
+	Proof    Proof         // of the end of the worker's incarnation, for a lost run
+	Shown    bool          // an answer of the worker has shown the run, to this owner or to an earlier one
 	Survived time.Duration // for how long the worker is known to have had the run
 	Until    time.Duration // age at which a lost run was certainly over
 	Suspect  bool          // a lost run that was among those that had started last on its worker
@@ -51,6 +71,7 @@
 // loss is what the owner knows of a run whose worker's incarnation has ended or is out of reach.
 type loss struct {
 	cause       Cause
+	proof       Proof
 	survived    time.Duration // see RunEnd
 	until       time.Duration // see RunEnd
 	beside      int           // see RunEnd
@@ -150,13 +171,13 @@
 
 // recordLoss records for each run that was sent to a worker's incarnation that this incarnation has ended or is out of
 // reach. It ends no run.
-func (p *Pool) recordLoss(at Moment, h *host, cause Cause) {
+func (p *Pool) recordLoss(at Moment, h *host, cause Cause, proof Proof) {
 	p.recordOverdue(at, h)
 	var lost []*run
 	youngest := time.Duration(math.MaxInt64)
 	for _, r := range h.runs {
 		if r.loss != nil && r.loss.cause == Silent {
-			r.loss.cause = cause
+			r.loss.cause, r.loss.proof = cause, proof
 		}
 		if r.phase != storing && r.loss == nil {
 			lost = append(lost, r)
@@ -173,7 +194,7 @@
 		survived := h.survived(r)
 		accompanied := slices.ContainsFunc(lost, func(other *run) bool { return other.job != r.job && !other.cleared })
 		r.loss = &loss{
-			cause: cause, survived: survived, until: max(survived, h.ageAtSilence(at, r)), beside: len(lost) - 1,
+			cause: cause, proof: proof, survived: survived, until: max(survived, h.ageAtSilence(at, r)), beside: len(lost) - 1,
 			youngest: r.isSeen() && survived-youngest <= suspectWindow, onProbation: r.onProbation, accompanied: accompanied, certain: r.wasOnWorker(), again: again,
 		}
 	}
@@ -183,9 +204,10 @@
 // with an earlier incarnation.
 func describeEnd(r *run, end worker.End, cause Cause) RunEnd {
 	d := RunEnd{
-		Task: r.id.Task, Run: r.id.Number, Worker: r.host.info.ID, Outcome: end.Outcome, Cause: cause, Survived: r.host.survived(r),
+		Task: r.id.Task, Run: r.id.Number, Worker: r.host.info.ID, Outcome: end.Outcome, Cause: cause, Shown: r.wasOnWorker(), Survived: r.host.survived(r),
 	}
 	if cause != Reported && cause != Refused && r.loss != nil {
+		d.Proof, d.Shown = r.loss.proof, r.loss.certain
 		d.Cause, d.Survived, d.Until, d.Beside, d.Suspect = r.loss.cause, r.loss.survived, r.loss.until, r.loss.beside, r.loss.youngest
 	}
 	return d
--- a/internal/jobs/pool/open_loss.go
+++ b/internal/jobs/pool/open_loss.go
@@ -40,7 +40,7 @@
 	case len(h.open.runs) == 0:
 	case at.Steady > h.open.until:
 		h.open = openLosses{}
-	case !h.listed && !h.open.presumed:
+	case !h.listed && !h.open.presumed && h.lossCause() == Crashed:
 		h.open.presumed = true
 		for _, r := range h.open.runs {
 			if r.mayBeCulprit() {
@@ -65,13 +65,13 @@
 }
 
 // closeLosses records the open losses of a worker's incarnation that has certainly ended.
-func (p *Pool) closeLosses(at Moment, h *host, cause Cause) {
+func (p *Pool) closeLosses(at Moment, h *host, cause Cause, proof Proof) {
 	runs := h.open.runs
 	p.retractLosses(h)
 	if cause != Crashed || len(runs) == 0 {
 		return
 	}
-	p.config.Observer.WorkerChanged(h.info.ID, "had crashed when it fell silent")
+	p.config.Observer.WorkerChanged(h.info.ID, "had crashed when it fell silent: "+proof.String())
 	again := p.recordInstanceCrash(at, h)
 	for _, r := range runs {
 		if r.mayBeCulprit() {
--- a/internal/jobs/pool/poll.go
+++ b/internal/jobs/pool/poll.go
@@ -47,7 +47,7 @@
 		return
 	}
 	cause := p.expiryCause(h)
-	p.recordLoss(at, h, cause)
+	p.recordLoss(at, h, cause, LeaseExpired)
 	for _, r := range h.runs {
 		if cause == Silent && r.awaitsVerdict(at) {
 			continue
--- a/internal/jobs/pool/silence.go
+++ b/internal/jobs/pool/silence.go
@@ -70,8 +70,8 @@
 
 func (p *Pool) endShownRuns(at Moment, h *host) {
 	p.config.Observer.WorkerChanged(h.info.ID, "is gone from its instance")
-	p.recordLoss(at, h, h.lossCause())
-	p.closeLosses(at, h, h.lossCause())
+	p.recordLoss(at, h, h.lossCause(), NotOnInstance)
+	p.closeLosses(at, h, h.lossCause(), NotOnInstance)
 	for _, r := range h.runs {
 		if r.shownAt > 0 {
 			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost}, Absent)
