machines, pool: Retire workers whose orders got no answer, and those that the list shows as ended by orders

Cause: after an order for an instance without an answer its worker was not retired. The instance may have been moved: the list shows it in its new pool, so nobody cordoned the worker, whose entry stays for seconds, and an idle worker is not polled. Its old pool placed tasks there; each ended with its lease and counted as a crash of the worker, and suspected tasks go to empty workers first, which are moved next. Five gave the job up.

Change: an order without an answer retires the worker. So does the list of instances, where an instance moves, is in maintenance or is in another pool. Retirements are numbered, so that a worker that has survived one order can be retired by the next.

Why this works: nothing is placed where an order may have ended the worker, until it is seen alive; and whatever becomes of the answer, the list tells an order from a crash.

--- a/internal/jobs/machines/autoscaler.go
+++ b/internal/jobs/machines/autoscaler.go
@@ -104,6 +104,7 @@
 		return errors.Annotate(err, "claiming the instances")
 	}
 	a.claim, a.writer = claimed, stream.Writer{Epoch: claimed.Epoch()}
+	a.planner.NumberOrders(claimed.Epoch())
 	a.recordProof(proven)
 	if _, err := claim.ReadAll(ctx, a.config.Log, Table(), a.config.Logger, a.load); err != nil {
 		return errors.Annotate(err, "taking over the instances")
--- a/internal/jobs/machines/order.go
+++ b/internal/jobs/machines/order.go
@@ -44,11 +44,11 @@
 	switch action := o.action.(type) {
 	case MoveAction:
 		outcome = o.outcomeOf(a.config.Machines.Move(call, action.Instance, action.Pool, a.config.Holder, a.claim.Epoch()))
-		a.config.Logger.Info("move order finished", zap.String("machine", action.Instance), zap.String("pool", action.Pool), zap.Int("outcome", int(outcome)))
+		a.config.Logger.Info("move order finished", zap.String("machine", action.Instance), zap.String("pool", action.Pool), zap.String("worker", action.Worker), zap.Stringer("outcome", outcome))
 		apply = func(now time.Duration) { a.planner.RecordMove(now, action, outcome) }
 	case MaintainAction:
 		outcome = o.outcomeOf(a.config.Machines.Maintain(call, action.Instance, action.Wave, a.config.Holder, a.claim.Epoch()))
-		a.config.Logger.Info("maintenance order finished", zap.String("machine", action.Instance), zap.Int("wave", action.Wave), zap.Int("outcome", int(outcome)))
+		a.config.Logger.Info("maintenance order finished", zap.String("machine", action.Instance), zap.Int("wave", action.Wave), zap.Stringer("outcome", outcome))
 		apply = func(now time.Duration) { a.planner.RecordMaintenance(now, action, outcome) }
 	}
 	report := func(now time.Duration) {
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -36,13 +36,14 @@
 
 // Orders tells a pool what to do with its workers and what resources it can expect.
 type Orders struct {
-	Obtainable       int      `cbor:"5,keyasint,omitempty"` // thousandths of a core that the pool can get in addition to its own
-	Round            int64    `cbor:"7,keyasint,omitempty"` // number of the round; delayed orders of an earlier round are refused
-	Incoming         int      `cbor:"6,keyasint,omitempty"` // thousandths of a core that are on their way, or will be according to the pool's fair share
-	Fence            int64    `cbor:"4,keyasint,omitempty"` // fencing epoch of the autoscaler that sends the orders; lower ones are refused
-	Cordoned         []string `cbor:"1,keyasint,omitempty"` // cordoned workers, to be emptied now
-	ScheduledToDrain []string `cbor:"2,keyasint,omitempty"` // workers scheduled to drain, which should start no long-running tasks
-	Retired          []string `cbor:"3,keyasint,omitempty"` // workers whose instances were moved or taken down
+	Obtainable       int      `cbor:"5,keyasint,omitempty"`  // thousandths of a core that the pool can get in addition to its own
+	Round            int64    `cbor:"7,keyasint,omitempty"`  // number of the round; delayed orders of an earlier round are refused
+	Incoming         int      `cbor:"6,keyasint,omitempty"`  // thousandths of a core that are on their way, or will be according to the pool's fair share
+	Fence            int64    `cbor:"4,keyasint,omitempty"`  // fencing epoch of the autoscaler that sends the orders; lower ones are refused
+	Cordoned         []string `cbor:"1,keyasint,omitempty"`  // cordoned workers, to be emptied now
+	ScheduledToDrain []string `cbor:"2,keyasint,omitempty"`  // workers scheduled to drain, which should start no long-running tasks
+	Retired          []string `cbor:"3,keyasint,omitempty"`  // workers whose instances were moved or taken down, or may have been
+	RetiredBy        []int64  `cbor:"10,keyasint,omitempty"` // number of the order that retired each of them
 
 	Allocations limit.Allocations `cbor:"8,keyasint,omitempty"` // allocations of the teams' limits; nil leaves them unchanged
 	Gone        []int64           `cbor:"9,keyasint,omitempty"` // numbers of the silences after which the instance no longer had the worker
@@ -109,7 +110,9 @@
 	forbidden      map[[2]string]bool // pairs of instance and pool for which the platform forbids the move
 	cooldownUntil  map[string]time.Duration
 	inheritedUntil map[string]time.Duration // instances ordered by an earlier holder, until when such an order may take effect
-	retired        map[string]time.Duration // workers whose instances were moved or taken down, with the time
+	retired        map[string]retirement    // workers whose instances were moved or taken down, or may have been
+	orderNumber    int64                    // number of the newest retirement
+	hosted         map[string]hostedWorker  // newest worker that the list showed on each instance
 	sawDemand      bool                     // whether tasks other than long-running ones have requested resources
 }
 
@@ -118,7 +121,7 @@
 	return &Planner{
 		waves: map[int]*wave{}, draining: map[string]drainGoal{}, transit: map[string]transit{},
 		demands: map[string]*demand{}, forbidden: map[[2]string]bool{}, cooldownUntil: map[string]time.Duration{}, inheritedUntil: map[string]time.Duration{},
-		retired: map[string]time.Duration{},
+		retired: map[string]retirement{}, hosted: map[string]hostedWorker{},
 	}
 }
 
@@ -181,8 +184,9 @@
 // settle drops orders whose effect the list shows or that timed out, drains of instances that have left their pool,
 // and retired workers after retiredTTL.
 func (r *round) settle() {
-	for w, since := range r.retired {
-		if r.Now-since > retiredTTL {
+	r.retireOrdered()
+	for w, retired := range r.retired {
+		if r.Now-retired.at > retiredTTL {
 			delete(r.retired, w)
 		}
 	}
@@ -245,20 +249,23 @@
 
 // Outcomes of orders.
 const (
-	Unanswered Outcome = iota // the order may still be carried out
+	Unanswered Outcome = iota // the order may have been carried out, or may still be
 	Completed
 	Refused   // the order may succeed later
 	Forbidden // the order can never succeed
 )
 
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return [...]string{"unanswered", "completed", "refused", "forbidden"}[o]
+}
+
 // RecordMove applies the outcome of a MoveAction.
 func (p *Planner) RecordMove(now time.Duration, a MoveAction, o Outcome) {
 	t := p.transit[a.Instance]
-	if o == Completed {
-		p.retire(now, a.Worker)
-	}
 	switch o {
 	case Completed, Unanswered:
+		p.retire(now, a.Worker)
 		p.transit[a.Instance] = transit{pool: a.Pool, since: now}
 		return
 	case Forbidden:
@@ -271,17 +278,6 @@
 	}
 }
 
-// retiredTTL is how long a worker is reported as retired; it is longer than the worker's entry stays in the workers'
-// table.
-const retiredTTL = 15 * time.Second
-
-// retire records that the incarnation of a worker has ended.
-func (p *Planner) retire(now time.Duration, worker string) {
-	if worker != "" {
-		p.retired[worker] = now
-	}
-}
-
 // orders plans the orders of every pool, such as which of its workers to drain.
 func (r *round) orders() {
 	for pool := range r.Loads {
@@ -298,8 +294,8 @@
 				o.ScheduledToDrain = append(o.ScheduledToDrain, m.Worker)
 			}
 		}
-		for w := range r.retired {
-			o.Retired = append(o.Retired, w)
+		for w, retired := range r.retired {
+			o.Retired, o.RetiredBy = append(o.Retired, w), append(o.RetiredBy, retired.order)
 		}
 		o.Obtainable, o.Incoming = r.obtainable(pool), r.incoming(pool)
 		slices.Sort(o.Cordoned)
--- a/internal/jobs/machines/wave.go
+++ b/internal/jobs/machines/wave.go
@@ -86,6 +86,7 @@
 		p.cooldownUntil[a.Instance] = now + refusalBackoff
 	case Unanswered:
 		// The instance may be down: it is counted as down and the order is repeated.
+		p.retire(now, w.firstWorkers[a.Instance])
 		w.down[a.Instance] = now
 	}
 	delete(p.transit, a.Instance)
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -17,20 +17,20 @@
 
 // host is a worker, across all incarnations under one id, with the runs that it has or may have.
 type host struct {
-	info               catalog.Worker // newest catalog entry, which may describe an earlier incarnation
-	startedAt          time.Time      // start of the newest known incarnation, zero if unknown
-	firstSeen          time.Duration  // when that incarnation was first seen
-	listed             bool           // has an entry in the workers' table
-	cordoned           bool           // to be emptied now
-	ended              bool           // no longer exists, though its entry may remain
-	survivedRetirement bool           // still alive after an order that should have ended it
-	retired            bool           // an order of this owner moved or took down its instance
-	retiredAt          time.Duration  // clock in the worker's entry at that time
-	drainScheduled     bool           // to be emptied soon
-	used               catalog.Resources
-	runs               map[worker.Run]*run
-	orphans            id.Set[worker.Run] // runs of jobs unknown to this owner; nothing new starts while there are any
-	open               openLosses
+	info           catalog.Worker // newest catalog entry, which may describe an earlier incarnation
+	startedAt      time.Time      // start of the newest known incarnation, zero if unknown
+	firstSeen      time.Duration  // when that incarnation was first seen
+	listed         bool           // has an entry in the workers' table
+	cordoned       bool           // to be emptied now
+	ended          bool           // no longer exists, though its entry may remain
+	retired        bool           // an order moved or took down its instance, or may have
+	retiredAt      time.Duration  // clock in the worker's entry at that time
+	retiredBy      int64          // number of the newest such order
+	drainScheduled bool           // to be emptied soon
+	used           catalog.Resources
+	runs           map[worker.Run]*run
+	orphans        id.Set[worker.Run] // runs of jobs unknown to this owner; nothing new starts while there are any
+	open           openLosses
 
 	clock       time.Duration // worker's steady clock at clockAt
 	clockAt     time.Duration
@@ -99,7 +99,7 @@
 		}
 		if h.retired && info.Clock > h.retiredAt+retirementGrace {
 			// The entry is still renewed: the order was carried out before this worker started.
-			h.retired, h.survivedRetirement = false, true
+			h.retired = false
 			p.config.Observer.WorkerChanged(info.ID, "lives on")
 		}
 		h.info = info
@@ -126,15 +126,23 @@
 	}
 }
 
-// Retire stops placing work on workers whose instances were moved or taken down, whose entries may stay in the workers'
-// table for a while. It ends no run: an order that is reported as carried out may have been carried out earlier, on a
-// previous worker of the instance.
-func (p *Pool) Retire(names []string) {
-	for _, name := range names {
-		if h, ok := p.workers[name]; ok && !h.retired && !h.survivedRetirement {
-			h.retired, h.retiredAt = true, h.info.Clock
-			p.config.Observer.WorkerChanged(name, "was moved or taken down")
+// Retirement is an order that has ended a worker's incarnation, or may have.
+type Retirement struct {
+	Worker string
+	Order  int64 // 1 or more; rises with each order
+}
+
+// Retire stops placing work on workers whose instances were moved or taken down, or may have been, and whose entries may
+// stay in the workers' table for a while. It ends no run: the order may have been carried out earlier, on a previous worker
+// of the instance, or not at all.
+func (p *Pool) Retire(list []Retirement) {
+	for _, r := range list {
+		h, ok := p.workers[r.Worker]
+		if !ok || h.retired || r.Order <= h.retiredBy {
+			continue
 		}
+		h.retired, h.retiredAt, h.retiredBy = true, h.info.Clock, r.Order
+		p.config.Observer.WorkerChanged(r.Worker, "was moved or taken down, or may have been")
 	}
 }
 
--- a/internal/jobs/pool/host_test.go
+++ b/internal/jobs/pool/host_test.go
@@ -28,7 +28,7 @@
 		host = o.pool.workers["w1"]
 	}
 	runs := len(host.runs)
-	o.pool.Retire([]string{host.info.ID})
+	o.pool.Retire([]Retirement{{Worker: host.info.ID, Order: 7}})
 	if len(host.runs) != runs {
 		t.Errorf("%d of %d runs are left after the worker was retired", len(host.runs), runs)
 	}
@@ -39,10 +39,14 @@
 	if !o.pool.usable(w.moment(), host) {
 		t.Error("a retired worker that is still alive is not used again")
 	}
-	o.pool.Retire([]string{host.info.ID})
+	o.pool.Retire([]Retirement{{Worker: host.info.ID, Order: 7}})
 	if !o.pool.usable(w.moment(), host) {
 		t.Error("a worker that was found alive is retired again by the same order")
 	}
+	o.pool.Retire([]Retirement{{Worker: host.info.ID, Order: 8}})
+	if o.pool.usable(w.moment(), host) {
+		t.Error("a worker that was found alive after one order is not retired by a later one")
+	}
 	if len(w.violations) > 0 {
 		t.Error(w.violations)
 	}
--- a/internal/jobs/pool/simulated_owner_test.go
+++ b/internal/jobs/pool/simulated_owner_test.go
@@ -54,7 +54,7 @@
 		switch {
 		case f.earlierEntry.ID != "" && w.now < f.startedAt+w.entryDelay:
 			list = append(list, f.earlierEntry)
-		case !f.dead && !f.unlisted:
+		case !f.dead && !f.unlisted, f.dead && w.now < f.entryUntil:
 			list = append(list, f.entry())
 		}
 	}
--- a/internal/jobs/pool/simulated_worker_test.go
+++ b/internal/jobs/pool/simulated_worker_test.go
@@ -29,7 +29,8 @@
 	dead             bool
 	disconnected     bool
 	labels           []string
-	unlisted         bool // its entry is missing although it lives
+	unlisted         bool          // its entry is missing although it lives
+	entryUntil       time.Duration // when its entry is removed after its end
 	draining         bool
 	polls            []func()
 }
--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -75,7 +75,7 @@
 		}
 		s.autoscalerFence, s.autoscalerRound = o.Fence, o.Round
 		s.pool.SetCordoned(at, o.Cordoned, o.ScheduledToDrain)
-		s.pool.Retire(o.Retired)
+		s.pool.Retire(retirementsOf(o))
 		s.pool.EndGone(at, o.Gone)
 		s.pool.SetAllocations(at, o.Allocations)
 		s.pool.SetObtainable(at, o.Obtainable, o.Incoming)
@@ -91,6 +91,18 @@
 	return load, err
 }
 
+// retirementsOf returns the retirements in the autoscaler's orders, whose numbers another instance may have left out.
+func retirementsOf(o machines.Orders) []pool.Retirement {
+	list := make([]pool.Retirement, len(o.Retired))
+	for i, name := range o.Retired {
+		list[i].Worker = name
+		if i < len(o.RetiredBy) {
+			list[i].Order = o.RetiredBy[i]
+		}
+	}
+	return list
+}
+
 func loadOf(l pool.Load) machines.Load {
 	load := machines.Load{Demand: l.Demand, Late: l.Late, LongRunning: l.LongRunning, Memory: l.Memory, MinWorkers: l.MinWorkers, Unplaceable: l.Unplaceable, LimitDemands: l.LimitDemands, Labels: l.Labels, Racks: l.Racks}
 	for _, h := range l.Hosts {
