--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -14,8 +14,8 @@
 type machine struct {
 	name   string
 	pool   string
-	worker *worker // nil while the machine is spare or moving
-	moving bool
+	worker *worker // nil while the machine is spare, moving or down
+	state  string  // up, moving or down
 }
 
 // fleet holds the workers and is a stand-in for the instance service.
@@ -34,6 +34,20 @@
 const (
 	spare        = "spare"
 	moveDuration = 400 * time.Millisecond
+	entryTTL     = 3 * heartbeat // from a worker's end until its entry is removed
+)
+
+// States of a machine.
+const (
+	up     = "up"
+	moving = "moving"
+	down   = "down"
+)
+
+// A move that is carried out is answered with a body or without one, or not at all; one of so many each.
+const (
+	emptyAnswerShare = 2
+	lostAnswerShare  = 8
 )
 
 func newFleet(t *testing.T, s *store, c *checker, seed uint64) *fleet {
@@ -49,7 +63,7 @@
 		defer f.mu.Unlock()
 		for _, m := range f.machines {
 			if m.worker != nil {
-				m.worker.kill()
+				m.worker.kill(false)
 			}
 		}
 	})
@@ -58,7 +72,7 @@
 
 // startWorker starts a worker on a machine unless it is spare; the caller holds the lock unless nothing else uses f yet.
 func (f *fleet) startWorker(t *testing.T, m *machine) {
-	m.moving = false
+	m.state = up
 	if m.pool == spare {
 		return
 	}
@@ -94,7 +108,7 @@
 	defer f.mu.Unlock()
 	for _, m := range f.machines {
 		if m.worker == w {
-			f.replaceWorker(f.t, m, 2*time.Second)
+			f.replaceWorker(f.t, m, down, 2*time.Second)
 		}
 	}
 }
@@ -107,7 +121,7 @@
 	if m.worker == nil {
 		return
 	}
-	f.replaceWorker(t, m, 2*time.Second)
+	f.replaceWorker(t, m, down, 2*time.Second)
 }
 
 // cutWorker disconnects a random worker, whose tasks run until its lease expires.
@@ -145,14 +159,15 @@
 	}
 }
 
-// replaceWorker kills a machine's worker, if any, and starts a new one after a delay; the caller holds the lock.
-func (f *fleet) replaceWorker(t *testing.T, m *machine, after time.Duration) {
-	if m.worker != nil {
-		m.worker.kill()
-		f.store.put("servers", m.worker.id, nil)
+// replaceWorker ends a machine's worker, if any, and starts a new one after a delay, during which the machine is in the given
+// state; the caller holds the lock.
+func (f *fleet) replaceWorker(t *testing.T, m *machine, state string, after time.Duration) {
+	if w := m.worker; w != nil {
+		w.kill(state == down)
+		time.AfterFunc(entryTTL, func() { f.store.put("servers", w.id, nil) })
 		m.worker = nil
 	}
-	m.moving = true
+	m.state = state
 	time.AfterFunc(after, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -160,6 +175,18 @@
 	})
 }
 
+// answerMove answers a move that was carried out, in one of the ways that the pages allow; the caller holds the lock.
+func (f *fleet) answerMove(w http.ResponseWriter) {
+	switch {
+	case f.random.IntN(lostAnswerShare) == 0:
+		closeConnection(w)
+	case f.random.IntN(emptyAnswerShare) == 0:
+		w.WriteHeader(http.StatusOK)
+	default:
+		_, _ = w.Write([]byte(`{}`))
+	}
+}
+
 // handler returns the HTTP handler of the instance service.
 func (f *fleet) handler(t *testing.T) http.Handler {
 	mux := http.NewServeMux()
@@ -169,10 +196,7 @@
 		list := []map[string]any{}
 		for _, m := range f.machines {
 			entry := map[string]any{
-				"machine": m.name, "pool": m.pool, "state": "up", "zone": "z1", "labels": []string{"a", "r1"}, "capacity": resources(workerCPU, workerMemMB),
-			}
-			if m.moving {
-				entry["state"] = "moving"
+				"machine": m.name, "pool": m.pool, "state": m.state, "zone": "z1", "labels": []string{"a", "r1"}, "capacity": resources(workerCPU, workerMemMB),
 			}
 			if m.worker != nil {
 				entry["id"] = m.worker.id
@@ -190,16 +214,16 @@
 			if m.name != b.Machine {
 				continue
 			}
-			if m.moving {
+			if m.state != up {
 				w.WriteHeader(http.StatusConflict)
 				_, _ = w.Write([]byte(`{"reason":"busy"}`))
 				return
 			}
 			if m.pool != b.Pool {
 				m.pool = b.Pool
-				f.replaceWorker(t, m, moveDuration)
+				f.replaceWorker(t, m, moving, moveDuration)
 			}
-			_, _ = w.Write([]byte(`{}`))
+			f.answerMove(w)
 			return
 		}
 		w.WriteHeader(http.StatusBadRequest)
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -104,13 +104,18 @@
 
 func resources(cpu, mb int) map[string]int { return map[string]int{"cpu": cpu, "mem_mb": mb, "gpu": 0} }
 
-// kill ends the incarnation with all its runs and reports none of their ends.
-func (w *worker) kill() {
+// kill ends the incarnation with all its runs and reports none of their ends. A worker whose machine is moved has not
+// crashed.
+func (w *worker) kill(crash bool) {
 	w.mu.Lock()
 	w.dead = true
 	for task, r := range w.runs {
 		r.timer.Stop()
-		w.fleet.checker.recordCrash(task, w.id)
+		if crash {
+			w.fleet.checker.recordCrash(task, w.id)
+			continue
+		}
+		w.fleet.checker.recordEnd(task, w.id)
 	}
 	w.runs = map[string]*taskRun{}
 	w.mu.Unlock()
