shard: Call a job unknown only with a proof of ownership

Cause: an owner said from its memory and the tail of the intake that it has no such job, without asking whether it still owns the pool; a job that its successor had accepted was in neither.

Evidence: TestFormerOwnerDoesNotCallJobUnknown failed before: "the former owner calls the job unknown".

Change: before it calls a job unknown the owner has the log confirm its claim, after it has read the intake. Without that its caller asks again, and a cancellation is stored for the owner there is.

Why this works: a job is accepted only by the newest owner or through the intake, and both have been checked after the question.

--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -11,7 +11,8 @@
 )
 
 // State returns the stored state of a job and whether the pool holds the job. It reports a job as unknown only after
-// reading the newest records of the intake.
+// reading the newest records of the intake, and once the log has confirmed that no successor owns the pool, which may have
+// accepted the job.
 func (s *Shard) State(ctx context.Context, name job.ID) (job.State, bool, error) {
 	if err := s.awaitStarted(ctx); err != nil {
 		return 0, false, err
@@ -38,7 +39,7 @@
 			return job.Queued, true, nil
 		}
 	}
-	return 0, false, nil
+	return 0, false, s.claim.Prove(ctx)
 }
 
 // HasRecentProof reports whether the log has confirmed within claim.MaxProofAge that this instance owns the pool.
