instance, pool: Store a cancellation for every pool whose owner did not reply

Cause: all pools were asked, but the cancellation was stored for the pool of the newest configuration only.

Evidence: TestCancelReachesFormerPoolWithoutOwner failed before: stored were [jobs.new cancel/...] only.

Change: it is stored in the intake of each pool whose owner did not reply. Cancellations of jobs that a pool never gets are now removed from its intake after the retention time.

--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -313,19 +313,26 @@
 
 // Cancel cancels a job.
 func (n *Instance) Cancel(ctx context.Context, q catalog.Queue, name job.ID) error {
-	indeterminate := false
+	var silent []string // pools whose owners did not reply
 	for _, shardName := range n.poolsFrom(q.Pool) {
 		known, err := n.cancelAtOwner(ctx, shardName, name)
 		if err == nil && known {
 			return nil
 		}
-		indeterminate = indeterminate || err != nil
+		if err != nil {
+			silent = append(silent, shardName)
+		}
 	}
-	if !indeterminate {
+	if len(silent) == 0 {
 		return NoJobError{Job: name}
 	}
-	// At least one owner did not reply. A cancel record for a job that does not exist has no effect.
-	return n.store(ctx, shard.IntakeTable(q.Pool), shard.CancelRecord(name), true)
+	// The job may be in any of these pools. A cancel record for a job that does not exist has no effect.
+	for _, shardName := range silent {
+		if err := n.store(ctx, shard.IntakeTable(shardName), shard.CancelRecord(name), true); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Pending returns how many jobs of a queue have not started.
--- a/internal/jobs/instance/route_test.go
+++ b/internal/jobs/instance/route_test.go
@@ -16,6 +16,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
+	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 	"marigoldshed.example/marigoldshed/internal/observe/steady"
 )
@@ -26,11 +27,16 @@
 	mu        sync.Mutex
 	records   []stream.Record
 	followers []*Instance
+	intake    []string // tables and keys of the other records
 }
 
-func (l *tableLog) Append(_ context.Context, _ stream.Table, records []stream.Record, _ *stream.Writer) (int64, error) {
+func (l *tableLog) Append(_ context.Context, t stream.Table, records []stream.Record, _ *stream.Writer) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if t != ownerTable() {
+		l.intake = append(l.intake, t.Name+" "+records[0].Key)
+		return 0, nil
+	}
 	l.records = append(l.records, records...)
 	for _, n := range l.followers {
 		n.replaceOwners(records)
@@ -49,6 +55,7 @@
 	relay.Service
 	mu       sync.Mutex
 	accepted map[string][]job.ID // by pool
+	silent   string              // pool whose owner does not answer
 	seals    map[string]int64    // by pool
 }
 
@@ -62,6 +69,15 @@
 	return relay.JobReply{}, nil
 }
 
+func (o *poolOwner) HandleCancel(_ context.Context, r relay.JobRequest) (relay.JobReply, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r.Pool == o.silent {
+		return relay.JobReply{}, shard.NotOwnerError{Pool: r.Pool}
+	}
+	return relay.JobReply{Known: slices.Contains(o.accepted[r.Pool], r.Job)}, nil
+}
+
 func (o *poolOwner) HandleSubmit(_ context.Context, spec job.Spec) (relay.SubmitReply, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -242,3 +258,21 @@
 	w.check(a, "new")
 	w.check(b, "new")
 }
+
+// TestCancelReachesFormerPoolWithoutOwner guards against scenario cancel of the review (issue 21): a cancellation was lost
+// after its job's queue had moved, while the former pool had no owner: it was stored for the new pool only.
+func TestCancelReachesFormerPoolWithoutOwner(t *testing.T) {
+	const name = job.ID("5c0e7a21d94b0001")
+	w := newRouteWorld(t)
+	n := w.start(routeConfig(3, "q", "old"))
+	w.mustSubmit(n, name)
+	n.applyConfig(routeConfig(5, "q", "new"))
+	w.owner.silent = "old"
+	q, _, err := n.Admit("host.example", "/path/"+string(name), "")
+	if err == nil {
+		err = n.Cancel(t.Context(), q, name)
+	}
+	if want := "jobs.old cancel/" + string(name); err != nil || !slices.Contains(w.log.intake, want) {
+		t.Errorf("error %v; stored: %v, want %s", err, w.log.intake, want)
+	}
+}
--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -104,8 +104,12 @@
 // dropExpired drops ended jobs and cancellations whose retention time is over.
 func (p *Pool) dropExpired(at Moment) {
 	for name, until := range p.cancelled {
-		if at.Steady > until {
-			delete(p.cancelled, name)
+		if at.Steady <= until {
+			continue
+		}
+		delete(p.cancelled, name)
+		if _, known := p.jobs[name]; !known {
+			p.dropped = append(p.dropped, name) // only its cancellation is stored
 		}
 	}
 	for name, e := range p.jobs {
