instance, shard, pool: Count pending jobs in all pools that may have jobs of a route

Cause: only the pool of the newest configuration was asked, and jobs were counted by their queue's name.

Evidence: TestPendingCountsJobsInFormerPools fails when only that pool is asked ("1 jobs are pending, want 3").

Change: all holders of the route are asked, and jobs are counted by their route; jobs that were stored without one by their queue.

--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -349,17 +349,29 @@
 	}
 }
 
+// pending counts the jobs in the queue's pool and in the others that may have jobs of its route.
 func (n *Instance) pending(ctx context.Context, q catalog.Queue) (int, error) {
+	sum := 0
+	for _, shardName := range append([]string{q.Pool}, n.otherPools(q.Route(), q.Pool)...) {
+		count, err := n.pendingIn(ctx, shardName, q)
+		if err != nil {
+			return 0, err
+		}
+		sum += count
+	}
+	return sum, nil
+}
+
+func (n *Instance) pendingIn(ctx context.Context, shardName string, q catalog.Queue) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	owner, here, err := n.owner(q.Pool)
+	owner, here, err := n.owner(shardName)
 	if err != nil {
 		return 0, err
 	}
 	if here != nil {
-		counts, err := here.Pending(ctx)
-		return counts[q.Name], err
+		return here.Pending(ctx, q.Route(), q.Name)
 	}
-	answer, err := n.config.Peers.Pending(ctx, owner, relay.PoolRequest{Pool: q.Pool})
-	return answer.Queues[q.Name], err
+	answer, err := n.config.Peers.Pending(ctx, owner, relay.PendingRequest{Pool: shardName, Route: q.Route(), Queue: q.Name})
+	return answer.Count, err
 }
--- a/internal/jobs/instance/route_test.go
+++ b/internal/jobs/instance/route_test.go
@@ -78,6 +78,12 @@
 	return relay.JobReply{Known: slices.Contains(o.accepted[r.Pool], r.Job)}, nil
 }
 
+func (o *poolOwner) HandlePending(_ context.Context, r relay.PendingRequest) (relay.PendingReply, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return relay.PendingReply{Count: len(o.accepted[r.Pool])}, nil
+}
+
 func (o *poolOwner) HandleSubmit(_ context.Context, spec job.Spec) (relay.SubmitReply, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -276,3 +282,23 @@
 		t.Errorf("error %v; stored: %v, want %s", err, w.log.intake, want)
 	}
 }
+
+// TestPendingCountsJobsInFormerPools guards against scenario pending of the review (issue 21): the pending jobs of a queue were
+// not counted any more after it had moved, under a new name or not.
+func TestPendingCountsJobsInFormerPools(t *testing.T) {
+	for _, queue := range []string{"q", "renamed"} {
+		w := newRouteWorld(t)
+		n := w.start(routeConfig(3, "q", "old"))
+		w.mustSubmit(n, "5c0e7a21d94b0001")
+		w.mustSubmit(n, "5c0e7a21d94b0002")
+		n.applyConfig(routeConfig(5, queue, "new"))
+		w.mustSubmit(n, "5c0e7a21d94b0003")
+		q, _, err := n.Admit("host.example", "/path/", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if count, err := n.Pending(t.Context(), q); count != 3 || err != nil {
+			t.Errorf("queue %s: %d jobs are pending, want 3; error %v", queue, count, err)
+		}
+	}
+}
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -92,14 +92,14 @@
 	return relay.OwnsReply{HasRecentProof: recent}, err
 }
 
-// HandlePending returns how many jobs of each queue wait in a pool that this instance owns.
-func (n *Instance) HandlePending(ctx context.Context, p relay.PoolRequest) (relay.PendingReply, error) {
+// HandlePending returns how many jobs of a route wait in a pool that this instance owns.
+func (n *Instance) HandlePending(ctx context.Context, p relay.PendingRequest) (relay.PendingReply, error) {
 	s, err := n.localShard(p.Pool)
 	if err != nil {
 		return relay.PendingReply{}, err
 	}
-	counts, err := s.Pending(ctx)
-	return relay.PendingReply{Queues: counts}, err
+	count, err := s.Pending(ctx, p.Route, p.Queue)
+	return relay.PendingReply{Count: count}, err
 }
 
 // HandleStore appends records for an instance that cannot reach the store.
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 )
 
@@ -171,15 +172,18 @@
 	return e.job.State, true
 }
 
-// Pending returns the number of jobs that have not begun, by queue.
-func (p *Pool) Pending() map[string]int {
-	counts := map[string]int{}
+// Pending returns the number of jobs of a route that have not begun. It goes by the queue's name for jobs that were stored
+// without a route.
+func (p *Pool) Pending(route catalog.Route, queue string) int {
+	count := 0
 	for _, e := range p.active {
-		if !e.job.Begun && !e.job.State.Ended() {
-			counts[e.job.Spec.Queue]++
+		spec := &e.job.Spec
+		ofQueue := spec.Route == route || spec.Route == "" && spec.Queue == queue
+		if ofQueue && !e.job.Begun && !e.job.State.Ended() {
+			count++
 		}
 	}
-	return counts
+	return count
 }
 
 // noopObserver ignores all events.
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -56,14 +56,21 @@
 	State job.State `cbor:"2,keyasint,omitempty"`
 }
 
-// PoolRequest asks about a pool: for its pending jobs, or whether the instance owns it.
+// PoolRequest asks whether an instance owns a pool.
 type PoolRequest struct {
 	Pool string `cbor:"1,keyasint"`
 }
 
-// PendingReply is the number of jobs by queue that have not started.
+// PendingRequest asks the owner of a pool how many jobs of a route, which has the given queue, have not started.
+type PendingRequest struct {
+	Pool  string        `cbor:"1,keyasint"`
+	Route catalog.Route `cbor:"2,keyasint"`
+	Queue string        `cbor:"3,keyasint,omitempty"`
+}
+
+// PendingReply is the reply to a PendingRequest.
 type PendingReply struct {
-	Queues map[string]int `cbor:"1,keyasint,omitempty"`
+	Count int `cbor:"2,keyasint,omitempty"`
 }
 
 // OwnsReply tells whether an instance runs a shard and has recently proved to the log that it owns that shard.
@@ -96,7 +103,7 @@
 	HandleSeal(ctx context.Context, r SealRequest) (JobReply, error)
 	HandleCancel(ctx context.Context, q JobRequest) (JobReply, error)
 	HandleOwns(ctx context.Context, p PoolRequest) (OwnsReply, error)
-	HandlePending(ctx context.Context, p PoolRequest) (PendingReply, error)
+	HandlePending(ctx context.Context, p PendingRequest) (PendingReply, error)
 	HandleStore(ctx context.Context, s StoreRequest) (StoreReply, error)
 	HandleCordon(ctx context.Context, c CordonRequest) (machines.Load, error)
 	HandleAppend(ctx context.Context, a AppendRequest) (AppendReply, error)
@@ -131,9 +138,9 @@
 	return peer.Call[JobRequest, JobReply](ctx, c.peers, to, cancelPath, &q)
 }
 
-// Pending asks the owner of a pool how many jobs have not started.
-func (c *Client) Pending(ctx context.Context, to netip.AddrPort, p PoolRequest) (PendingReply, error) {
-	return peer.Call[PoolRequest, PendingReply](ctx, c.peers, to, pendingPath, &p)
+// Pending asks the owner of a pool how many jobs of a route have not started.
+func (c *Client) Pending(ctx context.Context, to netip.AddrPort, p PendingRequest) (PendingReply, error) {
+	return peer.Call[PendingRequest, PendingReply](ctx, c.peers, to, pendingPath, &p)
 }
 
 // Owns asks an instance whether it owns a shard.
@@ -158,7 +165,7 @@
 	peer.Handle(mux, submitPath, func(ctx context.Context, m *job.Spec) (SubmitReply, error) { return s.HandleSubmit(ctx, *m) })
 	peer.Handle(mux, sealPath, func(ctx context.Context, m *SealRequest) (JobReply, error) { return s.HandleSeal(ctx, *m) })
 	peer.Handle(mux, cancelPath, func(ctx context.Context, m *JobRequest) (JobReply, error) { return s.HandleCancel(ctx, *m) })
-	peer.Handle(mux, pendingPath, func(ctx context.Context, m *PoolRequest) (PendingReply, error) { return s.HandlePending(ctx, *m) })
+	peer.Handle(mux, pendingPath, func(ctx context.Context, m *PendingRequest) (PendingReply, error) { return s.HandlePending(ctx, *m) })
 	peer.Handle(mux, ownsPath, func(ctx context.Context, m *PoolRequest) (OwnsReply, error) { return s.HandleOwns(ctx, *m) })
 	peer.Handle(mux, storePath, func(ctx context.Context, m *StoreRequest) (StoreReply, error) { return s.HandleStore(ctx, *m) })
 	peer.Handle(mux, cordonPath, func(ctx context.Context, m *CordonRequest) (machines.Load, error) { return s.HandleCordon(ctx, *m) })
--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
@@ -52,14 +53,14 @@
 	return recent, err
 }
 
-// Pending returns the number of jobs of each queue that have not started.
-func (s *Shard) Pending(ctx context.Context) (map[string]int, error) {
+// Pending returns the number of jobs of a route, which has the given queue, that have not started.
+func (s *Shard) Pending(ctx context.Context, route catalog.Route, queue string) (int, error) {
 	if err := s.awaitStarted(ctx); err != nil {
-		return nil, err
+		return 0, err
 	}
-	var counts map[string]int
-	err := s.do(ctx, func(pool.Moment) { counts = s.pool.Pending() })
-	return counts, err
+	var count int
+	err := s.do(ctx, func(pool.Moment) { count = s.pool.Pending(route, queue) })
+	return count, err
 }
 
 // ApplyOrders applies the autoscaler's orders for the pool's workers and returns the pool's load. It rejects orders
