shard: Store progress that does not fit one record in parts

Cause: the progress of a job was one record, with a row for each task that has had a run. Beyond the store's limit of a record the append is refused, and the owner repeated it for ever, with everything else in the batch. A batch could exceed the limit of a call likewise.

Change: progress beyond the limit in the settings is cut into parts, which go in the same call before the record that counts them; a batch beyond the limit of a call goes in several, and orders are sent once all are stored. Parts are removed with their job.

Why this works: the owner sends no record or call that the store refuses for its length; a successor reads the parts before the record that names them, by the order of keys, while nobody else may write them.

--- a/internal/jobs/instance/settings.go
+++ b/internal/jobs/instance/settings.go
@@ -26,6 +26,8 @@
 	MaxLease       time.Duration // longest lease that a worker grants
 	Retention      time.Duration // how long the state of an ended job can be queried
 	HolderCooldown time.Duration // time without orders after which another holder may give orders to the same instance
+	RecordBytes    int           // longest record that the store takes, 0 if not known
+	CallBytes      int           // bytes of records that the store takes in one call, 0 if not known
 	RemoteSlowdown float64       // factor by which a task is slower away from its data, 0 when not known
 }
 
--- a/internal/jobs/shard/cleanup.go
+++ b/internal/jobs/shard/cleanup.go
@@ -50,7 +50,7 @@
 		s.cleaning = false
 		for _, name := range c.names {
 			s.intakeJobs.Delete(name)
-			s.pendingRecords = append(s.pendingRecords, dropRecords(name)...)
+			s.pendingRecords = append(s.pendingRecords, s.dropRecords(name)...)
 		}
 	})
 }
--- a/internal/jobs/shard/cleanup_test.go
+++ b/internal/jobs/shard/cleanup_test.go
@@ -71,11 +71,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	left, err := progressRecord(pool.StoredJob{ID: rest.ID, Progress: job.Progress{State: job.Completed}})
+	left, err := progressRecords(pool.StoredJob{ID: rest.ID, Progress: job.Progress{State: job.Completed}}, defaultRecordBytes)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for table, r := range map[stream.Table]stream.Record{IntakeTable("p"): record, OutputTable("p"): left} {
+	for table, r := range map[stream.Table]stream.Record{IntakeTable("p"): record, OutputTable("p"): left[0]} {
 		if _, err := log.Append(t.Context(), table, []stream.Record{r}, nil); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -159,27 +159,31 @@
 		return
 	}
 	s.writing, s.writeStarted = true, s.config.Clock.Moment().Steady
-	w := &write{shard: s, batch: batch, records: append(s.pendingRecords, records...), callers: s.callers, writer: s.writer, queuedAt: s.writeStarted}
+	calls := s.splitCalls(append(s.pendingRecords, records...))
+	w := &write{shard: s, batch: batch, calls: calls, callers: s.callers, writer: s.writer, queuedAt: s.writeStarted}
 	s.pendingRecords, s.callers = nil, nil
-	s.writer.Sequence++
+	s.writer.Sequence += int64(len(calls))
 	s.inFlight.Go(func() { w.run(ctx, fatal) })
 }
 
 func (s *Shard) records(batch *pool.Batch) ([]stream.Record, error) {
 	var records []stream.Record
 	for _, stored := range batch.Jobs {
-		r, err := progressRecord(stored)
+		list, err := progressRecords(stored, s.recordLimit())
 		if err != nil {
 			return nil, err
 		}
-		records = append(records, r)
+		if parts := len(list) - 1; parts > s.partCounts[stored.ID] {
+			s.partCounts[stored.ID] = parts
+		}
+		records = append(records, list...)
 	}
 	for _, name := range batch.Dropped {
 		if _, inIntake := s.intakeJobs.Load(name); inIntake {
 			s.expiredJobs = append(s.expiredJobs, name)
 			continue
 		}
-		records = append(records, dropRecords(name)...)
+		records = append(records, s.dropRecords(name)...)
 	}
 	return records, nil
 }
@@ -191,12 +195,12 @@
 	}
 }
 
-// write appends one batch, retrying until the log has it. The answer proves the ownership only as of the first attempt,
+// write appends one batch, in as many calls as the store's limit requires, retrying until the log has it. The answer proves the ownership only as of the first attempt,
 // since the log may answer a retry as it answered the first attempt.
 type write struct {
 	shard    *Shard
 	batch    *pool.Batch
-	records  []stream.Record
+	calls    [][]stream.Record
 	callers  []chan struct{} // closed once the log has the batch
 	writer   stream.Writer
 	queuedAt time.Duration // steady time at which the batch was queued
@@ -205,34 +209,41 @@
 func (w *write) run(ctx context.Context, fatal chan error) {
 	s := w.shard
 	sent := s.config.Clock.Moment().Steady
+	for _, records := range w.calls {
+		if !w.append(ctx, fatal, records) {
+			return
+		}
+		w.writer.Sequence++
+	}
+	s.post(ctx, func(at pool.Moment) {
+		s.writing = false
+		s.termStored = true
+		s.stats.recordWrite(at.Steady - w.queuedAt)
+		s.provenAt = max(s.provenAt, sent)
+		s.placeRequested = true
+		s.pool.RecordStored(at, w.batch)
+	})
+	for _, caller := range w.callers {
+		close(caller)
+	}
+}
+
+// append appends the records of one call, retrying until the log has them, and reports whether it has.
+func (w *write) append(ctx context.Context, fatal chan error, records []stream.Record) bool {
+	s := w.shard
 	for {
-		_, err := s.config.Log.Append(ctx, s.output, w.records, &w.writer)
+		_, err := s.config.Log.Append(ctx, s.output, records, &w.writer)
 		var sequence stream.SequenceError
-		if errors.As(err, &sequence) && sequence.Expected == w.writer.Sequence+1 {
-			// An earlier attempt has already stored this batch.
-			err = nil
-		}
-		if err == nil {
-			s.post(ctx, func(at pool.Moment) {
-				s.writing = false
-				s.termStored = true
-				s.stats.recordWrite(at.Steady - w.queuedAt)
-				s.provenAt = max(s.provenAt, sent)
-				s.placeRequested = true
-				s.pool.RecordStored(at, w.batch)
-			})
-			for _, caller := range w.callers {
-				close(caller)
-			}
-			return
+		if err == nil || errors.As(err, &sequence) && sequence.Expected == w.writer.Sequence+1 {
+			return true // an earlier attempt may have stored them
 		}
 		var fenced stream.FencedError
 		if errors.As(err, &fenced) || errors.As(err, &sequence) {
 			s.fail(fatal, errors.Annotatef(err, "storing progress of pool %s", s.config.Pool))
-			return
+			return false
 		}
 		if claim.Backoff(ctx, s.config.Logger, err) != nil {
-			return
+			return false
 		}
 	}
 }
--- a/internal/jobs/shard/record.go
+++ b/internal/jobs/shard/record.go
@@ -30,28 +30,27 @@
 	return stream.Record{Key: cancelPrefix + string(name), Value: []byte{1}}
 }
 
-func progressRecord(s pool.StoredJob) (stream.Record, error) {
-	data, err := cbor.Marshal(s.Progress)
-	return stream.Record{Key: progressPrefix + string(s.ID), Value: data}, err
-}
-
 // dropRecords returns the records that remove all keys of a job.
-func dropRecords(name job.ID) []stream.Record {
+func (s *Shard) dropRecords(name job.ID) []stream.Record {
 	var records []stream.Record
 	for _, prefix := range [...]string{progressPrefix, specPrefix, cancelPrefix} {
 		records = append(records, stream.Record{Key: prefix + string(name)})
 	}
+	for n := range s.partCounts[name] {
+		records = append(records, stream.Record{Key: partKey(name, n+1)})
+	}
+	delete(s.partCounts, name)
 	return records
 }
 
-// loadProgress applies a progress record of the output table and ignores other records.
-func (s *Shard) loadProgress(jobs map[job.ID]*pool.StoredState, r stream.Record) {
+// loadProgress applies a progress record of the output table, given the parts before it, and ignores other records.
+func (s *Shard) loadProgress(jobs map[job.ID]*pool.StoredState, parts map[string][]byte, r stream.Record) {
 	name, ok := strings.CutPrefix(r.Key, progressPrefix)
 	if !ok || len(r.Value) == 0 {
 		return
 	}
 	var progress job.Progress
-	if err := cbor.Unmarshal(r.Value, &progress); err != nil {
+	if err := cbor.Unmarshal(s.joinParts(parts, job.ID(name), r.Value), &progress); err != nil {
 		s.config.Logger.Error("cannot decode stored job progress", zap.String("job", name), zap.Error(err))
 		return
 	}
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -41,6 +41,8 @@
 	MaxLease       time.Duration // longest lease that a worker grants, 0 if unknown
 	Retention      time.Duration
 	RemoteSlowdown float64 // factor by which a task takes longer away from its data
+	RecordBytes    int     // longest record that the store takes, 0 if unknown
+	CallBytes      int     // bytes of records that the store takes in one call, 0 if unknown
 }
 
 // Config holds what a Shard needs.
@@ -105,6 +107,7 @@
 	expiredJobs     []job.ID        // expired jobs to be removed from the intake
 	cleaning        bool
 	seals           map[catalog.Route]seal
+	partCounts      map[job.ID]int      // parts of stored progress, of jobs that have had any
 	forwarding      map[job.ID]struct{} // jobs of the intake that are on their way to another pool
 }
 
@@ -112,7 +115,7 @@
 func New(c Config) *Shard {
 	return &Shard{
 		config: c, stats: newLoopStats(c.TimingObserver), intake: IntakeTable(c.Pool), output: OutputTable(c.Pool), refresh: make(chan struct{}, 1),
-		events: make(chan event, eventQueueSize), seals: map[catalog.Route]seal{}, forwarding: map[job.ID]struct{}{}, started: make(chan struct{}), ended: make(chan struct{}),
+		events: make(chan event, eventQueueSize), seals: map[catalog.Route]seal{}, partCounts: map[job.ID]int{}, forwarding: map[job.ID]struct{}{}, started: make(chan struct{}), ended: make(chan struct{}),
 	}
 }
 
@@ -150,12 +153,13 @@
 
 // load reads the pool's stored state from the log.
 func (s *Shard) load(ctx context.Context) error {
-	jobs := map[job.ID]*pool.StoredState{}
+	jobs, parts := map[job.ID]*pool.StoredState{}, map[string][]byte{}
 	var cancelled []job.ID
 	if _, err := claim.ReadAll(ctx, s.config.Log, s.output, s.config.Logger, func(r stream.Record) {
 		s.loadTerm(r)
 		s.loadSeal(r)
-		s.loadProgress(jobs, r)
+		s.loadPart(parts, r)
+		s.loadProgress(jobs, parts, r)
 		s.loadIntake(jobs, &cancelled, r)
 	}); err != nil {
 		return err
@@ -188,7 +192,7 @@
 	stored := make([]pool.StoredState, 0, len(jobs))
 	for name, j := range jobs {
 		if j.Spec.ID == "" {
-			s.pendingRecords = append(s.pendingRecords, dropRecords(name)...) // the job has expired, and only its progress is left
+			s.pendingRecords = append(s.pendingRecords, s.dropRecords(name)...) // the job has expired, and only its progress is left
 			continue
 		}
 		stored = append(stored, *j)
