pool: Start a suspected task on an empty worker where there is one

The order of workers put that first, so a second crash took the cleared runs with it.

Change: workers that run nothing of other jobs come first, then instances that have not crashed lately.

--- a/internal/jobs/pool/isolation.go
+++ b/internal/jobs/pool/isolation.go
@@ -85,7 +85,7 @@
 		if h.onProbation > 0 {
 			return h // with suspected tasks of the same job
 		}
-		if best == nil || p.compareForSuspect(at, h, best) < 0 {
+		if best == nil || p.compareForSuspect(at, it.entry, h, best) < 0 {
 			best = h
 		}
 	}
@@ -120,9 +120,16 @@
 	return true
 }
 
-// compareForSuspect orders workers for a suspected task: first those whose crash could be put down to nothing else, on
-// instances that have not crashed lately, then those whose crash would cost least.
-func (p *Pool) compareForSuspect(at Moment, a, b *host) int {
+// compareForSuspect orders workers for a suspected task of a job: first those that run nothing of other jobs, then those whose
+// crash could be put down to nothing else, on instances that have not crashed lately, then those whose crash would cost
+// least.
+func (p *Pool) compareForSuspect(at Moment, e *entry, a, b *host) int {
+	if x, y := a.runsOnly(e), b.runsOnly(e); x != y {
+		if x {
+			return -1
+		}
+		return 1
+	}
 	if x, y := p.hasCrashedRecently(at, a), p.hasCrashedRecently(at, b); x != y {
 		if x {
 			return 1
@@ -138,6 +145,16 @@
 	return a.used.CPU - b.used.CPU
 }
 
+// runsOnly reports whether a worker runs nothing but tasks of a job.
+func (h *host) runsOnly(e *entry) bool {
+	for _, r := range h.runs {
+		if r.job != e {
+			return false
+		}
+	}
+	return true
+}
+
 func (h *host) countLongRunning() int {
 	count := 0
 	for _, r := range h.runs {
@@ -200,7 +217,7 @@
 	able := slices.DeleteFunc(p.eligible(at, it, o.hosts), func(h *host) bool {
 		return h.onProbation > 0 || o.isolated[h] || h.memberCapacity(step) == 0 || !h.allowsAnother(it, step)
 	})
-	slices.SortStableFunc(able, func(a, b *host) int { return p.compareForSuspect(at, a, b) })
+	slices.SortStableFunc(able, func(a, b *host) int { return p.compareForSuspect(at, it.entry, a, b) })
 	missing := 1
 	if step.Gang {
 		missing = it.countSuspects()
