--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -9,11 +9,8 @@
 
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
-	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
-	"marigoldshed.example/marigoldshed/internal/jobs/stream"
-	"marigoldshed.example/marigoldshed/peer"
 )
 
 // Timeouts and delays of callers' requests.
@@ -59,103 +56,6 @@
 
 const defaultBodyBytes = 256 << 10
 
-// Submit stores a job. The job is accepted if no error is returned. It may run after an UnknownError, and does not run
-// after any other error.
-func (n *Instance) Submit(ctx context.Context, q catalog.Queue, spec job.Spec) error {
-	for {
-		err := n.submitUnder(ctx, q, spec)
-		var moved movedError
-		if !errors.As(err, &moved) {
-			return err
-		}
-		if q, err = n.awaitMove(ctx, q); err != nil {
-			return err
-		}
-	}
-}
-
-// submitUnder stores a job under the configuration that a queue is part of. After a movedError the job does not run.
-func (n *Instance) submitUnder(ctx context.Context, q catalog.Queue, spec job.Spec) error {
-	spec.Queue, spec.Pool = q.Name, q.Pool
-	spec.Policy = job.Policy{Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Target: q.Target, Advised: q.Advised}
-	spec.Accepted = n.config.Clock.Moment().Wall
-	if err := spec.Check(); err != nil {
-		return err
-	}
-	h, err := n.holderOf(ctx, q)
-	if err != nil {
-		return err
-	}
-	spec.Route, spec.Version = h.route, h.version
-	if known, err := n.isHeldBy(ctx, n.otherPools(h.route, h.pool), h, spec.ID); err != nil || known {
-		return err
-	}
-	err = n.submitToOwner(ctx, spec)
-	var overloaded OverloadedError
-	var moved movedError
-	if err == nil || errors.As(err, &overloaded) || errors.As(err, &moved) {
-		return err
-	}
-	var rejected shard.RejectedError
-	mayBeStored := !errors.As(err, &rejected)
-	if !mayBeStored && n.isStoreSilent() {
-		return NotReadyError{Reason: "the store does not answer", Retry: retryAfter}
-	}
-	record, err := shard.SpecRecord(&spec)
-	if err != nil {
-		return err
-	}
-	return n.store(ctx, shard.IntakeTable(q.Pool), record, mayBeStored)
-}
-
-// submitSilenceLimit is the time without a reply of the store after which a job that its owner has not
-// stored is rejected at once.
-const submitSilenceLimit = 1500 * time.Millisecond
-
-func (n *Instance) isStoreSilent() bool {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	return n.config.Clock.Moment().Steady-n.lastReply > submitSilenceLimit
-}
-
-// ownerTimeout bounds a submission or a cancellation at the owner of a pool.
-const ownerTimeout = 1200 * time.Millisecond
-
-// submitToOwner submits a job to the owner of its pool. After an OverloadedError, a movedError or a shard.RejectedError the
-// owner has not stored the job. After any other error the job may be stored, but only once however often it is submitted.
-func (n *Instance) submitToOwner(ctx context.Context, spec job.Spec) error {
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	defer cancel()
-	owner, here, err := n.owner(spec.Pool)
-	if err != nil {
-		return shard.RejectedError{Reason: err.Error()}
-	}
-	if here != nil {
-		err := here.Submit(ctx, spec)
-		var overloaded pool.OverloadedError
-		var sealed shard.SealedError
-		switch {
-		case errors.As(err, &overloaded):
-			return OverloadedError{Retry: overloaded.Wait}
-		case errors.As(err, &sealed):
-			return movedError{Queue: spec.Queue}
-		}
-		return err
-	}
-	reply, err := n.config.Peers.Submit(ctx, owner, spec)
-	switch {
-	case peer.FailedBeforeSend(err):
-		return shard.RejectedError{Reason: err.Error()}
-	case err == nil && reply.Rejected:
-		return OverloadedError{Retry: reply.RetryAfter}
-	case err == nil && reply.Sealed:
-		return movedError{Queue: spec.Queue}
-	case err == nil && reply.NotStored:
-		return shard.RejectedError{Reason: "the owner can store nothing"}
-	}
-	return err
-}
-
 // cancelAtOwner asks the owner of a pool to cancel a job and reports whether the owner knows the job.
 func (n *Instance) cancelAtOwner(ctx context.Context, shardName string, name job.ID) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
@@ -171,68 +71,6 @@
 	return answer.Known, err
 }
 
-// store appends a record without a fence, directly or through another instance. The parameter indeterminate tells
-// whether the record may already be stored by an earlier call.
-func (n *Instance) store(ctx context.Context, t stream.Table, r stream.Record, indeterminate bool) error {
-	var last error
-	for try := 0; ctx.Err() == nil; try++ {
-		_, err := n.config.Log.Append(ctx, t, []stream.Record{r}, nil)
-		if err == nil {
-			n.recordReply()
-			return nil
-		}
-		last = err
-		var notDone stream.NotDoneError
-		indeterminate = indeterminate || !errors.As(err, &notDone)
-		if done, mayBeStored := n.storeViaPeer(ctx, try, t, r); done {
-			return nil
-		} else if mayBeStored {
-			indeterminate = true
-		}
-		sleep(ctx, retryDelay)
-	}
-	if indeterminate {
-		return UnknownError{Reason: errText(last)}
-	}
-	return NotReadyError{Reason: errText(last), Retry: retryAfter}
-}
-
-func errText(err error) string {
-	if err == nil {
-		return "no time was left"
-	}
-	return err.Error()
-}
-
-// storeViaPeer asks another instance to append a record. The result mayBeStored reports that a failed append may still
-// be applied.
-func (n *Instance) storeViaPeer(ctx context.Context, try int, t stream.Table, r stream.Record) (done, mayBeStored bool) {
-	others := n.others()
-	if len(others) == 0 {
-		return false, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	reply, err := n.config.Peers.Store(ctx, others[try%len(others)], relay.StoreRequest{Table: t, Records: []stream.Record{r}})
-	if err != nil {
-		return false, true
-	}
-	return reply.Stored, reply.Indeterminate
-}
-
-// others returns the other live instances.
-func (n *Instance) others() []netip.AddrPort {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	var list []netip.AddrPort
-	for _, m := range n.alive {
-		if m.Address != n.config.Settings.Peers {
-			list = append(list, m.Address)
-		}
-	}
-	return list
-}
-
 // State returns the state of a job.
 func (n *Instance) State(ctx context.Context, q catalog.Queue, name job.ID) (job.State, error) {
 	state, _, err := n.locate(ctx, q, name)
--- a/internal/jobs/job/spec.go
+++ b/internal/jobs/job/spec.go
@@ -64,7 +64,7 @@
 	Accepted time.Time     `cbor:"11,keyasint"` // by the clock of the instance that accepted the job
 
 	Route   catalog.Route `cbor:"12,keyasint,omitempty"` // of the queue
-	Version int64         `cbor:"13,keyasint,omitempty"` // of the configuration that first sent the route to the pool
+	Version int64         `cbor:"13,keyasint,omitempty"` // under which the pool held the route when the job was submitted
 }
 
 // Limits on the jobs of callers.
