pool: Order the workers to keep free once a round

Each waiting step with suspected tasks ordered all workers anew, up to one step for each eighth worker: by reading, some tens of milliseconds a round in a pool of hundreds of workers. They are ordered once, and each step takes the first that can run it.

--- a/internal/jobs/pool/advice.go
+++ b/internal/jobs/pool/advice.go
@@ -67,7 +67,7 @@
 // the advice service has not barred if there are none.
 func (p *Pool) eligible(at Moment, it *item, hosts []*host) []*host {
 	if !it.entry.job.Spec.Policy.Advised {
-		return slices.Clone(hosts)
+		return hosts
 	}
 	a := it.entry.adviceFor(stepName(it))
 	withTicket := slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool { return a.valid(h.info.ID, at.Steady) == "" })
--- a/internal/jobs/pool/isolation.go
+++ b/internal/jobs/pool/isolation.go
@@ -120,7 +120,7 @@
 	return true
 }
 
-// compareForSuspect orders workers for a suspected task of a job: first those that run nothing of other jobs, then those whose
+// compareForSuspect orders workers for a suspected task of a job, or of any job if that is nil: first those that run nothing of other jobs, then those whose
 // crash could be put down to nothing else, on instances that have not crashed lately, then those whose crash would cost
 // least.
 func (p *Pool) compareForSuspect(at Moment, e *entry, a, b *host) int {
@@ -180,12 +180,18 @@
 // would cost least, for a gang as many as its suspected members need. The steps that have waited longest come first; only
 // the first of them gets more than one worker in isolationFraction.
 func (p *Pool) isolate(at Moment, items []item, o *offer) {
+	steps := suspectedSteps(items)
+	if len(steps) == 0 {
+		return
+	}
+	safest := slices.Clone(o.hosts)
+	slices.SortStableFunc(safest, func(a, b *host) int { return p.compareForSuspect(at, nil, a, b) })
 	limit := max(1, len(o.hosts)/isolationFraction)
-	for _, it := range suspectedSteps(items) {
-		if len(o.isolated) > 0 && len(o.isolated) >= limit {
+	for _, it := range steps {
+		if len(o.isolated) >= limit {
 			return
 		}
-		p.isolateFor(at, it, o)
+		p.isolateFor(at, it, safest, o)
 	}
 }
 
@@ -211,22 +217,23 @@
 	return e.suspectSince
 }
 
-// isolateFor keeps workers free for the suspected tasks of a step.
-func (p *Pool) isolateFor(at Moment, it *item, o *offer) {
+// isolateFor keeps the first of some workers free that can run the suspected tasks of a step.
+func (p *Pool) isolateFor(at Moment, it *item, safest []*host, o *offer) {
 	step := &it.entry.job.Spec.Steps[it.step]
-	able := slices.DeleteFunc(p.eligible(at, it, o.hosts), func(h *host) bool {
-		return h.onProbation > 0 || o.isolated[h] || h.memberCapacity(step) == 0 || !h.allowsAnother(it, step)
-	})
-	slices.SortStableFunc(able, func(a, b *host) int { return p.compareForSuspect(at, it.entry, a, b) })
 	missing := 1
 	if step.Gang {
 		missing = it.countSuspects()
 	}
-	for _, h := range able {
+	for _, h := range p.eligible(at, it, safest) {
+		if h.onProbation > 0 || o.isolated[h] || !h.allowsAnother(it, step) {
+			continue
+		}
+		if capacity := h.memberCapacity(step); capacity > 0 {
+			o.isolated[h] = true
+			missing -= capacity
+		}
 		if missing <= 0 {
 			return
 		}
-		o.isolated[h] = true
-		missing -= h.memberCapacity(step)
 	}
 }
