pool: Do not let long-running tasks wait for the probation of others

Cause: its worker crashed 0.7 s after a change of owner. The age of the runs is unknown to the new owner, so a probation lasts the full 10 s, and in a pool of six workers one worker may run suspected tasks alone. The tasks of another job were on it first.

Change: after isolationTimeout the limit of workers with suspected tasks does not hold back a long-running task; it starts on one of the workers that are kept free.

--- a/internal/jobs/pool/isolation.go
+++ b/internal/jobs/pool/isolation.go
@@ -89,7 +89,8 @@
 			best = h
 		}
 	}
-	if best != nil && o.countOnProbation(it.entry) >= max(1, len(o.hosts)/probationFraction) {
+	lasts := expired && step.LongRunning // its users are without it, and a probation may take maxProbation
+	if best != nil && !lasts && o.countOnProbation(it.entry) >= max(1, len(o.hosts)/probationFraction) {
 		return nil
 	}
 	return best
--- a/internal/jobs/pool/isolation_test.go
+++ b/internal/jobs/pool/isolation_test.go
@@ -105,3 +105,32 @@
 		})
 	}
 }
+
+// TestLastingTasksDoNotWaitForEachOthersProbation guards against tuul-shed trouble-2 --seed 1088659023320 (LOST): after a change
+// of owner a worker crashed under long-running tasks of several jobs. At an unknown age of their runs a probation lasts
+// 10 s, and while one job was on probation the others waited for a worker, for 21 s in that day.
+func TestLastingTasksDoNotWaitForEachOthersProbation(t *testing.T) {
+	const jobs, bound = 3, 9 * time.Second // 6 s after the last run, and 3 s without one
+	for seed := range uint64(10) {
+		w := newSimulation(seed, 6)
+		w.takeOver()
+		for i := range jobs {
+			w.submit(fmt.Sprintf("%016x", i), longRunningJob())
+		}
+		w.run(3 * time.Second)
+		w.takeOver().askInstances(300 * time.Millisecond)
+		w.run(3800 * time.Millisecond)
+		w.crashUnder("0000000000000000", 1)
+		w.run(3800*time.Millisecond + bound)
+		for i := range jobs {
+			for n := range longRunningJob().Steps[0].Count {
+				if name := (job.Name{Job: job.ID(fmt.Sprintf("%016x", i)), Index: n}); w.activeRuns[name] == 0 {
+					t.Errorf("seed %d: %v does not run %v after the crash", seed, name, bound)
+				}
+			}
+		}
+		if len(w.violations) > 0 {
+			t.Errorf("seed %d: %v", seed, w.violations)
+		}
+	}
+}
