shard: Measure the age of the view of the intake at each start

The log could not tell whether the owner that starts a task of a cancelled job has read the cancellation. No logic has changed.

The owner keeps the steady time as of which its view of the intake is complete: when a read that reached the end was sent; the wait later, where the store had nothing to answer for all of it; when the newest records of all keys were asked for, at a take-over or after a trim. The time goes through the queue of events behind the records.

- marigoldshed_owner_seconds{part="intake"} and `oldest_intake` of the status line: the age of the view when a start is sent.
- "start sent late": the age of the view or of the proof of ownership, or the wait since the decision, is over 1.2 s.
An idle pool renews both each second, so a limit of 1 s would be passed whenever a start comes shortly before the renewal.
- "cancellation applied": from where, the offset in the intake, whether the pool has the job, the age of the view.

--- a/internal/jobs/instance/proxiedlog_test.go
+++ b/internal/jobs/instance/proxiedlog_test.go
@@ -76,7 +76,7 @@
 
 func (l *memoryLog) Read(ctx context.Context, t stream.Table, from int64, wait time.Duration) (stream.Batch, error) {
 	l.mu.Lock()
-	batch := stream.Batch{Next: from}
+	batch := stream.Batch{Next: from, End: int64(len(l.records[t]))}
 	for _, r := range l.records[t][from:] {
 		batch.Records = append(batch.Records, stream.StoredRecord{Record: r, Offset: batch.Next})
 		batch.Next++
--- a/internal/jobs/shard/fakelog_test.go
+++ b/internal/jobs/shard/fakelog_test.go
@@ -105,7 +105,7 @@
 func (l *fakeLog) read(t stream.Table, from int64) stream.Batch {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	batch := stream.Batch{Next: from}
+	batch := stream.Batch{Next: from, End: int64(len(l.table(t).records))}
 	for _, r := range l.table(t).records[from:] {
 		batch.Records = append(batch.Records, stream.StoredRecord{Record: r, Offset: batch.Next})
 		batch.Next++
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/claim"
-	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
@@ -269,104 +267,3 @@
 		}
 	})
 }
-
-// followIntake reads the jobs and cancellations that instances append to the intake.
-func (s *Shard) followIntake(ctx context.Context) error {
-	next := s.intakeOffset
-	for ctx.Err() == nil {
-		batch, err := s.config.Log.Read(ctx, s.intake, next, intakeWait)
-		var trimmed stream.TrimmedError
-		switch {
-		case errors.As(err, &trimmed):
-			from, err := claim.ReadAll(ctx, s.config.Log, s.intake, s.config.Logger, func(r stream.Record) { s.handleIntakeRecord(ctx, r) })
-			if err != nil {
-				return err
-			}
-			next = from
-			continue
-		case err != nil:
-			if err := claim.Backoff(ctx, s.config.Logger, err); err != nil {
-				return err
-			}
-			continue
-		}
-		for _, stored := range batch.Records {
-			s.handleIntakeRecord(ctx, stored.Record)
-		}
-		next = batch.Next
-		s.post(ctx, func(pool.Moment) { s.intakeOffset = batch.Next })
-	}
-	return errors.Trace(ctx.Err())
-}
-
-func (s *Shard) handleIntakeRecord(ctx context.Context, r stream.Record) {
-	if len(r.Value) == 0 {
-		return
-	}
-	if name, ok := strings.CutPrefix(r.Key, cancelPrefix); ok {
-		s.intakeJobs.Store(job.ID(name), struct{}{})
-		s.post(ctx, func(at pool.Moment) {
-			s.pool.Cancel(at, job.ID(name))
-			s.placeRequested = true
-		})
-		return
-	}
-	if spec, ok := s.decodeSpec(r); ok {
-		s.intakeJobs.Store(spec.ID, struct{}{})
-		s.post(ctx, func(at pool.Moment) {
-			if s.checkSeal(&spec) != nil {
-				s.forward(ctx, spec)
-				return
-			}
-			s.pool.Submit(at, spec)
-			s.placeRequested = true
-		})
-	}
-}
-
-// sendOrders sends the orders that the pool has decided on, once this owner's term is stored.
-func (s *Shard) sendOrders(ctx context.Context) {
-	if !s.termStored {
-		return
-	}
-	for _, a := range s.pool.Actions() {
-		o := &order{shard: s, action: a, decidedAt: s.config.Clock.Moment().Steady}
-		s.inFlight.Go(func() { o.run(ctx) })
-	}
-}
-
-// order carries out one action and posts its outcome to the control thread.
-type order struct {
-	shard     *Shard
-	action    pool.Action
-	decidedAt time.Duration // steady time of the decision
-}
-
-func (o *order) run(ctx context.Context) {
-	s, w := o.shard, o.shard.config.Workers
-	sent := s.config.Clock.Moment().Steady
-	var outcome func(at pool.Moment)
-	switch a := o.action.(type) {
-	case pool.StartAction:
-		reply, err := w.Start(ctx, a.To, a.Start)
-		outcome = func(at pool.Moment) { s.pool.RecordStart(at, a, reply, err) }
-	case pool.StopAction:
-		reply, err := w.Stop(ctx, a.To, a.Run, a.Fence)
-		outcome = func(at pool.Moment) { s.pool.RecordStop(at, a, reply, err) }
-	case pool.PollAction:
-		report, err := w.RenewLease(ctx, a.To, a.Renewal)
-		outcome = func(at pool.Moment) { s.pool.RecordPoll(at, a, report, err) }
-	case pool.AdviceAction:
-		advice, err := s.config.Advisor.Advise(ctx, a.Step, a.Workers)
-		outcome = func(at pool.Moment) { s.pool.RecordAdvice(at, a, advice, err) }
-	case pool.PaceAction:
-		reply, err := w.Pace(ctx, a.To, a.Run, a.Percent, a.Fence)
-		outcome = func(at pool.Moment) { s.pool.RecordPace(at, a, reply, err) }
-	}
-	_, start := o.action.(pool.StartAction)
-	s.post(ctx, func(at pool.Moment) {
-		s.stats.recordOrder(start, sent-o.decidedAt, at.Steady-sent)
-		outcome(at)
-		s.placeRequested = true
-	})
-}
--- /dev/null
+++ b/internal/jobs/shard/order.go
@@ -0,0 +1,79 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+)
+
+// sendOrders sends the orders that the pool has decided on, once this owner's term is stored.
+func (s *Shard) sendOrders(ctx context.Context) {
+	if !s.termStored {
+		return
+	}
+	for _, a := range s.pool.Actions() {
+		o := &order{shard: s, action: a, decidedAt: s.config.Clock.Moment().Steady, provenAt: s.provenAt, intakeSeenAt: s.intakeSeenAt}
+		s.inFlight.Go(func() { o.run(ctx) })
+	}
+}
+
+// order carries out one action and posts its outcome to the control thread. Its times are steady times.
+type order struct {
+	shard        *Shard
+	action       pool.Action
+	decidedAt    time.Duration // when it was decided
+	provenAt     time.Duration // when the newest answered proof of ownership had been sent by then
+	intakeSeenAt time.Duration // as of when all records of the intake were handled by then
+}
+
+func (o *order) run(ctx context.Context) {
+	s, w := o.shard, o.shard.config.Workers
+	sent := s.config.Clock.Moment().Steady
+	var outcome func(at pool.Moment)
+	switch a := o.action.(type) {
+	case pool.StartAction:
+		o.logLateStart(a, sent)
+		reply, err := w.Start(ctx, a.To, a.Start)
+		outcome = func(at pool.Moment) {
+			s.stats.recordIntakeAge(sent - o.intakeSeenAt)
+			s.pool.RecordStart(at, a, reply, err)
+		}
+	case pool.StopAction:
+		reply, err := w.Stop(ctx, a.To, a.Run, a.Fence)
+		outcome = func(at pool.Moment) { s.pool.RecordStop(at, a, reply, err) }
+	case pool.PollAction:
+		report, err := w.RenewLease(ctx, a.To, a.Renewal)
+		outcome = func(at pool.Moment) { s.pool.RecordPoll(at, a, report, err) }
+	case pool.AdviceAction:
+		advice, err := s.config.Advisor.Advise(ctx, a.Step, a.Workers)
+		outcome = func(at pool.Moment) { s.pool.RecordAdvice(at, a, advice, err) }
+	case pool.PaceAction:
+		reply, err := w.Pace(ctx, a.To, a.Run, a.Percent, a.Fence)
+		outcome = func(at pool.Moment) { s.pool.RecordPace(at, a, reply, err) }
+	}
+	_, start := o.action.(pool.StartAction)
+	s.post(ctx, func(at pool.Moment) {
+		s.stats.recordOrder(start, sent-o.decidedAt, at.Steady-sent)
+		outcome(at)
+		s.placeRequested = true
+	})
+}
+
+// lateStart is the age of what a start was decided on, or its wait, from which it is logged. Views and proofs that are
+// renewed in time stay below it.
+const lateStart = 1200 * time.Millisecond
+
+// logLateStart logs a start that is sent long after its decision, or that was decided on an old view.
+func (o *order) logLateStart(a pool.StartAction, sent time.Duration) {
+	intakeAge, proofAge, waited := sent-o.intakeSeenAt, sent-o.provenAt, sent-o.decidedAt
+	if max(intakeAge, proofAge, waited) < lateStart {
+		return
+	}
+	task := a.Start.Task
+	o.shard.config.Logger.Info("start sent late", zap.String("pool", o.shard.config.Pool), zap.String("job", string(task.Job)), zap.Int("step", task.Step),
+		zap.Int("index", task.Index), zap.Int("run", a.Start.Number), zap.String("worker", a.To.ID), zap.Duration("intake_age", intakeAge),
+		zap.Duration("proof_age", proofAge), zap.Duration("waited", waited))
+}
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -101,6 +101,7 @@
 	autoscalerFence int64           // highest fence of an autoscaler that has sent orders
 	autoscalerRound int64           // newest round under that fence
 	intakeOffset    int64           // next offset of the intake
+	intakeSeenAt    time.Duration   // steady time as of which all records of the intake are handled
 	pendingRecords  []stream.Record // records that go into the next batch
 	callers         []chan struct{} // channels to close once that batch is stored
 	intakeJobs      sync.Map        // IDs of the jobs in the intake
@@ -164,6 +165,7 @@
 	}); err != nil {
 		return err
 	}
+	s.intakeSeenAt = s.config.Clock.Moment().Steady
 	next, err := claim.ReadAll(ctx, s.config.Log, s.intake, s.config.Logger, func(r stream.Record) {
 		s.loadIntake(jobs, &cancelled, r)
 		if _, id, ok := strings.Cut(r.Key, "/"); ok {
@@ -199,7 +201,7 @@
 	}
 	s.pool.Restore(at, stored)
 	for _, name := range cancelled {
-		s.pool.Cancel(at, name)
+		s.applyCancellation(at, name, fromStored, noOffset)
 	}
 	for _, spec := range sealed {
 		s.forward(ctx, spec)
--- a/internal/jobs/shard/stats.go
+++ b/internal/jobs/shard/stats.go
@@ -16,11 +16,12 @@
 
 // Parts of an owner's work.
 const (
-	iterationPart = "turn"  // one iteration of the control thread
-	eventPart     = "event" // from queueing an event until the control thread handles it
-	logPart       = "log"   // from queueing a batch until its outcome is applied
-	sendPart      = "send"  // from deciding on an order until it is sent
-	startPart     = "start" // from sending a start order until its outcome is applied
+	iterationPart = "turn"   // one iteration of the control thread
+	eventPart     = "event"  // from queueing an event until the control thread handles it
+	logPart       = "log"    // from queueing a batch until its outcome is applied
+	sendPart      = "send"   // from deciding on an order until it is sent
+	startPart     = "start"  // from sending a start order until its outcome is applied
+	intakePart    = "intake" // age of the view of the intake on which a start was decided, when it is sent
 )
 
 // loopStats holds statistics of an owner's control loop since the last status line. Only the control thread uses it.
@@ -39,6 +40,7 @@
 	longestWrite     time.Duration // longest time from queueing a batch until its outcome was applied
 	longestSend      time.Duration // longest time from deciding on an order until it was sent
 	longestStart     time.Duration // longest time from sending a start order until its outcome was applied
+	oldestIntake     time.Duration // oldest view of the intake on which a start that was sent was decided
 }
 
 func newLoopStats(o TimingObserver) *loopStats {
@@ -83,6 +85,12 @@
 	}
 }
 
+// recordIntakeAge records how old the view of the intake on which a start was decided is when the start is sent.
+func (p *loopStats) recordIntakeAge(age time.Duration) {
+	p.oldestIntake = max(p.oldestIntake, age)
+	p.observer.ObserveDuration(intakePart, age)
+}
+
 // reset returns the statistics since the last call and starts a new period.
 func (p *loopStats) reset() sample {
 	previous := p.sample
@@ -95,6 +103,6 @@
 		zap.Int("turns", b.iterations), zap.Int("events", b.events), zap.Int("batches", b.batches), zap.Int("starts", b.starts),
 		zap.Int("orders", b.orders), zap.Duration("turns_took", b.busy), zap.Duration("longest_turn", b.longestIteration),
 		zap.Duration("oldest_event", b.oldestEvent), zap.Duration("longest_write", b.longestWrite), zap.Duration("longest_send", b.longestSend),
-		zap.Duration("longest_start", b.longestStart),
+		zap.Duration("longest_start", b.longestStart), zap.Duration("oldest_intake", b.oldestIntake),
 	}
 }
--- a/internal/jobs/shard/stats_test.go
+++ b/internal/jobs/shard/stats_test.go
@@ -20,9 +20,12 @@
 	p.recordWrite(5 * time.Millisecond)
 	p.recordOrder(true, time.Millisecond, 4*time.Millisecond)
 	p.recordOrder(false, 7*time.Millisecond, time.Second)
+	p.recordIntakeAge(9 * time.Millisecond)
+	p.recordIntakeAge(8 * time.Millisecond)
 	want := sample{
 		iterations: 1, events: 2, batches: 1, starts: 1, orders: 2, busy: 2 * time.Millisecond, longestIteration: 2 * time.Millisecond,
 		oldestEvent: 3 * time.Millisecond, longestWrite: 5 * time.Millisecond, longestSend: 7 * time.Millisecond, longestStart: 4 * time.Millisecond,
+		oldestIntake: 9 * time.Millisecond,
 	}
 	if got := p.reset(); got != want {
 		t.Errorf("measured %+v, want %+v", got, want)
--- a/internal/jobs/shard/submit.go
+++ b/internal/jobs/shard/submit.go
@@ -46,7 +46,7 @@
 		if _, forwarding := s.forwarding[name]; forwarding {
 			return forwardedError{}
 		}
-		s.pool.Cancel(at, name)
+		s.applyCancellation(at, name, fromCaller, noOffset)
 		return nil
 	})
 }
--- a/internal/jobs/stream/stream.go
+++ b/internal/jobs/stream/stream.go
@@ -30,6 +30,7 @@
 // Batch is a sequence of consecutive records in the order in which they were written.
 type Batch struct {
 	Next    int64 // offset after the last record of the batch
+	End     int64 // offset after the newest record of the table when it was read
 	Records []StoredRecord
 }
 
