--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -56,21 +56,6 @@
 
 const defaultBodyBytes = 256 << 10
 
-// cancelAtOwner asks the owner of a pool to cancel a job and reports whether the owner knows the job.
-func (n *Instance) cancelAtOwner(ctx context.Context, shardName string, name job.ID) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	defer cancel()
-	owner, here, err := n.owner(shardName)
-	if err != nil {
-		return false, err
-	}
-	if here != nil {
-		return here.Cancel(ctx, name)
-	}
-	answer, err := n.config.Peers.Cancel(ctx, owner, relay.JobRequest{Pool: shardName, Job: name})
-	return answer.Known, err
-}
-
 // State returns the state of a job.
 func (n *Instance) State(ctx context.Context, q catalog.Queue, name job.ID) (job.State, error) {
 	state, _, err := n.locate(ctx, q, name)
@@ -149,30 +134,6 @@
 	return address, nil, nil
 }
 
-// Cancel cancels a job.
-func (n *Instance) Cancel(ctx context.Context, q catalog.Queue, name job.ID) error {
-	var silent []string // pools whose owners did not reply
-	for _, shardName := range n.poolsFrom(q.Pool) {
-		known, err := n.cancelAtOwner(ctx, shardName, name)
-		if err == nil && known {
-			return nil
-		}
-		if err != nil {
-			silent = append(silent, shardName)
-		}
-	}
-	if len(silent) == 0 {
-		return NoJobError{Job: name}
-	}
-	// The job may be in any of these pools. A cancel record for a job that does not exist has no effect.
-	for _, shardName := range silent {
-		if err := n.store(ctx, shard.IntakeTable(shardName), shard.CancelRecord(name), true); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Pending returns how many jobs of a queue have not started.
 func (n *Instance) Pending(ctx context.Context, q catalog.Queue) (int, error) {
 	for {
--- a/internal/jobs/instance/metrics.go
+++ b/internal/jobs/instance/metrics.go
@@ -23,6 +23,7 @@
 	runs       *prometheus.CounterVec   // ended runs, by pool and outcome
 	givenUp    *prometheus.CounterVec   // tasks that were given up since they crash workers, by pool
 	lostRuns   *prometheus.CounterVec   // runs whose end no worker has reported, by pool and cause
+	cancels    *prometheus.CounterVec   // pools asked to cancel a job, by answer
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -47,8 +48,11 @@
 		lostRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldshed_runs_lost_total", Help: "Runs whose end no worker has reported.",
 		}, []string{"pool", "cause"}),
+		cancels: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigoldshed_cancellations_total", Help: "Pools that were asked to cancel a job.",
+		}, []string{"answer"}),
 	}
-	m.Registry.MustRegister(m.calls, m.startWait, m.taskWait, m.ownerSteps, m.jobs, m.runs, m.lostRuns, m.givenUp)
+	m.Registry.MustRegister(m.calls, m.startWait, m.taskWait, m.ownerSteps, m.jobs, m.runs, m.lostRuns, m.givenUp, m.cancels)
 	return m
 }
 
@@ -57,6 +61,8 @@
 	m.calls.WithLabelValues(queue, call, outcome).Observe(took.Seconds())
 }
 
+func (m *Metrics) recordCancellation(answer string) { m.cancels.WithLabelValues(answer).Inc() }
+
 // Observer returns an observer that counts and logs the decisions of one pool.
 func (m *Metrics) Observer(name string, logger *zap.Logger) pool.Observer {
 	return &observer{metrics: m, pool: name, logger: logger.With(zap.String("pool", name))}
--- a/internal/jobs/instance/route.go
+++ b/internal/jobs/instance/route.go
@@ -127,7 +127,7 @@
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ownerTimeout)
 		defer cancel()
 		n.config.Logger.Info("recording the pool of a route", zap.String("route", string(h.route)), zap.String("pool", h.pool), zap.Int64("version", h.version))
-		if err := n.store(ctx, ownerTable(), r, false); err != nil {
+		if _, err := n.store(ctx, ownerTable(), r, false); err != nil {
 			return nil, err
 		}
 		for ctx.Err() == nil && !n.hasHolder(h) {
--- a/internal/jobs/instance/route_test.go
+++ b/internal/jobs/instance/route_test.go
@@ -119,7 +119,7 @@
 func (w *routeWorld) start(c *catalog.Config) *Instance {
 	n := New(Config{
 		Settings: Settings{Peers: netip.MustParseAddrPort("127.0.0.1:1")}, Log: w.log, Clock: steady.Clock{},
-		Peers: relay.NewClient(http.DefaultTransport), Logger: zap.NewNop(),
+		Peers: relay.NewClient(http.DefaultTransport), Logger: zap.NewNop(), Metrics: NewMetrics(),
 	})
 	all := w.log.all()
 	n.replaceOwners(all)
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -104,9 +104,9 @@
 
 // HandleStore appends records for an instance that cannot reach the store.
 func (n *Instance) HandleStore(ctx context.Context, s relay.StoreRequest) (relay.StoreReply, error) {
-	_, err := n.config.Log.Append(ctx, s.Table, s.Records, nil)
+	offset, err := n.config.Log.Append(ctx, s.Table, s.Records, nil)
 	if err == nil {
-		return relay.StoreReply{Stored: true}, nil
+		return relay.StoreReply{Stored: true, Offset: offset}, nil
 	}
 	var notDone stream.NotDoneError
 	return relay.StoreReply{Indeterminate: !errors.As(err, &notDone)}, nil
--- a/internal/jobs/instance/submit.go
+++ b/internal/jobs/instance/submit.go
@@ -62,7 +62,8 @@
 	if err != nil {
 		return err
 	}
-	return n.store(ctx, shard.IntakeTable(q.Pool), record, mayBeStored)
+	_, err = n.store(ctx, shard.IntakeTable(q.Pool), record, mayBeStored)
+	return err
 }
 
 // submitSilenceLimit is the time without a reply of the store after which a job that its owner has not
@@ -113,30 +114,30 @@
 	return err
 }
 
-// store appends a record without a fence, directly or through another instance. The parameter indeterminate tells
-// whether the record may already be stored by an earlier call.
-func (n *Instance) store(ctx context.Context, t stream.Table, r stream.Record, indeterminate bool) error {
+// store appends a record without a fence, directly or through another instance, and returns its offset. The parameter
+// indeterminate tells whether the record may already be stored by an earlier call.
+func (n *Instance) store(ctx context.Context, t stream.Table, r stream.Record, indeterminate bool) (int64, error) {
 	var last error
 	for try := 0; ctx.Err() == nil; try++ {
-		_, err := n.config.Log.Append(ctx, t, []stream.Record{r}, nil)
+		offset, err := n.config.Log.Append(ctx, t, []stream.Record{r}, nil)
 		if err == nil {
 			n.recordReply()
-			return nil
+			return offset, nil
 		}
 		last = err
 		var notDone stream.NotDoneError
 		indeterminate = indeterminate || !errors.As(err, &notDone)
-		if done, mayBeStored := n.storeViaPeer(ctx, try, t, r); done {
-			return nil
-		} else if mayBeStored {
-			indeterminate = true
+		reply := n.storeViaPeer(ctx, try, t, r)
+		if reply.Stored {
+			return reply.Offset, nil
 		}
+		indeterminate = indeterminate || reply.Indeterminate
 		sleep(ctx, retryDelay)
 	}
 	if indeterminate {
-		return UnknownError{Reason: errText(last)}
+		return 0, UnknownError{Reason: errText(last)}
 	}
-	return NotReadyError{Reason: errText(last), Retry: retryAfter}
+	return 0, NotReadyError{Reason: errText(last), Retry: retryAfter}
 }
 
 func errText(err error) string {
@@ -146,20 +147,19 @@
 	return err.Error()
 }
 
-// storeViaPeer asks another instance to append a record. The result mayBeStored reports that a failed append may still
-// be applied.
-func (n *Instance) storeViaPeer(ctx context.Context, try int, t stream.Table, r stream.Record) (done, mayBeStored bool) {
+// storeViaPeer asks another instance to append a record.
+func (n *Instance) storeViaPeer(ctx context.Context, try int, t stream.Table, r stream.Record) relay.StoreReply {
 	others := n.others()
 	if len(others) == 0 {
-		return false, false
+		return relay.StoreReply{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	reply, err := n.config.Peers.Store(ctx, others[try%len(others)], relay.StoreRequest{Table: t, Records: []stream.Record{r}})
 	if err != nil {
-		return false, true
+		return relay.StoreReply{Indeterminate: true}
 	}
-	return reply.Stored, reply.Indeterminate
+	return reply
 }
 
 // others returns the other live instances.
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -86,8 +86,9 @@
 
 // StoreReply is the reply to a StoreRequest. Indeterminate means that the records may still be stored.
 type StoreReply struct {
-	Stored        bool `cbor:"1,keyasint,omitempty"`
-	Indeterminate bool `cbor:"2,keyasint,omitempty"`
+	Stored        bool  `cbor:"1,keyasint,omitempty"`
+	Indeterminate bool  `cbor:"2,keyasint,omitempty"`
+	Offset        int64 `cbor:"3,keyasint,omitempty"` // offset of the first record, if Stored
 }
 
 // CordonRequest sends the owner of a pool orders for its workers. The reply is a machines.Load.
