shard: Start no task on an old view of cancellations

What callers saw: a cancel was acknowledged, and over 3 s later a task of the job started.

Cause: an instance that does not reach the owner of a pool stores a cancel in the pool's intake and acknowledges it. The owner started tasks while its appends succeeded, whether or not its reads of the intake did. Likewise its newest proof of ownership could be 4 s old, in which time a successor may have acknowledged cancels. The incident's record does not tell which of the hypotheses it was; this one is shown on the fakes.

Fix: stored runs wait in the pool until the owner's proof and its view of the intake are younger than cancel_ms less 1.5 s, which a start may take from then on until a worker has it. A cancellation that comes in the meantime drops them without an order, as do a drain and an evacuation. Stops, polls, paces and leases do not wait. Nothing more is placed while starts are held back. When the long poll of the intake takes too long, the owner reads without waiting, four times a second at most and only while a start waits: TestSlowLongPollDoesNotStopStarts counts one more read a start then and none otherwise, TestStartsReadNoMore one read a second over 80 starts.

Changed tests: package pool's call SendStored after RecordStored; TestStartIsCheckedAgainOnceItIsStored makes each change before and after the run is stored, checks that no stop is ordered, and has a cancelled job among its cases.

--- a/internal/jobs/instance/settings.go
+++ b/internal/jobs/instance/settings.go
@@ -25,6 +25,7 @@
 	Grace          time.Duration // from the request to stop to the kill
 	MaxLease       time.Duration // longest lease that a worker grants
 	Retention      time.Duration // how long the state of an ended job can be queried
+	CancelTimeout  time.Duration // time after the acknowledgement of a cancellation after which no task of the job starts, 0 if not known
 	HolderCooldown time.Duration // time without orders after which another holder may give orders to the same instance
 	RecordBytes    int           // longest record that the store takes, 0 if not known
 	CallBytes      int           // bytes of records that the store takes in one call, 0 if not known
--- a/internal/jobs/pool/action.go
+++ b/internal/jobs/pool/action.go
@@ -11,8 +11,9 @@
 
 // StartAction starts a run; the outcome goes to RecordStart.
 type StartAction struct {
-	To    worker.Target
-	Start worker.Start
+	To      worker.Target
+	Start   worker.Start
+	Decided time.Duration // steady time of the decision
 }
 
 // StopAction ends a run; the outcome goes to RecordStop.
--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -74,7 +74,8 @@
 	return in, out
 }
 
-// RecordStored sends the starts and stops that waited for a batch and marks its ends for acknowledgement.
+// RecordStored sends the stops that waited for a batch and marks its ends for acknowledgement. Its starts wait for
+// SendStored.
 func (p *Pool) RecordStored(at Moment, b *Batch) {
 	for _, s := range b.Jobs {
 		if e, ok := p.jobs[s.ID]; ok {
@@ -82,7 +83,9 @@
 		}
 	}
 	for _, r := range b.runs {
-		p.send(at, r)
+		if p.isUnsent(r) {
+			p.stored = append(p.stored, r)
+		}
 	}
 	for _, r := range b.leaving {
 		if p.find(r.host.info.ID, r.id) == r && r.task.Leaving {
@@ -92,6 +95,19 @@
 	p.MarkEndsStored(b)
 }
 
+// SendStored orders the starts of all stored runs that may still start. The caller calls it only while what the pool knows
+// of cancellations is new enough.
+func (p *Pool) SendStored(at Moment) {
+	stored := p.stored
+	p.stored = nil
+	for _, r := range stored {
+		p.send(at, r)
+	}
+}
+
+// HasStored reports whether stored runs wait for SendStored.
+func (p *Pool) HasStored() bool { return len(p.stored) > 0 }
+
 // MarkEndsStored marks the ends of a batch for acknowledgement.
 func (p *Pool) MarkEndsStored(b *Batch) {
 	for name, end := range b.ends {
--- a/internal/jobs/pool/gang.go
+++ b/internal/jobs/pool/gang.go
@@ -130,7 +130,7 @@
 		}
 		if h == nil {
 			for _, r := range placed {
-				p.dropUnstored(r)
+				p.dropUnsent(r)
 				p.release(r)
 				r.task.Run = latest
 			}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,7 +15,7 @@
 type phase int
 
 const (
-	storing       phase = iota // not yet stored in the log; no order was sent
+	storing       phase = iota // not yet stored in the log, or stored but not sent: no order was sent
 	sending                    // the start order is outstanding
 	running                    // the worker has confirmed it
 	indeterminate              // outcome unknown: it may run, or may yet start
@@ -105,7 +106,7 @@
 
 // send orders the start of a stored run, or drops the run if its job has ended or its worker must not get it any more.
 func (p *Pool) send(at Moment, r *run) {
-	if r.phase != storing || p.find(r.host.info.ID, r.id) != r {
+	if !p.isUnsent(r) {
 		return
 	}
 	if r.job.job.State.Ended() || !p.mayStillStart(r) {
@@ -117,12 +118,15 @@
 	h.extendLease(at.Steady, p.config.Lease)
 	r.phase = sending
 	r.ordered = at.Steady
-	p.actions = append(p.actions, StartAction{To: h.target(), Start: worker.Start{
+	p.actions = append(p.actions, StartAction{To: h.target(), Decided: at.Steady, Start: worker.Start{
 		Run: r.id, Payload: r.job.job.Spec.Payload, Until: h.leaseUntil(at.Steady, p.config.Lease),
 		Fence: p.config.Fence, Checkpoint: r.task.Checkpoint, Ticket: p.ticketOf(r),
 	}})
 }
 
+// isUnsent reports whether a run exists and no order was sent for it.
+func (p *Pool) isUnsent(r *run) bool { return r.phase == storing && p.find(r.host.info.ID, r.id) == r }
+
 // mayStillStart reports whether what has become known of a worker since a run was placed there allows its start. The
 // members of a gang start all or none, so they are not held back.
 func (p *Pool) mayStillStart(r *run) bool {
@@ -223,7 +227,7 @@
 func (p *Pool) stop(at Moment, r *run) {
 	switch r.phase {
 	case storing:
-		p.dropUnstored(r)
+		p.dropUnsent(r)
 		p.release(r)
 		p.touch(r.job)
 	case sending, running, indeterminate:
@@ -234,14 +238,11 @@
 	}
 }
 
-func (p *Pool) dropUnstored(r *run) {
-	kept := p.unstored[:0]
-	for _, h := range p.unstored {
-		if h != r {
-			kept = append(kept, h)
-		}
-	}
-	p.unstored = kept
+// dropUnsent removes a run from those that wait until they are stored or sent.
+func (p *Pool) dropUnsent(r *run) {
+	isRun := func(other *run) bool { return other == r }
+	p.unstored = slices.DeleteFunc(p.unstored, isRun)
+	p.stored = slices.DeleteFunc(p.stored, isRun)
 }
 
 func (p *Pool) sendStop(r *run) {
--- a/internal/jobs/shard/fakelog_test.go
+++ b/internal/jobs/shard/fakelog_test.go
@@ -17,6 +17,8 @@
 	tables      map[stream.Table]*fakeTable
 	loseAnswers int
 	down        bool
+	held        map[stream.Table]time.Duration // reads that wait this long or longer are held, by table
+	reads       map[stream.Table]int           // reads so far, by table
 }
 
 type fakeTable struct {
@@ -27,7 +29,41 @@
 
 var errNoAnswer = errors.New("no answer")
 
-func newFakeLog() *fakeLog { return &fakeLog{tables: map[stream.Table]*fakeTable{}} }
+func newFakeLog() *fakeLog {
+	return &fakeLog{tables: map[stream.Table]*fakeTable{}, held: map[stream.Table]time.Duration{}, reads: map[stream.Table]int{}}
+}
+
+// holdReads leaves reads of a table that wait for the given time or longer without an answer until releaseReads.
+func (l *fakeLog) holdReads(t stream.Table, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held[t] = wait
+}
+
+func (l *fakeLog) releaseReads(t stream.Table) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.held, t)
+}
+
+func (l *fakeLog) holds(t stream.Table, wait time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	from, held := l.held[t]
+	return held && wait >= from
+}
+
+func (l *fakeLog) countRead(t stream.Table) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads[t]++
+}
+
+func (l *fakeLog) readCount(t stream.Table) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads[t]
+}
 
 func (l *fakeLog) set(lose int, down bool) {
 	l.mu.Lock()
@@ -89,9 +125,10 @@
 
 func (l *fakeLog) Read(ctx context.Context, t stream.Table, from int64, wait time.Duration) (stream.Batch, error) {
 	until := time.Now().Add(wait)
+	l.countRead(t)
 	for {
 		batch := l.read(t, from)
-		if len(batch.Records) > 0 || !time.Now().Before(until) {
+		if !l.holds(t, wait) && (len(batch.Records) > 0 || !time.Now().Before(until)) {
 			return batch, nil
 		}
 		select {
--- a/internal/jobs/shard/intake.go
+++ b/internal/jobs/shard/intake.go
@@ -52,23 +52,47 @@
 	for _, stored := range batch.Records {
 		s.handleIntakeRecord(ctx, stored)
 	}
-	seenAt := completeAt(batch, sent)
-	if batch.Next == r.next && answered-sent >= wait {
-		seenAt += wait // the store answers as soon as there is a record
-	}
-	r.advance(ctx, batch.Next, seenAt)
+	empty := batch.Next == r.next
+	r.advance(ctx, batch.Next, completeAt(batch, sent, answered, wait, empty))
 	return nil
 }
 
-// completeAt returns the steady time as of which a read that was sent at a given time shows all records of a table, or 0 if
-// the table has more.
-func completeAt(b stream.Batch, sent time.Duration) time.Duration {
-	if b.Next != b.End {
+// completeAt returns the steady time as of which a read with a given wait shows all records of a table, or 0 if the table has
+// more.
+func completeAt(b stream.Batch, sent, answered, wait time.Duration, empty bool) time.Duration {
+	switch {
+	case b.Next != b.End:
 		return 0
+	case empty && answered-sent >= wait:
+		return sent + wait // the store answers as soon as there is a record
 	}
 	return sent
 }
 
+// minReadGap is the minimum time between two reads of the intake that do not wait.
+const minReadGap = 250 * time.Millisecond
+
+// refreshIntake reads the intake without waiting, since the read that waits takes too long.
+func (s *Shard) refreshIntake(ctx context.Context, at pool.Moment) {
+	if s.intakeReading || at.Steady-s.intakeReadAt < minReadGap {
+		return
+	}
+	s.intakeReading, s.intakeReadAt = true, at.Steady
+	f := &intakeRefresh{reader: intakeReader{shard: s, next: s.intakeOffset}}
+	s.inFlight.Go(func() { f.run(ctx) })
+}
+
+// intakeRefresh is one read of the intake beside that of followIntake.
+type intakeRefresh struct{ reader intakeReader }
+
+func (f *intakeRefresh) run(ctx context.Context) {
+	s := f.reader.shard
+	if err := f.reader.read(ctx, 0); err != nil {
+		s.config.Logger.Debug("cannot read the intake", zap.String("pool", s.config.Pool), zap.Error(err))
+	}
+	s.post(ctx, func(pool.Moment) { s.intakeReading = false })
+}
+
 // readNewest reads the newest record of every key, when the store no longer has the records at the next offset.
 func (r *intakeReader) readNewest(ctx context.Context) error {
 	s := r.shard
@@ -87,7 +111,7 @@
 	s := r.shard
 	r.next = next
 	s.post(ctx, func(pool.Moment) {
-		s.intakeOffset = next
+		s.intakeOffset = max(s.intakeOffset, next)
 		s.intakeSeenAt = max(s.intakeSeenAt, seenAt)
 	})
 }
@@ -99,6 +123,9 @@
 	if name, ok := strings.CutPrefix(r.Key, cancelPrefix); ok {
 		s.intakeJobs.Store(job.ID(name), struct{}{})
 		s.post(ctx, func(at pool.Moment) {
+			if s.isHandled(r) {
+				return
+			}
 			s.applyCancellation(at, job.ID(name), fromIntake, r.Offset)
 			s.placeRequested = true
 		})
@@ -107,6 +134,9 @@
 	if spec, ok := s.decodeSpec(r.Record); ok {
 		s.intakeJobs.Store(spec.ID, struct{}{})
 		s.post(ctx, func(at pool.Moment) {
+			if s.isHandled(r) {
+				return
+			}
 			if s.checkSeal(&spec) != nil {
 				s.forward(ctx, spec)
 				return
@@ -117,6 +147,11 @@
 	}
 }
 
+// isHandled reports whether another read has shown a record before.
+func (s *Shard) isHandled(r stream.StoredRecord) bool {
+	return r.Offset != noOffset && r.Offset < s.intakeOffset
+}
+
 // cancelSource says how an owner has learned of a cancellation.
 type cancelSource string
 
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -79,6 +79,7 @@
 		return
 	}
 	s.pool.Tick(at)
+	s.orderStarts(ctx)
 	if at.Steady-s.pacedAt > paceInterval {
 		s.pacedAt = at.Steady
 		s.pool.Pace(at)
@@ -86,7 +87,7 @@
 		s.pool.Rescue(at)
 		s.placeRequested = true
 	}
-	if s.placeRequested && !s.writing && at.Steady-s.placedAt >= placeInterval {
+	if s.placeRequested && !s.writing && !s.pool.HasStored() && at.Steady-s.placedAt >= placeInterval {
 		s.placeRequested = false
 		s.placedAt = at.Steady
 		s.pool.Place(at)
--- a/internal/jobs/shard/order.go
+++ b/internal/jobs/shard/order.go
@@ -9,6 +9,43 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 )
 
+// Allowances for the time from deciding on a start until a worker carries it out.
+const (
+	defaultCancelTimeout = 3 * time.Second         // where the settings name none
+	startAllowance       = 1500 * time.Millisecond // for the wait until a start is sent and for its call
+)
+
+// maxViewAge returns the largest age, at the decision on a start, of what is known of cancellations. The rest of the
+// CancelTimeout is left for the start to arrive.
+func (s *Settings) maxViewAge() time.Duration {
+	timeout := s.CancelTimeout
+	if timeout <= 0 {
+		timeout = defaultCancelTimeout
+	}
+	return max(timeout-startAllowance, timeout/2)
+}
+
+// orderStarts orders the starts of stored runs, or holds them back while a cancellation may have been acknowledged that
+// this owner does not know: in the intake, or by a successor.
+func (s *Shard) orderStarts(ctx context.Context) {
+	if !s.pool.HasStored() || !s.termStored {
+		return
+	}
+	at, oldest := s.config.Clock.Moment(), s.config.Settings.maxViewAge()
+	intakeAge, proofAge := at.Steady-s.intakeSeenAt, at.Steady-s.provenAt
+	if max(intakeAge, proofAge) <= oldest {
+		s.pool.SendStored(at)
+		return
+	}
+	if intakeAge > oldest {
+		s.refreshIntake(ctx, at)
+	}
+	if at.Steady-s.heldLoggedAt >= statusInterval {
+		s.heldLoggedAt = at.Steady
+		s.config.Logger.Info("starts held back", zap.String("pool", s.config.Pool), zap.Duration("intake_age", intakeAge), zap.Duration("proof_age", proofAge))
+	}
+}
+
 // sendOrders sends the orders that the pool has decided on, once this owner's term is stored.
 func (s *Shard) sendOrders(ctx context.Context) {
 	if !s.termStored {
@@ -16,6 +53,9 @@
 	}
 	for _, a := range s.pool.Actions() {
 		o := &order{shard: s, action: a, decidedAt: s.config.Clock.Moment().Steady, provenAt: s.provenAt, intakeSeenAt: s.intakeSeenAt}
+		if start, ok := a.(pool.StartAction); ok {
+			o.decidedAt = start.Decided
+		}
 		s.inFlight.Go(func() { o.run(ctx) })
 	}
 }
--- a/internal/jobs/shard/partition_test.go
+++ b/internal/jobs/shard/partition_test.go
@@ -75,8 +75,9 @@
 	cluster *fakeCluster
 
 	mu          sync.Mutex
-	logDown     bool // whether the log is unreachable
-	dropAppends int  // number of next appends that get lost before they reach the log
+	logDown     bool          // whether the log is unreachable
+	logAnswer   time.Duration // time from an append or a fence until it is answered
+	dropAppends int           // number of next appends that get lost before they reach the log
 	reachable   id.Set[string]
 }
 
@@ -126,14 +127,30 @@
 	if s.logUnreachable() || s.dropsAppend() {
 		return 0, errNoAnswer
 	}
-	return s.fakeLog.Append(ctx, t, records, w)
+	offset, err := s.fakeLog.Append(ctx, t, records, w)
+	time.Sleep(s.answerTime())
+	return offset, err
 }
 
 func (s *ownerNetwork) Fence(ctx context.Context, t stream.Table, epoch int64) error {
 	if s.logUnreachable() {
 		return errNoAnswer
 	}
-	return s.fakeLog.Fence(ctx, t, epoch)
+	err := s.fakeLog.Fence(ctx, t, epoch)
+	time.Sleep(s.answerTime())
+	return err
+}
+
+func (s *ownerNetwork) setAnswerTime(takes time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logAnswer = takes
+}
+
+func (s *ownerNetwork) answerTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.logAnswer
 }
 
 func (s *ownerNetwork) Read(ctx context.Context, t stream.Table, from int64, wait time.Duration) (stream.Batch, error) {
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -40,9 +40,10 @@
 	Lease          time.Duration // how long a worker keeps running tasks without a renewal
 	MaxLease       time.Duration // longest lease that a worker grants, 0 if unknown
 	Retention      time.Duration
-	RemoteSlowdown float64 // factor by which a task takes longer away from its data
-	RecordBytes    int     // longest record that the store takes, 0 if unknown
-	CallBytes      int     // bytes of records that the store takes in one call, 0 if unknown
+	CancelTimeout  time.Duration // time after the acknowledgement of a cancellation after which no task of the job starts, 0 if unknown
+	RemoteSlowdown float64       // factor by which a task takes longer away from its data
+	RecordBytes    int           // longest record that the store takes, 0 if unknown
+	CallBytes      int           // bytes of records that the store takes in one call, 0 if unknown
 }
 
 // Config holds what a Shard needs.
@@ -96,12 +97,15 @@
 	placedAt        time.Duration
 	pacedAt         time.Duration
 	statusLoggedAt  time.Duration // steady time of the last status line
+	heldLoggedAt    time.Duration // steady time of the last line on starts that are held back
 	stats           *loopStats
 	placeRequested  bool
 	autoscalerFence int64           // highest fence of an autoscaler that has sent orders
 	autoscalerRound int64           // newest round under that fence
 	intakeOffset    int64           // next offset of the intake
 	intakeSeenAt    time.Duration   // steady time as of which all records of the intake are handled
+	intakeReadAt    time.Duration   // steady time of the newest read of the intake that did not wait
+	intakeReading   bool            // whether that read is outstanding
 	pendingRecords  []stream.Record // records that go into the next batch
 	callers         []chan struct{} // channels to close once that batch is stored
 	intakeJobs      sync.Map        // IDs of the jobs in the intake
