http1: Drop all idle connections to a peer when one has gone silent

What callers saw: after connections to a peer have gone silent without a reset, each call to it takes one of them and ends with its timeout, one after the other; new connections would have worked all the while. An owner whose calls to the store do this reads its pool's intake seconds late, while its appends are carried by other instances after half a second.

Cause: a call that timed out closed its own connection only. Class: a failure that says something of several things is applied to one.

Evidence: TestSilentConnectionsAreNotTriedOneByOne, five idle connections: 5 of 5 calls got no answer before, 1 now.

Change: a call on a connection that had been idle for a second, and that got no answer for 0.3 s, closes the others that have not been used since. A busy peer's connections are seldom idle for so long, so load makes no new connections.

--- a/internal/transport/http1/conn.go
+++ b/internal/transport/http1/conn.go
@@ -13,6 +13,13 @@
 // checkAfter is the idle time after which a connection is checked before it is used: the peer may have closed it.
 const checkAfter = 100 * time.Millisecond
 
+// A connection that had been idle for silentIdle and has not answered for silentWait may have gone silent without a
+// reset. A busy peer is not taken for that: connections to it are seldom idle for so long.
+const (
+	silentIdle = time.Second
+	silentWait = 300 * time.Millisecond
+)
+
 // conn is a connection that one request uses at a time.
 type conn struct {
 	net.Conn
@@ -107,3 +114,9 @@
 	})
 	return err == nil && quiet
 }
+
+// isSilent reports whether a connection that has not answered a request since it was sent may have gone silent while it was
+// idle. The other connections to the peer may then be silent, too.
+func (c *conn) isSilent(sent time.Time) bool {
+	return !c.idleSince.IsZero() && sent.Sub(c.idleSince) >= silentIdle && time.Since(sent) >= silentWait
+}
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -64,11 +64,15 @@
 		return nil, err
 	}
 	reportConn(ctx, c)
+	sent := time.Now()
 	stopClosing := context.AfterFunc(ctx, c.close)
 	response, body, err := c.exchange(request, t.config.MaxBody)
 	interrupted := !stopClosing()
 	switch {
 	case interrupted:
+		if c.isSilent(sent) {
+			t.closeIdle(h, sent)
+		}
 		return nil, context.Cause(ctx)
 	case err != nil:
 		c.close()
@@ -145,6 +149,16 @@
 	return closing
 }
 
+// closeIdle closes the connections to a host that have not been used since a time.
+func (t *Transport) closeIdle(h *host, unused time.Time) {
+	t.mu.Lock()
+	closing := h.removeIdle(unused)
+	t.mu.Unlock()
+	for _, c := range closing {
+		c.close()
+	}
+}
+
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() {
 	t.mu.Lock()
--- a/internal/transport/http1/transport_test.go
+++ b/internal/transport/http1/transport_test.go
@@ -263,3 +263,51 @@
 		})
 	}
 }
+
+// TestSilentConnectionsAreNotTriedOneByOne guards against a peer that stayed out of reach for as many timeouts as there
+// were idle connections to it that had gone silent without a reset.
+func TestSilentConnectionsAreNotTriedOneByOne(t *testing.T) {
+	const (
+		idle    = 5
+		timeout = 400 * time.Millisecond
+	)
+	var silent atomic.Bool
+	var opened sync.WaitGroup
+	opened.Add(idle)
+	silenced := sync.Map{}
+	p := newPeer(t, func(c net.Conn, _ *http.Request) bool {
+		if _, old := silenced.Load(c); old && silent.Load() {
+			return true
+		}
+		if !silent.Load() {
+			silenced.Store(c, struct{}{})
+			opened.Done()
+			opened.Wait()
+		}
+		_, err := io.WriteString(c, okResponse)
+		return err == nil
+	})
+	transport := newTransport(Config{MaxIdle: idle})
+	var requests sync.WaitGroup
+	for range idle {
+		requests.Go(func() {
+			if _, err := post(t.Context(), transport, p); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	requests.Wait()
+	silent.Store(true)
+	time.Sleep(silentIdle + 100*time.Millisecond)
+	failed := 0
+	for range idle {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		if _, err := post(ctx, transport, p); err != nil {
+			failed++
+		}
+		cancel()
+	}
+	if failed != 1 {
+		t.Errorf("%d requests got no answer, want 1", failed)
+	}
+}
