shard: Send no start that was decided long ago

What callers may see: a task of a cancelled job starts late. Found by reading, shown on the fakes; no run has shown it in the field.

Cause: an order waits for its goroutine, and a process may be frozen or lack processor time, between the decision on a start and its sending. Nobody asked then how old the decision was, nor whether the run had been stopped since; a stop that was ordered in the meantime goes out beside the start.

Fix: a start carries the time of its decision and a flag that it shares with its run. One that was decided over 0.5 s ago, or whose run has been stopped, is not sent (worker.NotSentError, "start not sent"), and the run ends as one that never existed. The members of a gang start all or none, so the others are stopped when one was not sent; else they would end for want of it.

--- a/internal/jobs/pool/action.go
+++ b/internal/jobs/pool/action.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"sync/atomic"
 	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
@@ -14,8 +15,12 @@
 	To      worker.Target
 	Start   worker.Start
 	Decided time.Duration // steady time of the decision
+	revoked *atomic.Bool  // shared with the run
 }
 
+// IsRevoked reports whether the run has been stopped since the decision. It may be called on any goroutine.
+func (a StartAction) IsRevoked() bool { return a.revoked != nil && a.revoked.Load() }
+
 // StopAction ends a run; the outcome goes to RecordStop.
 type StopAction struct {
 	To    worker.Target
--- a/internal/jobs/pool/loss.go
+++ b/internal/jobs/pool/loss.go
@@ -16,6 +16,7 @@
 const (
 	Reported  Cause = iota // the worker listed the end
 	Refused                // the worker refused the start, so the run never existed
+	NotSent                // the start was not sent, so the run never existed
 	Absent                 // the worker does not have the run, and its incarnation is still the one that the order went to
 	Crashed                // the worker's incarnation ended without notice
 	Left                   // the worker's incarnation ended after a notice or by an order
@@ -25,7 +26,7 @@
 
 // String returns the cause's name.
 func (c Cause) String() string {
-	return [...]string{"reported", "refused", "absent", "crashed", "left", "silent", "unrenewed"}[c]
+	return [...]string{"reported", "refused", "unsent", "absent", "crashed", "left", "silent", "unrenewed"}[c]
 }
 
 // Proof tells how an owner has learned that a worker's incarnation has ended or is out of reach.
@@ -206,7 +207,7 @@
 	d := RunEnd{
 		Task: r.id.Task, Run: r.id.Number, Worker: r.host.info.ID, Outcome: end.Outcome, Cause: cause, Shown: r.wasOnWorker(), Survived: r.host.survived(r),
 	}
-	if cause != Reported && cause != Refused && r.loss != nil {
+	if cause != Reported && cause != Refused && cause != NotSent && r.loss != nil {
 		d.Proof, d.Shown = r.loss.proof, r.loss.certain
 		d.Cause, d.Survived, d.Until, d.Beside, d.Suspect = r.loss.cause, r.loss.survived, r.loss.until, r.loss.beside, r.loss.youngest
 	}
--- a/internal/jobs/pool/probation.go
+++ b/internal/jobs/pool/probation.go
@@ -37,7 +37,7 @@
 		p.recordCrash(at, r)
 	case Silent:
 		r.host.keepLossOpen(at, r)
-	case Reported, Refused, Absent, Left, Unrenewed:
+	case Reported, Refused, NotSent, Absent, Left, Unrenewed:
 	}
 }
 
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,6 +36,7 @@
 	settled         time.Duration // polls sent at or after this steady time prove that the run is absent if they do not show it
 	began           time.Duration // steady time of its confirmation, or inheritedStart
 	stopSent        bool          // a stop order is outstanding
+	revoked         *atomic.Bool  // set when it is stopped, for a start that is decided and not yet sent
 	orphaned        bool          // unexpected: its task has another run or is done
 	percent         int           // speed in percent, as last reported
 	orderedPercent  int           // ordered speed in percent
@@ -117,8 +119,8 @@
 	h := r.host
 	h.extendLease(at.Steady, p.config.Lease)
 	r.phase = sending
-	r.ordered = at.Steady
-	p.actions = append(p.actions, StartAction{To: h.target(), Decided: at.Steady, Start: worker.Start{
+	r.ordered, r.revoked = at.Steady, &atomic.Bool{}
+	p.actions = append(p.actions, StartAction{To: h.target(), Decided: at.Steady, revoked: r.revoked, Start: worker.Start{
 		Run: r.id, Payload: r.job.job.Spec.Payload, Until: h.leaseUntil(at.Steady, p.config.Lease),
 		Fence: p.config.Fence, Checkpoint: r.task.Checkpoint, Ticket: p.ticketOf(r),
 	}})
@@ -156,6 +158,7 @@
 	h := r.host
 	var refused worker.RefusedError
 	var other worker.IncarnationEndedError
+	var notSent worker.NotSentError
 	switch {
 	case err == nil:
 		if p.updateClock(at, h, reply) {
@@ -166,6 +169,8 @@
 	case errors.As(err, &refused):
 		p.updateClock(at, h, refused.Reply)
 		p.handleRefusal(at, r, refused.Reason)
+	case errors.As(err, &notSent):
+		p.handleNotSent(at, r)
 	case errors.As(err, &other):
 		p.handleOtherIncarnation(at, h, a.To)
 		if p.find(a.To.ID, a.Start.Run) == r {
@@ -223,8 +228,32 @@
 	p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost, Checkpoint: r.task.Checkpoint}, Refused)
 }
 
+// handleNotSent ends a run whose start was not sent. The other members of a gang are stopped, since they would wait for it.
+func (p *Pool) handleNotSent(at Moment, r *run) {
+	p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost, Checkpoint: r.task.Checkpoint}, NotSent)
+	if r.step.Gang {
+		p.stopGang(at, r)
+	}
+}
+
+// stopGang stops all members of the gang of a run.
+func (p *Pool) stopGang(at Moment, r *run) {
+	for _, o := range r.job.job.Occurrences {
+		if o.Number != r.id.Task.Occurrence {
+			continue
+		}
+		tasks := o.Steps[r.id.Task.Step]
+		for i := range tasks {
+			p.stopTask(at, &tasks[i])
+		}
+	}
+}
+
 // stop ends a run that may exist.
 func (p *Pool) stop(at Moment, r *run) {
+	if r.revoked != nil {
+		r.revoked.Store(true)
+	}
 	switch r.phase {
 	case storing:
 		p.dropUnsent(r)
--- a/internal/jobs/pool/send_test.go
+++ b/internal/jobs/pool/send_test.go
@@ -77,3 +77,82 @@
 	}
 	return starts, stops
 }
+
+// TestUnsentStartLeavesItsTaskWaiting checks that a run whose start was not sent takes no capacity, and that its task, or all
+// members of its gang, start again, unless their job has ended.
+func TestUnsentStartLeavesItsTaskWaiting(t *testing.T) {
+	tests := []struct {
+		name      string
+		gang      bool
+		cancelled bool // between the decision and the sending
+		stops     int
+		again     int // starts in the next round
+	}{
+		{"a task", false, false, 0, 1},
+		{"a task of a cancelled job", false, true, 3, 0},
+		{"a member of a gang", true, false, 2, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newSimulation(1, 1)
+			p := New(Config{Name: "p", Fence: 1, Lease: testLease, Retention: time.Minute})
+			p.SetWorkers(w.moment(), w.list())
+			p.RecordPoll(w.moment(), PollAction{To: p.workers["w0"].target(), Sent: w.moment().Steady}, w.workers["w0"].report(), nil)
+			spec := shortJob(3)
+			spec.ID = "0000000000000001"
+			spec.Steps[0].Gang = test.gang
+			p.Submit(w.moment(), spec)
+			starts := startAll(p, w.moment())
+			if test.cancelled {
+				p.Cancel(w.moment(), spec.ID)
+			}
+			for _, a := range starts[1:] {
+				if a.IsRevoked() != test.cancelled {
+					t.Errorf("a start is revoked: %v, want %v", a.IsRevoked(), test.cancelled)
+				}
+			}
+			p.RecordStart(w.moment(), starts[0], worker.Reply{}, worker.NotSentError{Waited: time.Second})
+			stops := 0
+			for _, a := range p.Actions() {
+				stop, ok := a.(StopAction)
+				if !ok {
+					continue
+				}
+				stops++
+				p.RecordStop(w.moment(), stop, worker.Reply{}, nil)
+			}
+			if stops != test.stops {
+				t.Errorf("%d stops, want %d", stops, test.stops)
+			}
+			w.now += 500 * time.Millisecond
+			p.RecordPoll(w.moment(), PollAction{To: p.workers["w0"].target(), Sent: w.moment().Steady}, w.workers["w0"].report(), nil)
+			again := startAll(p, w.moment())
+			if len(again) != test.again {
+				t.Errorf("%d starts in the next round, want %d", len(again), test.again)
+			}
+			for _, a := range again {
+				if a.Start.Number != 2 {
+					t.Errorf("run %d starts, want the second", a.Start.Number)
+				}
+			}
+		})
+	}
+}
+
+// startAll places what waits, stores it and returns the starts.
+func startAll(p *Pool, at Moment) []StartAction {
+	p.Place(at)
+	p.RecordStored(at, p.Flush())
+	p.SendStored(at)
+	var starts []StartAction
+	var others []Action
+	for _, a := range p.Actions() {
+		if start, ok := a.(StartAction); ok {
+			starts = append(starts, start)
+			continue
+		}
+		others = append(others, a)
+	}
+	p.actions = others
+	return starts
+}
--- a/internal/jobs/shard/order.go
+++ b/internal/jobs/shard/order.go
@@ -7,12 +7,14 @@
 	"go.uber.org/zap"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
 // Allowances for the time from deciding on a start until a worker carries it out.
 const (
 	defaultCancelTimeout = 3 * time.Second         // where the settings name none
-	startAllowance       = 1500 * time.Millisecond // for the wait until a start is sent and for its call
+	startSendLimit       = 500 * time.Millisecond  // longest wait until a start is sent
+	startAllowance       = 1500 * time.Millisecond // for that wait and for the call
 )
 
 // maxViewAge returns the largest age, at the decision on a start, of what is known of cancellations. The rest of the
@@ -75,8 +77,7 @@
 	var outcome func(at pool.Moment)
 	switch a := o.action.(type) {
 	case pool.StartAction:
-		o.logLateStart(a, sent)
-		reply, err := w.Start(ctx, a.To, a.Start)
+		reply, err := o.start(ctx, a, sent)
 		outcome = func(at pool.Moment) {
 			s.stats.recordIntakeAge(sent - o.intakeSeenAt)
 			s.pool.RecordStart(at, a, reply, err)
@@ -102,18 +103,26 @@
 	})
 }
 
-// lateStart is the age of what a start was decided on, or its wait, from which it is logged. Views and proofs that are
-// renewed in time stay below it.
+// start sends a start, unless its run has been stopped or it comes too late: the sender may have lacked processor time or
+// have been frozen, and what the start was decided on is old.
+func (o *order) start(ctx context.Context, a pool.StartAction, sent time.Duration) (worker.Reply, error) {
+	if waited := sent - o.decidedAt; waited > startSendLimit || a.IsRevoked() {
+		o.logStart("start not sent", a, sent)
+		return worker.Reply{}, worker.NotSentError{Waited: waited}
+	}
+	if sent-min(o.intakeSeenAt, o.provenAt) > lateStart {
+		o.logStart("start sent late", a, sent)
+	}
+	return o.shard.config.Workers.Start(ctx, a.To, a.Start)
+}
+
+// lateStart is the age of what a start was decided on from which its sending is logged. Views and proofs that are renewed in
+// time stay below it.
 const lateStart = 1200 * time.Millisecond
 
-// logLateStart logs a start that is sent long after its decision, or that was decided on an old view.
-func (o *order) logLateStart(a pool.StartAction, sent time.Duration) {
-	intakeAge, proofAge, waited := sent-o.intakeSeenAt, sent-o.provenAt, sent-o.decidedAt
-	if max(intakeAge, proofAge, waited) < lateStart {
-		return
-	}
+func (o *order) logStart(message string, a pool.StartAction, sent time.Duration) {
 	task := a.Start.Task
-	o.shard.config.Logger.Info("start sent late", zap.String("pool", o.shard.config.Pool), zap.String("job", string(task.Job)), zap.Int("step", task.Step),
-		zap.Int("index", task.Index), zap.Int("run", a.Start.Number), zap.String("worker", a.To.ID), zap.Duration("intake_age", intakeAge),
-		zap.Duration("proof_age", proofAge), zap.Duration("waited", waited))
+	o.shard.config.Logger.Info(message, zap.String("pool", o.shard.config.Pool), zap.String("job", string(task.Job)), zap.Int("step", task.Step),
+		zap.Int("index", task.Index), zap.Int("run", a.Start.Number), zap.String("worker", a.To.ID), zap.Duration("intake_age", sent-o.intakeSeenAt),
+		zap.Duration("proof_age", sent-o.provenAt), zap.Duration("waited", sent-o.decidedAt), zap.Bool("revoked", a.IsRevoked()))
 }
--- a/internal/jobs/shard/partition_test.go
+++ b/internal/jobs/shard/partition_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,6 +34,14 @@
 	return pool.Moment{Steady: time.Duration(now.UnixNano()), Wall: now}
 }
 
+// jumpingClock is a fakeClock ahead by the time for which the process was frozen.
+type jumpingClock struct{ frozen *atomic.Int64 }
+
+func (c jumpingClock) Moment() pool.Moment {
+	at, frozen := fakeClock{}.Moment(), time.Duration(c.frozen.Load())
+	return pool.Moment{Steady: at.Steady + frozen, Wall: at.Wall.Add(frozen)}
+}
+
 // leasedWorker is a worker whose tasks run until they are stopped or its lease expires.
 type leasedWorker struct {
 	fence    int64
--- a/internal/jobs/worker/worker.go
+++ b/internal/jobs/worker/worker.go
@@ -145,6 +145,12 @@
 // Error returns the reason.
 func (e RefusedError) Error() string { return "worker: refused: " + e.Reason.String() }
 
+// NotSentError reports an order that was not sent and never will be.
+type NotSentError struct{ Waited time.Duration }
+
+// Error returns how long the order had waited since its decision.
+func (e NotSentError) Error() string { return fmt.Sprintf("worker: not sent after %v", e.Waited) }
+
 // IncarnationEndedError reports that the incarnation that an order was meant for has ended.
 type IncarnationEndedError struct{ ID string }
 
