pool: Check a gang again before it starts

What callers may see: members of a gang start on a worker that drains, or in a data centre that is evacuated. Found by reading, shown in the test; no run has shown it in the field.

Cause: a start is checked again once its run is stored, but gangs were let through, since their members start all or none.

The test before:

--- FAIL: TestGangIsCheckedAgainOnceItIsStored/a_worker_drains 4 starts, want 0 --- FAIL: TestGangIsCheckedAgainOnceItIsStored/a_data_centre_is_evacuated 4 starts, want 0

Fix: where one member may not start, all unsent members are dropped before any is sent, and the gang waits to be placed again.

Run on this commit: the package's tests of gangs, starts and batches.

--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -100,6 +100,11 @@
 func (p *Pool) SendStored(at Moment) {
 	stored := p.stored
 	p.stored = nil
+	for _, r := range stored {
+		if r.step.Gang && p.isUnsent(r) && !p.mayStillStart(r) {
+			p.stopGang(at, r) // its members start all or none
+		}
+	}
 	for _, r := range stored {
 		p.send(at, r)
 	}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -129,13 +129,9 @@
 // isUnsent reports whether a run exists and no order was sent for it.
 func (p *Pool) isUnsent(r *run) bool { return r.phase == storing && p.find(r.host.info.ID, r.id) == r }
 
-// mayStillStart reports whether what has become known of a worker since a run was placed there allows its start. The
-// members of a gang start all or none, so they are not held back.
+// mayStillStart reports whether what has become known of a worker since a run was placed there allows its start.
 func (p *Pool) mayStillStart(r *run) bool {
 	h := r.host
-	if r.step.Gang {
-		return true
-	}
 	return !h.ended && !h.retired && !h.cordoned && !h.unresponsive && !h.info.Draining && !p.evacuated.Has(h.info.DataCentre) &&
 		h.info.Capacity.Covers(h.used)
 }
--- a/internal/jobs/pool/send_test.go
+++ b/internal/jobs/pool/send_test.go
@@ -156,3 +156,49 @@
 	p.actions = others
 	return starts
 }
+
+// TestGangIsCheckedAgainOnceItIsStored guards against starts of a gang on a worker that must not get them any more. Its
+// members start all or none.
+func TestGangIsCheckedAgainOnceItIsStored(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(p *Pool, list []catalog.Worker)
+		starts int
+	}{
+		{"nothing changes", func(*Pool, []catalog.Worker) {}, 4},
+		{"a worker drains", func(_ *Pool, list []catalog.Worker) { list[0].Draining = true }, 0},
+		{"a data centre is evacuated", func(p *Pool, list []catalog.Worker) {
+			p.SetEvacuated(id.Set[id.DataCentre]{list[1].DataCentre: {}})
+		}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newSimulation(1, 2)
+			p := New(Config{Name: "p", Fence: 1, Lease: testLease, Retention: time.Minute})
+			list := w.list()
+			p.SetWorkers(w.moment(), list)
+			for name, f := range w.workers {
+				p.RecordPoll(w.moment(), PollAction{To: p.workers[name].target(), Sent: w.moment().Steady}, f.report(), nil)
+			}
+			spec := shortJob(4)
+			spec.ID = "0000000000000001"
+			spec.Steps[0].Gang, spec.Steps[0].PerWorker = true, 2
+			p.Submit(w.moment(), spec)
+			p.Place(w.moment())
+			p.RecordStored(w.moment(), p.Flush())
+			test.change(p, list)
+			p.SetWorkers(w.moment(), list)
+			p.Actions()
+			p.SendStored(w.moment())
+			starts := 0
+			for _, a := range p.Actions() {
+				if _, ok := a.(StartAction); ok {
+					starts++
+				}
+			}
+			if starts != test.starts {
+				t.Errorf("%d starts, want %d", starts, test.starts)
+			}
+		})
+	}
+}
