shard: Keep the cancellation of a job that the pool does not have

Callers saw a DELETE answered 410, and the job, whose request was still on its way, accepted afterwards and run. An owner stored a cancellation only for a job that it had: the negative answer left nothing behind.

Now an owner always stores and applies a cancellation; the pool has kept those of unknown jobs for the retention time all along. The job arrives cancelled, at the owner or through the intake, at a later owner too. What the pool knows of the job is a job.Presence, taken as the cancellation is applied, so a job that comes in between is not missed either. The proof of ownership is the append. State still shows no job that nobody submitted.

--- a/internal/jobs/instance/cancel.go
+++ b/internal/jobs/instance/cancel.go
@@ -13,12 +13,8 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
-// Answers of a pool to a cancellation.
-const (
-	hasAnswer     = "has"
-	unknownAnswer = "unknown"
-	silentAnswer  = "silent" // its owner gave none
-)
+// silentAnswer stands for a pool whose owner gave no answer to a cancellation.
+const silentAnswer = "silent"
 
 // cancellation is a caller's request to cancel a job.
 type cancellation struct {
@@ -32,6 +28,7 @@
 type poolAnswer struct {
 	pool   string
 	answer string
+	known  bool // the pool has the job, or forwards it
 	err    error
 	stored bool // in the intake
 	table  stream.Table
@@ -65,10 +62,10 @@
 	var silent []*poolAnswer
 	for _, shardName := range n.poolsFrom(c.queue.Pool) {
 		a := c.ask(ctx, shardName)
-		if a.answer == hasAnswer {
+		if a.known {
 			return nil
 		}
-		if a.answer == silentAnswer {
+		if a.err != nil {
 			silent = append(silent, a)
 		}
 	}
@@ -86,15 +83,13 @@
 
 // ask asks the owner of a pool to cancel the job.
 func (c *cancellation) ask(ctx context.Context, shardName string) *poolAnswer {
-	a := &poolAnswer{pool: shardName, answer: unknownAnswer}
+	a := &poolAnswer{pool: shardName}
 	c.answers = append(c.answers, a)
-	known, err := c.instance.cancelAtOwner(ctx, shardName, c.job)
-	switch {
-	case err != nil:
+	presence, err := c.instance.cancelAtOwner(ctx, shardName, c.job)
+	if a.answer = presence.String(); err != nil {
 		a.answer, a.err = silentAnswer, err
-	case known:
-		a.answer = hasAnswer
 	}
+	a.known = err == nil && presence.Known()
 	return a
 }
 
@@ -117,17 +112,17 @@
 		zap.Objects("pools", c.answers), zap.Error(err))
 }
 
-// cancelAtOwner asks the owner of a pool to cancel a job and reports whether the owner knows the job.
-func (n *Instance) cancelAtOwner(ctx context.Context, shardName string, name job.ID) (bool, error) {
+// cancelAtOwner asks the owner of a pool to cancel a job and tells whether the pool has it.
+func (n *Instance) cancelAtOwner(ctx context.Context, shardName string, name job.ID) (job.Presence, error) {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	owner, here, err := n.owner(shardName)
 	if err != nil {
-		return false, err
+		return job.Absent, err
 	}
 	if here != nil {
 		return here.Cancel(ctx, name)
 	}
 	answer, err := n.config.Peers.Cancel(ctx, owner, relay.JobRequest{Pool: shardName, Job: name})
-	return answer.Known, err
+	return answer.Presence, err
 }
--- a/internal/jobs/instance/route.go
+++ b/internal/jobs/instance/route.go
@@ -156,11 +156,11 @@
 // below the holder's.
 func (n *Instance) isHeldBy(ctx context.Context, pools []string, h holder, name job.ID) (bool, error) {
 	for _, pool := range pools {
-		known, err := n.seal(ctx, relay.SealRequest{Pool: pool, Job: name, Route: h.route, Version: h.version})
+		presence, err := n.seal(ctx, relay.SealRequest{Pool: pool, Job: name, Route: h.route, Version: h.version})
 		if err != nil {
 			return false, NotReadyError{Reason: err.Error(), Retry: retryAfter}
 		}
-		if known {
+		if presence.Known() {
 			return true, nil
 		}
 	}
@@ -168,18 +168,18 @@
 }
 
 // seal asks the owner of a pool whether it has a job, and to accept no other job of the route under a lower version.
-func (n *Instance) seal(ctx context.Context, r relay.SealRequest) (bool, error) {
+func (n *Instance) seal(ctx context.Context, r relay.SealRequest) (job.Presence, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	owner, here, err := n.owner(r.Pool)
 	if err != nil {
-		return false, err
+		return job.Absent, err
 	}
 	if here != nil {
 		return here.Seal(ctx, r.Route, r.Version, r.Job)
 	}
 	answer, err := n.config.Peers.Seal(ctx, owner, r)
-	return answer.Known, err
+	return answer.Presence, err
 }
 
 // awaitMove waits for a configuration that is newer than a queue, or for another newest holder of its route, and returns the
--- a/internal/jobs/instance/route_test.go
+++ b/internal/jobs/instance/route_test.go
@@ -59,23 +59,26 @@
 	seals    map[string]int64    // by pool
 }
 
-func (o *poolOwner) HandleSeal(_ context.Context, r relay.SealRequest) (relay.JobReply, error) {
+func (o *poolOwner) HandleSeal(_ context.Context, r relay.SealRequest) (relay.PresenceReply, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if slices.Contains(o.accepted[r.Pool], r.Job) {
-		return relay.JobReply{Known: true}, nil
+		return relay.PresenceReply{Presence: job.Present}, nil
 	}
 	o.seals[r.Pool] = max(o.seals[r.Pool], r.Version)
-	return relay.JobReply{}, nil
+	return relay.PresenceReply{}, nil
 }
 
-func (o *poolOwner) HandleCancel(_ context.Context, r relay.JobRequest) (relay.JobReply, error) {
+func (o *poolOwner) HandleCancel(_ context.Context, r relay.JobRequest) (relay.PresenceReply, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if r.Pool == o.silent {
-		return relay.JobReply{}, shard.NotOwnerError{Pool: r.Pool}
+		return relay.PresenceReply{}, shard.NotOwnerError{Pool: r.Pool}
 	}
-	return relay.JobReply{Known: slices.Contains(o.accepted[r.Pool], r.Job)}, nil
+	if slices.Contains(o.accepted[r.Pool], r.Job) {
+		return relay.PresenceReply{Presence: job.Present}, nil
+	}
+	return relay.PresenceReply{}, nil
 }
 
 func (o *poolOwner) HandlePending(_ context.Context, r relay.PendingRequest) (relay.PendingReply, error) {
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -61,23 +61,23 @@
 }
 
 // HandleSeal tells whether a pool that this instance owns has a job, and seals the job's route there.
-func (n *Instance) HandleSeal(ctx context.Context, r relay.SealRequest) (relay.JobReply, error) {
+func (n *Instance) HandleSeal(ctx context.Context, r relay.SealRequest) (relay.PresenceReply, error) {
 	s, err := n.localShard(r.Pool)
 	if err != nil {
-		return relay.JobReply{}, err
+		return relay.PresenceReply{}, err
 	}
-	known, err := s.Seal(ctx, r.Route, r.Version, r.Job)
-	return relay.JobReply{Known: known}, err
+	presence, err := s.Seal(ctx, r.Route, r.Version, r.Job)
+	return relay.PresenceReply{Presence: presence}, err
 }
 
 // HandleCancel cancels a job of a pool that this instance owns.
-func (n *Instance) HandleCancel(ctx context.Context, q relay.JobRequest) (relay.JobReply, error) {
+func (n *Instance) HandleCancel(ctx context.Context, q relay.JobRequest) (relay.PresenceReply, error) {
 	s, err := n.localShard(q.Pool)
 	if err != nil {
-		return relay.JobReply{}, err
+		return relay.PresenceReply{}, err
 	}
-	known, err := s.Cancel(ctx, q.Job)
-	return relay.JobReply{Known: known, State: job.Cancelled}, err
+	presence, err := s.Cancel(ctx, q.Job)
+	return relay.PresenceReply{Presence: presence}, err
 }
 
 // HandleOwns reports whether this instance owns a shard and has a recent proof of that.
--- /dev/null
+++ b/internal/jobs/job/presence.go
@@ -0,0 +1,19 @@
+package job
+
+// Presence tells whether a pool has a job.
+type Presence int
+
+// What a pool may know of a job.
+const (
+	Absent    Presence = iota
+	Present            // the pool has the job, and no other has it
+	Forwarded          // the pool hands the job to another one, will do so, or may have done so
+)
+
+// Known reports whether a job was submitted to the pool.
+func (p Presence) Known() bool { return p == Present || p == Forwarded }
+
+// String returns what a pool answers.
+func (p Presence) String() string {
+	return [...]string{"unknown", "has", "forwards"}[p]
+}
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -173,6 +173,21 @@
 	return e.job.State, true
 }
 
+// Spec returns a job as it was submitted, or nil if the pool does not have it.
+func (p *Pool) Spec(name job.ID) *job.Spec {
+	e, ok := p.jobs[name]
+	if !ok {
+		return nil
+	}
+	return &e.job.Spec
+}
+
+// IsCancelled reports whether a job was cancelled within the retention time, whether or not the pool has it.
+func (p *Pool) IsCancelled(name job.ID) bool {
+	_, cancelled := p.cancelled[name]
+	return cancelled
+}
+
 // Pending returns the number of jobs of a route that have not begun. It goes by the queue's name for jobs that were stored
 // without a route.
 func (p *Pool) Pending(route catalog.Route, queue string) int {
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -50,12 +50,17 @@
 	Sealed     bool          `cbor:"4,keyasint,omitempty"` // a newer configuration sends the job's route elsewhere; the job was not stored
 }
 
-// JobReply is the reply to a JobRequest about the state or the cancellation of a job.
+// JobReply is the reply to a JobRequest about the state of a job.
 type JobReply struct {
 	Known bool      `cbor:"1,keyasint,omitempty"`
 	State job.State `cbor:"2,keyasint,omitempty"`
 }
 
+// PresenceReply is the reply to a JobRequest to cancel a job, and to a SealRequest.
+type PresenceReply struct {
+	Presence job.Presence `cbor:"3,keyasint,omitempty"`
+}
+
 // PoolRequest asks whether an instance owns a pool.
 type PoolRequest struct {
 	Pool string `cbor:"1,keyasint"`
@@ -101,8 +106,8 @@
 type Service interface {
 	HandleState(ctx context.Context, q JobRequest) (JobReply, error)
 	HandleSubmit(ctx context.Context, spec job.Spec) (SubmitReply, error)
-	HandleSeal(ctx context.Context, r SealRequest) (JobReply, error)
-	HandleCancel(ctx context.Context, q JobRequest) (JobReply, error)
+	HandleSeal(ctx context.Context, r SealRequest) (PresenceReply, error)
+	HandleCancel(ctx context.Context, q JobRequest) (PresenceReply, error)
 	HandleOwns(ctx context.Context, p PoolRequest) (OwnsReply, error)
 	HandlePending(ctx context.Context, p PendingRequest) (PendingReply, error)
 	HandleStore(ctx context.Context, s StoreRequest) (StoreReply, error)
@@ -130,13 +135,13 @@
 }
 
 // Seal asks the owner of a pool for a job and seals the job's route there.
-func (c *Client) Seal(ctx context.Context, to netip.AddrPort, r SealRequest) (JobReply, error) {
-	return peer.Call[SealRequest, JobReply](ctx, c.peers, to, sealPath, &r)
+func (c *Client) Seal(ctx context.Context, to netip.AddrPort, r SealRequest) (PresenceReply, error) {
+	return peer.Call[SealRequest, PresenceReply](ctx, c.peers, to, sealPath, &r)
 }
 
 // Cancel asks the owner of a pool to cancel a job.
-func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, q JobRequest) (JobReply, error) {
-	return peer.Call[JobRequest, JobReply](ctx, c.peers, to, cancelPath, &q)
+func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, q JobRequest) (PresenceReply, error) {
+	return peer.Call[JobRequest, PresenceReply](ctx, c.peers, to, cancelPath, &q)
 }
 
 // Pending asks the owner of a pool how many jobs of a route have not started.
@@ -164,8 +169,8 @@
 	mux := http.NewServeMux()
 	peer.Handle(mux, statePath, func(ctx context.Context, m *JobRequest) (JobReply, error) { return s.HandleState(ctx, *m) })
 	peer.Handle(mux, submitPath, func(ctx context.Context, m *job.Spec) (SubmitReply, error) { return s.HandleSubmit(ctx, *m) })
-	peer.Handle(mux, sealPath, func(ctx context.Context, m *SealRequest) (JobReply, error) { return s.HandleSeal(ctx, *m) })
-	peer.Handle(mux, cancelPath, func(ctx context.Context, m *JobRequest) (JobReply, error) { return s.HandleCancel(ctx, *m) })
+	peer.Handle(mux, sealPath, func(ctx context.Context, m *SealRequest) (PresenceReply, error) { return s.HandleSeal(ctx, *m) })
+	peer.Handle(mux, cancelPath, func(ctx context.Context, m *JobRequest) (PresenceReply, error) { return s.HandleCancel(ctx, *m) })
 	peer.Handle(mux, pendingPath, func(ctx context.Context, m *PendingRequest) (PendingReply, error) { return s.HandlePending(ctx, *m) })
 	peer.Handle(mux, ownsPath, func(ctx context.Context, m *PoolRequest) (OwnsReply, error) { return s.HandleOwns(ctx, *m) })
 	peer.Handle(mux, storePath, func(ctx context.Context, m *StoreRequest) (StoreReply, error) { return s.HandleStore(ctx, *m) })
--- a/internal/jobs/shard/cleanup_test.go
+++ b/internal/jobs/shard/cleanup_test.go
@@ -93,6 +93,27 @@
 	}
 }
 
+// TestCancellationOfUnknownJobExpires checks that the cancellation of a job that never came is removed from the log after the
+// retention time, by the next owner, too.
+func TestCancellationOfUnknownJobExpires(t *testing.T) {
+	log := newFakeLog()
+	workers := &fakeWorkers{starts: map[worker.Run]int{}, log: log}
+	first := newShard(log, workers, "a")
+	start(t.Context(), first)
+	for i := range 2 {
+		if _, err := first.Cancel(t.Context(), someJob(i).ID); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if keys := jobKeys(t, log); len(keys) != 2 {
+		t.Errorf("the log holds %v, want two cancellations", keys)
+	}
+	second := newShard(log, workers, "b")
+	second.config.Settings.Retention = 100 * time.Millisecond
+	start(t.Context(), second)
+	await(t, "the cancellations are gone", func() bool { return len(jobKeys(t, log)) == 0 })
+}
+
 // awaitTaskEnds waits until both tasks of a job have ended.
 func awaitTaskEnds(t *testing.T, workers *fakeWorkers) {
 	t.Helper()
--- a/internal/jobs/shard/former_test.go
+++ b/internal/jobs/shard/former_test.go
@@ -25,7 +25,7 @@
 	if state, known, err := former.State(ctx, someJob(1).ID); err == nil && !known {
 		t.Errorf("the former owner calls the job unknown (state %v)", state)
 	}
-	if known, err := former.Cancel(ctx, someJob(1).ID); err == nil && !known {
+	if presence, err := former.Cancel(ctx, someJob(1).ID); err == nil && !presence.Known() {
 		t.Error("the former owner calls the job to be cancelled unknown")
 	}
 }
--- a/internal/jobs/shard/intake.go
+++ b/internal/jobs/shard/intake.go
@@ -137,7 +137,7 @@
 			if s.isHandled(r) {
 				return
 			}
-			if s.checkSeal(&spec) != nil {
+			if s.mustForward(&spec) {
 				s.forward(ctx, spec)
 				return
 			}
--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -31,16 +31,21 @@
 	if err := s.do(ctx, query); err != nil || known {
 		return state, known, err
 	}
-	batch, err := s.config.Log.Read(ctx, s.intake, tail, 0)
-	if err != nil {
-		return 0, false, err
+	if inTail, err := s.isInTail(ctx, tail, name); err != nil || inTail {
+		return job.Queued, inTail, err
 	}
+	return 0, false, s.claim.Prove(ctx)
+}
+
+// isInTail reports whether a job stands in the intake from an offset on.
+func (s *Shard) isInTail(ctx context.Context, from int64, name job.ID) (bool, error) {
+	batch, err := s.config.Log.Read(ctx, s.intake, from, 0)
 	for _, stored := range batch.Records {
 		if stored.Key == specPrefix+string(name) && len(stored.Value) > 0 {
-			return job.Queued, true, nil
+			return true, nil
 		}
 	}
-	return 0, false, s.claim.Prove(ctx)
+	return false, err
 }
 
 // HasRecentProof reports whether the log has confirmed within claim.MaxProofAge that this instance owns the pool.
--- a/internal/jobs/shard/seal.go
+++ b/internal/jobs/shard/seal.go
@@ -51,23 +51,23 @@
 // isSealed reports whether a job was submitted under a version that its route's seal excludes.
 func (s *Shard) isSealed(spec *job.Spec) bool { return spec.Version < s.seals[spec.Route].version }
 
-// Seal reports whether the pool has a job. Otherwise the pool will not accept it under a version below the given one, and
+// Seal tells whether the pool has a job. Otherwise the pool will not accept it under a version below the given one, and
 // that is stored.
-func (s *Shard) Seal(ctx context.Context, route catalog.Route, version int64, name job.ID) (bool, error) {
+func (s *Shard) Seal(ctx context.Context, route catalog.Route, version int64, name job.ID) (job.Presence, error) {
 	if err := s.awaitStarted(ctx); err != nil {
-		return false, err
+		return job.Absent, err
 	}
-	var known bool
+	var presence job.Presence
 	var stored <-chan struct{}
 	err := s.do(ctx, func(pool.Moment) {
-		if known = s.has(name); !known {
+		if presence = s.presence(name); !presence.Known() {
 			stored = s.raiseSeal(route, version)
 		}
 	})
-	if err != nil || known {
-		return known, err
+	if err != nil || presence.Known() {
+		return presence, err
 	}
-	return false, s.awaitStored(ctx, stored)
+	return presence, s.awaitStored(ctx, stored)
 }
 
 // raiseSeal raises the seal of a route to at least a version, and returns a channel that is closed once that is stored.
@@ -97,11 +97,23 @@
 	return sealed
 }
 
-// has reports whether the pool has a job, or will forward it.
-func (s *Shard) has(name job.ID) bool {
-	_, known := s.pool.State(name)
+// presence tells whether the pool has a job. A cancelled job of an excluded version may have been forwarded by an earlier
+// owner that did not know of the cancellation.
+func (s *Shard) presence(name job.ID) job.Presence {
+	spec := s.pool.Spec(name)
 	_, forwarding := s.forwarding[name]
-	return known || forwarding
+	switch {
+	case forwarding || spec != nil && s.isSealed(spec) && s.pool.IsCancelled(name):
+		return job.Forwarded
+	case spec != nil:
+		return job.Present
+	}
+	return job.Absent
+}
+
+// mustForward reports whether a job that came to the intake belongs to another pool. A cancelled one stays here.
+func (s *Shard) mustForward(spec *job.Spec) bool {
+	return s.checkSeal(spec) != nil && !s.pool.IsCancelled(spec.ID)
 }
 
 // checkSeal returns a SealedError for a job that the pool must not accept, and a forwardedError for one that came to the
@@ -153,7 +165,7 @@
 	}
 	s.post(ctx, func(pool.Moment) {
 		delete(s.forwarding, f.spec.ID)
-		if !s.has(f.spec.ID) { // otherwise its route has come back
+		if s.pool.Spec(f.spec.ID) == nil { // otherwise its route has come back
 			s.expiredJobs = append(s.expiredJobs, f.spec.ID)
 		}
 	})
--- a/internal/jobs/shard/seal_test.go
+++ b/internal/jobs/shard/seal_test.go
@@ -79,8 +79,8 @@
 		version int64
 		known   bool
 	}{{1, 5, true}, {2, 5, false}, {2, 5, false}, {3, 4, false}} {
-		if known, err := first.Seal(ctx, "r", step.version, someJob(step.job).ID); err != nil || known != step.known {
-			t.Errorf("job %d under version %d: known %v, error %v", step.job, step.version, known, err)
+		if presence, err := first.Seal(ctx, "r", step.version, someJob(step.job).ID); err != nil || presence.Known() != step.known {
+			t.Errorf("job %d under version %d: %v, error %v", step.job, step.version, presence, err)
 		}
 	}
 	var sealed SealedError
@@ -133,8 +133,8 @@
 		t.Errorf("state %v, known %v, error %v", state, known, err)
 	}
 	await(t, "the job is being forwarded", func() bool {
-		known, err := stuck.Seal(ctx, "r", 5, someJob(1).ID)
-		return err == nil && known
+		presence, err := stuck.Seal(ctx, "r", 5, someJob(1).ID)
+		return err == nil && presence.Known()
 	})
 	if err := stuck.Submit(ctx, routedJob(1, 3)); err != nil {
 		t.Errorf("a repeat of a job that is being forwarded: error %v", err)
--- a/internal/jobs/shard/shard_test.go
+++ b/internal/jobs/shard/shard_test.go
@@ -226,8 +226,8 @@
 	if _, known, err := o.shard.State(ctx, spec.ID); !known || err != nil {
 		t.Errorf("state of a job that another instance has just stored: known %v, error %v", known, err)
 	}
-	if known, err := o.shard.Cancel(ctx, "00000000000000aa"); known || err != nil {
-		t.Errorf("cancellation of a job that was never submitted: known %v, error %v", known, err)
+	if presence, err := o.shard.Cancel(ctx, "00000000000000aa"); presence != job.Absent || err != nil {
+		t.Errorf("cancellation of a job that was never submitted: %v, error %v", presence, err)
 	}
 }
 
--- a/internal/jobs/shard/submit.go
+++ b/internal/jobs/shard/submit.go
@@ -36,19 +36,25 @@
 	return err
 }
 
-// Cancel cancels a job and returns once the cancellation is stored. It reports whether the pool holds the job.
-func (s *Shard) Cancel(ctx context.Context, name job.ID) (bool, error) {
-	_, known, err := s.State(ctx, name)
-	if err != nil || !known {
-		return known, err
-	}
-	return true, s.storeRecord(ctx, CancelRecord(name), func(at pool.Moment) error {
-		if _, forwarding := s.forwarding[name]; forwarding {
-			return forwardedError{}
-		}
+// Cancel stores the cancellation of a job, applies it, and tells whether the pool has the job. An Absent job is cancelled if it
+// comes within the retention time; the pools to which a Forwarded one may go have to know of the cancellation, too.
+func (s *Shard) Cancel(ctx context.Context, name job.ID) (job.Presence, error) {
+	var presence job.Presence
+	var from int64
+	err := s.storeRecord(ctx, CancelRecord(name), func(at pool.Moment) error {
+		presence, from = s.presence(name), s.intakeOffset
 		s.applyCancellation(at, name, fromCaller, noOffset)
 		return nil
 	})
+	if err != nil || presence.Known() {
+		return presence, err
+	}
+	// The stored cancellation proves that this instance owned the pool, so only the intake may have the job.
+	inTail, err := s.isInTail(ctx, from, name)
+	if inTail {
+		return job.Forwarded, err // if its route has moved, else it stays
+	}
+	return job.Absent, err
 }
 
 // storeRecord runs handle on the control thread and waits until the record is stored. The record is not stored when handle
