instance: Send a cancellation to all pools that its job may be in or come to

Callers saw a DELETE of an accepted job acknowledged, and the job run on: it was on its way from the pool that its route had left to the one that the route belongs to. The former pool's owner answered with an error, which was taken for silence; the cancellation went into that pool's intake only, and the job went on without it.

The cancellation goes to all holders of the route at the same time, into the intake of those whose owner is silent; then the table of owners is read to its end, and holders that were not known are asked, until there is none. A holder recorded after that asks all earlier ones before it accepts a job. A pool that has the job ends the search: none other has it. Asked one after the other, the pools also missed a job that went from the second to the first in between.

--- a/internal/jobs/instance/cancel.go
+++ b/internal/jobs/instance/cancel.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -13,105 +15,156 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
-// silentAnswer stands for a pool whose owner gave no answer to a cancellation.
-const silentAnswer = "silent"
+// A cancellation has to reach the job wherever it is or comes later. So each holder of its route keeps it, whether or not it
+// has the job. A holder that is recorded later asks the earlier ones before it accepts the job.
+
+// Cancel cancels a job. After a NoJobError no pool has it, and it is cancelled if it comes later.
+func (n *Instance) Cancel(ctx context.Context, q catalog.Queue, name job.ID) error {
+	c := &cancellation{instance: n, queue: q, job: name}
+	err := c.run(ctx)
+	c.report(err)
+	return err
+}
 
 // cancellation is a caller's request to cancel a job.
 type cancellation struct {
 	instance *Instance
 	queue    catalog.Queue
 	job      job.ID
-	answers  []*poolAnswer
-}
-
-// poolAnswer is what a pool answered to a cancellation, and where the cancellation is stored if its owner gave no answer.
-type poolAnswer struct {
-	pool   string
-	answer string
-	known  bool // the pool has the job, or forwards it
-	err    error
-	stored bool // in the intake
-	table  stream.Table
-	offset int64
+	answers  []*poolCancellation
 }
 
-// MarshalLogObject adds the answer to a log line.
-func (a *poolAnswer) MarshalLogObject(line zapcore.ObjectEncoder) error {
-	line.AddString("pool", a.pool)
-	line.AddString("answer", a.answer)
-	if a.err != nil {
-		line.AddString("error", a.err.Error())
+func (c *cancellation) run(ctx context.Context) error {
+	pools := append([]string{c.queue.Pool}, c.unaskedHolders(c.queue.Pool)...)
+	for len(pools) > 0 {
+		present, err := c.ask(ctx, pools)
+		if present || err != nil {
+			return err
+		}
+		if pools, err = c.newHolders(ctx); err != nil {
+			return err
+		}
 	}
-	if a.stored {
-		line.AddString("table", a.table.String())
-		line.AddInt64("offset", a.offset)
+	if slices.ContainsFunc(c.answers, (*poolCancellation).mayHaveJob) {
+		return nil
 	}
-	return nil
+	return NoJobError{Job: c.job}
 }
 
-// Cancel cancels a job.
-func (n *Instance) Cancel(ctx context.Context, q catalog.Queue, name job.ID) error {
-	c := &cancellation{instance: n, queue: q, job: name}
-	err := c.run(ctx)
-	c.report(err)
-	return err
+// ask has pools store the cancellation, all at the same time, and reports whether one of them has the job. Otherwise all have
+// stored it if there is no error.
+func (c *cancellation) ask(ctx context.Context, pools []string) (present bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan *poolCancellation, len(pools))
+	for _, name := range pools {
+		p := &poolCancellation{instance: c.instance, pool: name, job: c.job}
+		go p.run(ctx, answered)
+	}
+	for range pools {
+		p := <-answered
+		c.answers = append(c.answers, p)
+		if p.silence == nil && p.presence == job.Present {
+			return true, nil
+		}
+		if p.err != nil {
+			err = p.err
+		}
+	}
+	return false, err
 }
 
-func (c *cancellation) run(ctx context.Context) error {
+// newHolders returns the holders of the route that are recorded by now and were not asked. The queue's pool is among the
+// recorded ones, so that a later holder will ask it.
+func (c *cancellation) newHolders(ctx context.Context) ([]string, error) {
 	n := c.instance
-	var silent []*poolAnswer
-	for _, shardName := range n.poolsFrom(c.queue.Pool) {
-		a := c.ask(ctx, shardName)
-		if a.known {
-			return nil
-		}
-		if a.err != nil {
-			silent = append(silent, a)
-		}
+	var moved movedError
+	if _, err := n.holderOf(ctx, c.queue); err != nil && !errors.As(err, &moved) {
+		return nil, err
 	}
-	if len(silent) == 0 {
-		return NoJobError{Job: c.job}
+	if err := n.readHolders(ctx); err != nil {
+		return nil, err
 	}
-	// The job may be in any of these pools. A cancel record for a job that does not exist has no effect.
-	for _, a := range silent {
-		if err := c.storeInIntake(ctx, a); err != nil {
-			return err
-		}
+	var asked []string
+	for _, p := range c.answers {
+		asked = append(asked, p.pool)
 	}
-	return nil
+	return c.unaskedHolders(asked...), nil
 }
 
-// ask asks the owner of a pool to cancel the job.
-func (c *cancellation) ask(ctx context.Context, shardName string) *poolAnswer {
-	a := &poolAnswer{pool: shardName}
-	c.answers = append(c.answers, a)
-	presence, err := c.instance.cancelAtOwner(ctx, shardName, c.job)
-	if a.answer = presence.String(); err != nil {
-		a.answer, a.err = silentAnswer, err
+// unaskedHolders returns the known holders of the route besides those that were asked, whether or not they serve.
+func (c *cancellation) unaskedHolders(asked ...string) []string {
+	n := c.instance
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	var pools []string
+	for _, h := range n.holders[c.queue.Route()] {
+		if !slices.Contains(asked, h.pool) {
+			pools = append(pools, h.pool)
+		}
 	}
-	a.known = err == nil && presence.Known()
-	return a
-}
-
-// storeInIntake stores the cancellation in the intake of a pool whose owner gave no answer.
-func (c *cancellation) storeInIntake(ctx context.Context, a *poolAnswer) error {
-	a.table = shard.IntakeTable(a.pool)
-	var err error
-	a.offset, err = c.instance.store(ctx, a.table, shard.CancelRecord(c.job), true)
-	a.stored = err == nil
-	return err
+	return pools
 }
 
 // report logs and counts what came of the cancellation.
 func (c *cancellation) report(err error) {
 	n := c.instance
-	for _, a := range c.answers {
-		n.config.Metrics.recordCancellation(a.answer)
+	for _, p := range c.answers {
+		n.config.Metrics.recordCancellation(p.answer())
 	}
 	n.config.Logger.Info("cancellation stored", zap.String("job", string(c.job)), zap.String("queue", c.queue.Name),
 		zap.Objects("pools", c.answers), zap.Error(err))
 }
 
+// poolCancellation is the cancellation of a job at one pool.
+type poolCancellation struct {
+	instance *Instance
+	pool     string
+	job      job.ID
+	presence job.Presence // answer of the owner
+	silence  error        // why the owner gave no answer
+	table    stream.Table // intake that has the cancellation then
+	offset   int64
+	err      error // why neither has it
+}
+
+// run asks the owner of the pool, and stores the cancellation in the pool's intake if the owner gives no answer.
+func (p *poolCancellation) run(ctx context.Context, answered chan<- *poolCancellation) {
+	p.presence, p.silence = p.instance.cancelAtOwner(ctx, p.pool, p.job)
+	if p.silence != nil {
+		p.table = shard.IntakeTable(p.pool)
+		p.offset, p.err = p.instance.store(ctx, p.table, shard.CancelRecord(p.job), true)
+	}
+	answered <- p
+}
+
+func (p *poolCancellation) mayHaveJob() bool { return p.silence != nil || p.presence.Known() }
+
+// silentAnswer stands for a pool whose owner gave no answer.
+const silentAnswer = "silent"
+
+func (p *poolCancellation) answer() string {
+	if p.silence != nil {
+		return silentAnswer
+	}
+	return p.presence.String()
+}
+
+// MarshalLogObject adds the answer of the pool to a log line.
+func (p *poolCancellation) MarshalLogObject(line zapcore.ObjectEncoder) error {
+	line.AddString("pool", p.pool)
+	line.AddString("answer", p.answer())
+	if p.silence == nil {
+		return nil
+	}
+	line.AddString("error", p.silence.Error())
+	if p.err == nil {
+		line.AddString("table", p.table.String())
+		line.AddInt64("offset", p.offset)
+	}
+	return nil
+}
+
 // cancelAtOwner asks the owner of a pool to cancel a job and tells whether the pool has it.
 func (n *Instance) cancelAtOwner(ctx context.Context, shardName string, name job.ID) (job.Presence, error) {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
--- a/internal/jobs/instance/cancel_test.go
+++ b/internal/jobs/instance/cancel_test.go
@@ -148,16 +148,23 @@
 	<-ending.done
 }
 
-// follow makes an instance follow the table of owners under a configuration.
-func (w *cancelWorld) follow(n *Instance, c *catalog.Config) {
+// follow makes an instance follow the table of owners under a configuration, and returns a function that keeps it from
+// seeing what is stored from then on.
+func (w *cancelWorld) follow(n *Instance, c *catalog.Config) (freeze func()) {
+	ctx, cancel := context.WithCancel(w.t.Context())
+	ended := make(chan struct{})
 	f := n.ownerFeed()
-	go func() { _ = f.loop(w.t.Context()) }()
+	go func() { _ = f.loop(ctx); close(ended) }()
 	n.applyConfig(c)
 	eventually(w.t, "the table of owners is read", func() bool {
 		n.mu.RLock()
 		defer n.mu.RUnlock()
 		return n.ownersKnown
 	})
+	return func() {
+		cancel()
+		<-ended
+	}
 }
 
 func (w *cancelWorld) start(c *catalog.Config) *Instance {
@@ -283,3 +290,48 @@
 		})
 	}
 }
+
+// TestCancelReachesForwardedJob guards against issue 34: a cancellation that came while its job was on its way from a former
+// pool to the one that its route belongs to was acknowledged, and the job ran in the other pool.
+func TestCancelReachesForwardedJob(t *testing.T) {
+	const name = job.ID("5c0e7a21d94b0001")
+	tests := []struct {
+		name string
+		at   func(before, after *Instance) *Instance // where the cancellation comes
+		play func(w *cancelWorld)                    // what happens before it comes
+	}{
+		{"at an instance that knows where the route has moved", func(_, after *Instance) *Instance { return after }, func(*cancelWorld) {}},
+		{"at an instance that does not", func(before, _ *Instance) *Instance { return before }, func(*cancelWorld) {}},
+		{"while the newer pool has no owner", func(_, after *Instance) *Instance { return after }, func(w *cancelWorld) { w.disown("new") }},
+		{"while the former pool has no owner", func(_, after *Instance) *Instance { return after }, func(w *cancelWorld) { w.disown("old") }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newCancelWorld(t, routeConfig(5, "q", "new"), "old", "new")
+			before := w.newInstance(unreachable)
+			freeze := w.follow(before, routeConfig(3, "q", "old"))
+			w.submit(before, "5c0e7a21d94b000a")
+			freeze()
+			after := w.start(routeConfig(5, "q", "new"))
+			w.submit(after, "5c0e7a21d94b000b")
+			q := w.queue(after, name)
+			// The job is on its way while the owner of another holder does not answer.
+			third := holder{route: q.Route(), pool: "third", version: 4}
+			w.append(ownerTable(), third.record())
+			eventually(t, "the third holder is known", func() bool { return after.hasHolder(third) && w.owner.hasHolder(third) })
+			w.submitToIntake(before, name, 3)
+			eventually(t, "the job is being forwarded", func() bool {
+				presence, err := w.owner.shards["old"].shard.Seal(t.Context(), q.Route(), 5, name)
+				return err == nil && presence.Known()
+			})
+			test.play(w)
+			w.cancel(test.at(before, after), name)
+			for _, pool := range []string{"old", "new", "third"} {
+				if w.owner.shards[pool] == nil {
+					w.own(pool)
+				}
+			}
+			w.checkCancelled(after, name)
+		})
+	}
+}
--- a/internal/jobs/instance/route.go
+++ b/internal/jobs/instance/route.go
@@ -152,6 +152,26 @@
 	return slices.ContainsFunc(n.holders[h.route], func(k holder) bool { return k.pool == h.pool && k.version >= h.version })
 }
 
+// readHolders reads the table of owners to its end, so that all holders that are recorded by now are known.
+func (n *Instance) readHolders(ctx context.Context) error {
+	n.mu.RLock()
+	from := n.ownersEnd
+	n.mu.RUnlock()
+	for {
+		batch, err := n.proxiedLog.Read(ctx, ownerTable(), from, 0)
+		if err != nil {
+			return NotReadyError{Reason: "reading the pools of a route: " + err.Error(), Retry: retryAfter}
+		}
+		for _, stored := range batch.Records {
+			n.applyHolder(stored.Record)
+		}
+		if len(batch.Records) == 0 {
+			return nil
+		}
+		from = batch.Next
+	}
+}
+
 // isHeldBy reports whether one of the given pools has a job. Those that do not have it accept it no more under a version
 // below the holder's.
 func (n *Instance) isHeldBy(ctx context.Context, pools []string, h holder, name job.ID) (bool, error) {
--- a/internal/jobs/instance/route_test.go
+++ b/internal/jobs/instance/route_test.go
@@ -44,6 +44,15 @@
 	return 0, nil
 }
 
+func (l *tableLog) Read(_ context.Context, _ stream.Table, from int64, _ time.Duration) (stream.Batch, error) {
+	batch := stream.Batch{Next: from}
+	for _, r := range l.all()[from:] {
+		batch.Records = append(batch.Records, stream.StoredRecord{Record: r, Offset: batch.Next})
+		batch.Next++
+	}
+	return batch, nil
+}
+
 func (l *tableLog) all() []stream.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
