instance: Pass a cancellation on to the pool that accepts its job later

Callers saw a DELETE answered 410, and the job, whose request came after its route had moved, run in the newer pool: that pool asked the former ones whether they had the job, and these did not mention that they kept a cancellation of it.

Seal now answers so (job.Tombstone). The submitter, or the instance that forwards a job, has the newer pool's owner store the cancellation before it submits the job there, so the job arrives cancelled and is shown so. The request is answered as before.

--- a/internal/jobs/instance/cancel_test.go
+++ b/internal/jobs/instance/cancel_test.go
@@ -335,3 +335,41 @@
 		})
 	}
 }
+
+// TestJobHandedInAfterItsCancelInAnotherPool guards against issue 34: a job was cancelled before its request came, and when its
+// route had moved in between, the newer pool did not know and ran it.
+func TestJobHandedInAfterItsCancelInAnotherPool(t *testing.T) {
+	const name, other = job.ID("5c0e7a21d94b0001"), job.ID("5c0e7a21d94b000a")
+	tests := []struct {
+		name   string
+		before func(w *cancelWorld, n *Instance) // what happens before the cancellation, at the instance where it comes
+		after  func(w *cancelWorld)              // what happens between the cancellation and the request
+	}{
+		{"the route had no jobs", func(*cancelWorld, *Instance) {}, func(*cancelWorld) {}},
+		{"the route had jobs", func(w *cancelWorld, n *Instance) { w.submit(n, other) }, func(*cancelWorld) {}},
+		{"the route moves twice", func(*cancelWorld, *Instance) {}, func(w *cancelWorld) {
+			w.submit(w.start(routeConfig(4, "q", "third")), other)
+		}},
+		{"the former pool changes its owner", func(*cancelWorld, *Instance) {}, func(w *cancelWorld) {
+			w.disown("old")
+			w.own("old")
+		}},
+		{"the former pool had no owner", func(w *cancelWorld, _ *Instance) { w.disown("old") }, func(w *cancelWorld) { w.own("old") }},
+		{"the request comes through the former pool's intake", func(*cancelWorld, *Instance) {}, func(w *cancelWorld) {
+			w.submit(w.start(routeConfig(5, "q", "new")), other)
+			w.submitToIntake(w.start(routeConfig(3, "q", "old")), name, 3)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newCancelWorld(t, routeConfig(5, "q", "new"), "old", "new", "third")
+			n := w.start(routeConfig(3, "q", "old"))
+			test.before(w, n)
+			w.cancel(n, name)
+			test.after(w)
+			after := w.start(routeConfig(5, "q", "new"))
+			w.submit(after, name)
+			w.checkCancelled(after, name)
+		})
+	}
+}
--- a/internal/jobs/instance/route.go
+++ b/internal/jobs/instance/route.go
@@ -173,8 +173,9 @@
 }
 
 // isHeldBy reports whether one of the given pools has a job. Those that do not have it accept it no more under a version
-// below the holder's.
+// below the holder's. Where one keeps a cancellation of the job, the holder's pool does so, too, after that.
 func (n *Instance) isHeldBy(ctx context.Context, pools []string, h holder, name job.ID) (bool, error) {
+	cancelled := false
 	for _, pool := range pools {
 		presence, err := n.seal(ctx, relay.SealRequest{Pool: pool, Job: name, Route: h.route, Version: h.version})
 		if err != nil {
@@ -183,6 +184,13 @@
 		if presence.Known() {
 			return true, nil
 		}
+		cancelled = cancelled || presence == job.Tombstone
+	}
+	if !cancelled {
+		return false, nil
+	}
+	if _, err := n.cancelAtOwner(ctx, h.pool, name); err != nil {
+		return false, NotReadyError{Reason: "passing on a cancellation: " + err.Error(), Retry: retryAfter}
 	}
 	return false, nil
 }
--- a/internal/jobs/job/presence.go
+++ b/internal/jobs/job/presence.go
@@ -8,6 +8,7 @@
 	Absent    Presence = iota
 	Present            // the pool has the job, and no other has it
 	Forwarded          // the pool hands the job to another one, will do so, or may have done so
+	Tombstone          // the pool does not have the job, and keeps a cancellation of it
 )
 
 // Known reports whether a job was submitted to the pool.
@@ -15,5 +16,5 @@
 
 // String returns what a pool answers.
 func (p Presence) String() string {
-	return [...]string{"unknown", "has", "forwards"}[p]
+	return [...]string{"unknown", "has", "forwards", "cancelled"}[p]
 }
--- a/internal/jobs/shard/seal.go
+++ b/internal/jobs/shard/seal.go
@@ -107,6 +107,8 @@
 		return job.Forwarded
 	case spec != nil:
 		return job.Present
+	case s.pool.IsCancelled(name):
+		return job.Tombstone
 	}
 	return job.Absent
 }
