shard: Read the tail of the intake to its end, for a seal and for cancellations too

Callers could be answered 410 for a job that was stored in the intake of a pool whose owner was behind with reading: of the records that it had not handled, an owner looked at one batch (1 MB at most). A seal looked at none of them, so that a pool denied a job, or a cancellation, that stood there; and nothing looked for cancellations.

State, Seal and Cancel now share one search to the end of the table, in which the last record of a key counts.

TestForwardedJobStaysKnown waited by Seal until the job was being forwarded. Seal now knows the job earlier, from the tail, so the test asks the control thread for that moment and checks Seal's answer besides.

--- a/internal/jobs/instance/cancel_test.go
+++ b/internal/jobs/instance/cancel_test.go
@@ -202,17 +202,23 @@
 	}
 }
 
-// submitToIntake writes a job to the intake of a pool, as an instance does that gets no answer of its owner.
-func (w *cancelWorld) submitToIntake(n *Instance, name job.ID, version int64) {
+// submittedSpec returns a job as an instance submits it under the configuration that it has.
+func (w *cancelWorld) submittedSpec(n *Instance, name job.ID) job.Spec {
 	w.t.Helper()
 	q := w.queue(n, name)
 	spec := w.spec(name)
-	spec.Queue, spec.Pool, spec.Route, spec.Version, spec.Accepted = q.Name, q.Pool, q.Route(), version, time.Now()
+	spec.Queue, spec.Pool, spec.Route, spec.Version, spec.Accepted = q.Name, q.Pool, q.Route(), q.Version, time.Now()
+	return spec
+}
+
+// submitToIntake writes a job to the intake of its pool, as an instance does that gets no answer of the owner.
+func (w *cancelWorld) submitToIntake(spec job.Spec) {
+	w.t.Helper()
 	record, err := shard.SpecRecord(&spec)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.append(shard.IntakeTable(q.Pool), record)
+	w.append(shard.IntakeTable(spec.Pool), record)
 }
 
 // cancel cancels a job and reports whether it was answered that there is no such job.
@@ -261,7 +267,7 @@
 			w.submit(n, name)
 			w.submit(n, name)
 		}},
-		{"through the intake", func(w *cancelWorld, n *Instance) { w.submitToIntake(n, name, 3) }},
+		{"through the intake", func(w *cancelWorld, n *Instance) { w.submitToIntake(w.submittedSpec(n, name)) }},
 		{"at the next owner", func(w *cancelWorld, n *Instance) {
 			w.disown("old")
 			w.own("old")
@@ -269,7 +275,7 @@
 		}},
 		{"through the intake, at the next owner", func(w *cancelWorld, n *Instance) {
 			w.disown("old")
-			w.submitToIntake(n, name, 3)
+			w.submitToIntake(w.submittedSpec(n, name))
 			w.own("old")
 		}},
 	}
@@ -294,7 +300,7 @@
 // TestCancelReachesForwardedJob guards against issue 34: a cancellation that came while its job was on its way from a former
 // pool to the one that its route belongs to was acknowledged, and the job ran in the other pool.
 func TestCancelReachesForwardedJob(t *testing.T) {
-	const name = job.ID("5c0e7a21d94b0001")
+	const name = job.ID("5c0e7a21d94b0002")
 	tests := []struct {
 		name string
 		at   func(before, after *Instance) *Instance // where the cancellation comes
@@ -319,10 +325,10 @@
 			third := holder{route: q.Route(), pool: "third", version: 4}
 			w.append(ownerTable(), third.record())
 			eventually(t, "the third holder is known", func() bool { return after.hasHolder(third) && w.owner.hasHolder(third) })
-			w.submitToIntake(before, name, 3)
+			spec := w.submittedSpec(before, name)
+			w.submitToIntake(spec)
 			eventually(t, "the job is being forwarded", func() bool {
-				presence, err := w.owner.shards["old"].shard.Seal(t.Context(), q.Route(), 5, name)
-				return err == nil && presence.Known()
+				return w.owner.shards["old"].shard.Submit(t.Context(), spec) == nil // else it is sealed
 			})
 			test.play(w)
 			w.cancel(test.at(before, after), name)
@@ -357,7 +363,7 @@
 		{"the former pool had no owner", func(w *cancelWorld, _ *Instance) { w.disown("old") }, func(w *cancelWorld) { w.own("old") }},
 		{"the request comes through the former pool's intake", func(*cancelWorld, *Instance) {}, func(w *cancelWorld) {
 			w.submit(w.start(routeConfig(5, "q", "new")), other)
-			w.submitToIntake(w.start(routeConfig(3, "q", "old")), name, 3)
+			w.submitToIntake(w.submittedSpec(w.start(routeConfig(3, "q", "old")), name))
 		}},
 	}
 	for _, test := range tests {
--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -31,21 +31,40 @@
 	if err := s.do(ctx, query); err != nil || known {
 		return state, known, err
 	}
-	if inTail, err := s.isInTail(ctx, tail, name); err != nil || inTail {
-		return job.Queued, inTail, err
+	presence, err := s.presenceInTail(ctx, tail, name)
+	if err != nil || presence.Known() {
+		return job.Queued, presence.Known(), err
 	}
 	return 0, false, s.claim.Prove(ctx)
 }
 
-// isInTail reports whether a job stands in the intake from an offset on.
-func (s *Shard) isInTail(ctx context.Context, from int64, name job.ID) (bool, error) {
-	batch, err := s.config.Log.Read(ctx, s.intake, from, 0)
-	for _, stored := range batch.Records {
-		if stored.Key == specPrefix+string(name) && len(stored.Value) > 0 {
-			return true, nil
+// presenceInTail tells what the intake holds of a job from an offset on. A job there may have to be forwarded.
+func (s *Shard) presenceInTail(ctx context.Context, from int64, name job.ID) (job.Presence, error) {
+	submitted, cancelled := false, false
+	for {
+		batch, err := s.config.Log.Read(ctx, s.intake, from, 0)
+		if err != nil {
+			return job.Absent, err
+		}
+		for _, stored := range batch.Records {
+			switch stored.Key {
+			case specPrefix + string(name):
+				submitted = len(stored.Value) > 0
+			case cancelPrefix + string(name):
+				cancelled = len(stored.Value) > 0
+			}
+		}
+		from = batch.Next
+		switch {
+		case len(batch.Records) > 0 && batch.Next != batch.End:
+		case submitted:
+			return job.Forwarded, nil
+		case cancelled:
+			return job.Tombstone, nil
+		default:
+			return job.Absent, nil
 		}
 	}
-	return false, err
 }
 
 // HasRecentProof reports whether the log has confirmed within claim.MaxProofAge that this instance owns the pool.
--- a/internal/jobs/shard/seal.go
+++ b/internal/jobs/shard/seal.go
@@ -59,15 +59,21 @@
 	}
 	var presence job.Presence
 	var stored <-chan struct{}
+	var tail int64
 	err := s.do(ctx, func(pool.Moment) {
 		if presence = s.presence(name); !presence.Known() {
 			stored = s.raiseSeal(route, version)
 		}
+		tail = s.intakeOffset
 	})
 	if err != nil || presence.Known() {
 		return presence, err
 	}
-	return presence, s.awaitStored(ctx, stored)
+	if err := s.awaitStored(ctx, stored); err != nil {
+		return presence, err
+	}
+	inTail, err := s.presenceInTail(ctx, tail, name)
+	return max(presence, inTail), err
 }
 
 // raiseSeal raises the seal of a route to at least a version, and returns a channel that is closed once that is stored.
--- a/internal/jobs/shard/seal_test.go
+++ b/internal/jobs/shard/seal_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
@@ -133,9 +134,13 @@
 		t.Errorf("state %v, known %v, error %v", state, known, err)
 	}
 	await(t, "the job is being forwarded", func() bool {
-		presence, err := stuck.Seal(ctx, "r", 5, someJob(1).ID)
+		presence := job.Absent
+		err := stuck.do(ctx, func(pool.Moment) { presence = stuck.presence(someJob(1).ID) })
 		return err == nil && presence.Known()
 	})
+	if presence, err := stuck.Seal(ctx, "r", 5, someJob(1).ID); err != nil || !presence.Known() {
+		t.Errorf("the answer to a seal is %q, error %v", presence, err)
+	}
 	if err := stuck.Submit(ctx, routedJob(1, 3)); err != nil {
 		t.Errorf("a repeat of a job that is being forwarded: error %v", err)
 	}
--- a/internal/jobs/shard/submit.go
+++ b/internal/jobs/shard/submit.go
@@ -50,11 +50,11 @@
 		return presence, err
 	}
 	// The stored cancellation proves that this instance owned the pool, so only the intake may have the job.
-	inTail, err := s.isInTail(ctx, from, name)
-	if inTail {
-		return job.Forwarded, err // if its route has moved, else it stays
+	presence, err = s.presenceInTail(ctx, from, name)
+	if presence == job.Tombstone {
+		presence = job.Absent
 	}
-	return job.Absent, err
+	return presence, err
 }
 
 // storeRecord runs handle on the control thread and waits until the record is stored. The record is not stored when handle
