shard: Count jobs that are being forwarded as pending

Callers who asked for the pending jobs of a queue that had moved were not told of those that its former pool was handing on, for as long as that took: no pool had them in its table.

The former pool's owner now counts them until the newer one has them.

--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -77,13 +77,14 @@
 	return recent, err
 }
 
-// Pending returns the number of jobs of a route, which has the given queue, that have not started.
+// Pending returns the number of jobs of a route, which has the given queue, that have not started, including those that the
+// pool forwards.
 func (s *Shard) Pending(ctx context.Context, route catalog.Route, queue string) (int, error) {
 	if err := s.awaitStarted(ctx); err != nil {
 		return 0, err
 	}
 	var count int
-	err := s.do(ctx, func(pool.Moment) { count = s.pool.Pending(route, queue) })
+	err := s.do(ctx, func(pool.Moment) { count = s.pool.Pending(route, queue) + s.forwardedPending(route) })
 	return count, err
 }
 
--- a/internal/jobs/shard/seal.go
+++ b/internal/jobs/shard/seal.go
@@ -153,12 +153,23 @@
 	if _, started := s.forwarding[spec.ID]; started {
 		return
 	}
-	s.forwarding[spec.ID] = struct{}{}
+	s.forwarding[spec.ID] = spec.Route
 	s.config.Logger.Info("forwarding a job of a route that has moved", zap.String("pool", s.config.Pool), zap.String("job", string(spec.ID)), zap.Int64("version", spec.Version))
 	f := &forwarding{shard: s, spec: spec}
 	s.inFlight.Go(func() { f.run(ctx) })
 }
 
+// forwardedPending returns the number of jobs of a route that are on their way to another pool and not cancelled.
+func (s *Shard) forwardedPending(route catalog.Route) int {
+	count := 0
+	for name, of := range s.forwarding {
+		if of == route && !s.pool.IsCancelled(name) {
+			count++
+		}
+	}
+	return count
+}
+
 // forwarding is a job on its way to another pool.
 type forwarding struct {
 	shard *Shard
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -112,15 +112,15 @@
 	expiredJobs     []job.ID        // expired jobs to be removed from the intake
 	cleaning        bool
 	seals           map[catalog.Route]seal
-	partCounts      map[job.ID]int      // parts of stored progress, of jobs that have had any
-	forwarding      map[job.ID]struct{} // jobs of the intake that are on their way to another pool
+	partCounts      map[job.ID]int           // parts of stored progress, of jobs that have had any
+	forwarding      map[job.ID]catalog.Route // jobs of the intake that are on their way to another pool
 }
 
 // New returns a shard; Run starts it.
 func New(c Config) *Shard {
 	return &Shard{
 		config: c, stats: newLoopStats(c.TimingObserver), intake: IntakeTable(c.Pool), output: OutputTable(c.Pool), refresh: make(chan struct{}, 1),
-		events: make(chan event, eventQueueSize), seals: map[catalog.Route]seal{}, partCounts: map[job.ID]int{}, forwarding: map[job.ID]struct{}{}, started: make(chan struct{}), ended: make(chan struct{}),
+		events: make(chan event, eventQueueSize), seals: map[catalog.Route]seal{}, partCounts: map[job.ID]int{}, forwarding: map[job.ID]catalog.Route{}, started: make(chan struct{}), ended: make(chan struct{}),
 	}
 }
 
