relay: Understand the answers of instances without presence

What callers could have seen, while instances of two versions run beside each other: a former pool's owner of the earlier version says that it has a job, in a field that the newer version does not read; the newer instance takes that for a denial, submits the job to the route's pool again, and it runs twice, or answers its cancellation 410.

Cause: the reply to a seal and to a cancellation got a new field in place of the old one. Class: a message that changes its meaning between versions. Change: the old field is still written, and read where the new one says nothing.

--- a/internal/jobs/instance/cancel.go
+++ b/internal/jobs/instance/cancel.go
@@ -177,5 +177,5 @@
 		return here.Cancel(ctx, name)
 	}
 	answer, err := n.config.Peers.Cancel(ctx, owner, relay.JobRequest{Pool: shardName, Job: name})
-	return answer.Presence, err
+	return answer.Answer(), err
 }
--- a/internal/jobs/instance/route.go
+++ b/internal/jobs/instance/route.go
@@ -207,7 +207,7 @@
 		return here.Seal(ctx, r.Route, r.Version, r.Job)
 	}
 	answer, err := n.config.Peers.Seal(ctx, owner, r)
-	return answer.Presence, err
+	return answer.Answer(), err
 }
 
 // awaitMove waits for a configuration that is newer than a queue, or for another newest holder of its route, and returns the
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -67,7 +67,7 @@
 		return relay.PresenceReply{}, err
 	}
 	presence, err := s.Seal(ctx, r.Route, r.Version, r.Job)
-	return relay.PresenceReply{Presence: presence}, err
+	return relay.NewPresenceReply(presence), err
 }
 
 // HandleCancel cancels a job of a pool that this instance owns.
@@ -77,7 +77,7 @@
 		return relay.PresenceReply{}, err
 	}
 	presence, err := s.Cancel(ctx, q.Job)
-	return relay.PresenceReply{Presence: presence}, err
+	return relay.NewPresenceReply(presence), err
 }
 
 // HandleOwns reports whether this instance owns a shard and has a recent proof of that.
--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -56,11 +56,26 @@
 	State job.State `cbor:"2,keyasint,omitempty"`
 }
 
-// PresenceReply is the reply to a JobRequest to cancel a job, and to a SealRequest.
+// PresenceReply is the reply to a JobRequest to cancel a job, and to a SealRequest. Known is all that instances of versions
+// without Presence write and read.
 type PresenceReply struct {
+	Known    bool         `cbor:"1,keyasint,omitempty"`
 	Presence job.Presence `cbor:"3,keyasint,omitempty"`
 }
 
+// NewPresenceReply returns the reply that says whether a pool has a job.
+func NewPresenceReply(p job.Presence) PresenceReply {
+	return PresenceReply{Known: p.Known(), Presence: p}
+}
+
+// Answer returns whether the pool has the job, by a reply of any version.
+func (r PresenceReply) Answer() job.Presence {
+	if r.Known && !r.Presence.Known() {
+		return job.Present
+	}
+	return r.Presence
+}
+
 // PoolRequest asks whether an instance owns a pool.
 type PoolRequest struct {
 	Pool string `cbor:"1,keyasint"`
