shard: Start no task on old settings of the operators

What callers may see: a task starts in a data centre over evac_ms after its evacuation was acknowledged.

Cause: as with the view of the intake, nothing bounded how old an owner's view of the operators' table is. Starts went on while its appends succeeded.

The test with the condition taken out:

--- FAIL: TestOwnerDeafToOperatorsStartsNothing 2 starts, want only the one from before the operators' table was last seen

Fix: the operators' feed tells as of when it has applied all records, by the same rule as the intake's reader (stream.Batch.CompleteAt, which both share now), and starts are held back while that is older than evac_ms less the 1.5 s that a start may take.

--- a/internal/jobs/instance/cancel_test.go
+++ b/internal/jobs/instance/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -106,6 +107,7 @@
 func newCancelWorld(t *testing.T, c *catalog.Config, pools ...string) *cancelWorld {
 	w := &cancelWorld{t: t, log: pollingLog{newMemoryLog()}, runs: &endlessRuns{}, stop: map[string]context.CancelFunc{}}
 	w.owner = w.newInstance(unreachable)
+	w.owner.recordOperatorsSeen(math.MaxInt64) // it gets its configuration directly
 	server := httptest.NewServer(relay.NewHandler(w.owner))
 	t.Cleanup(server.Close)
 	at := strings.TrimPrefix(server.URL, "http://")
--- a/internal/jobs/instance/feed.go
+++ b/internal/jobs/instance/feed.go
@@ -29,8 +29,9 @@
 	gap        time.Duration // pause after a read
 	replace    func(all []stream.Record)
 	apply      func(r stream.Record)
-	onProgress func(next int64) // receives the offset up to which the table is read; may be nil
-	needed     func() bool      // nil for a table that is always followed
+	onProgress func(next int64)       // receives the offset up to which the table is read; may be nil
+	onSeen     func(at time.Duration) // receives the steady time as of which all records are applied; may be nil
+	needed     func() bool            // nil for a table that is always followed
 	next       int64
 }
 
@@ -67,10 +68,12 @@
 		return err
 	}
 	// The pages that were read are no snapshot: a record may be missing that is older than one of them.
+	reading := stream.Reading{From: next, Sent: f.now()}
 	tail, err := f.instance.proxiedLog.Read(ctx, f.table, next, 0)
 	if err != nil {
 		return err
 	}
+	reading.Answered = f.now()
 	for _, stored := range tail.Records {
 		all = append(all, stored.Record)
 	}
@@ -78,12 +81,15 @@
 	f.instance.recordReply()
 	f.replace(all)
 	f.reportProgress()
+	f.reportSeen(tail.CompleteAt(reading))
 	return nil
 }
 
 // follow reads the next records. A read that fails temporarily is retried from the same offset.
 func (f *feed) follow(ctx context.Context) error {
+	reading := stream.Reading{From: f.next, Wait: f.wait, Sent: f.now()}
 	batch, err := f.instance.proxiedLog.Read(ctx, f.table, f.next, f.wait)
+	reading.Answered = f.now()
 	if err != nil {
 		var trimmed stream.TrimmedError
 		if errors.As(err, &trimmed) || ctx.Err() != nil {
@@ -101,6 +107,7 @@
 		f.reportProgress()
 		f.instance.refreshShards()
 	}
+	f.reportSeen(batch.CompleteAt(reading))
 	sleep(ctx, f.gap)
 	return nil
 }
@@ -111,6 +118,27 @@
 	}
 }
 
+func (f *feed) reportSeen(at time.Duration) {
+	if f.onSeen != nil {
+		f.onSeen(at)
+	}
+}
+
+func (f *feed) now() time.Duration { return f.instance.config.Clock.Moment().Steady }
+
+// recordOperatorsSeen records the steady time as of which everything that the operators have written is applied.
+func (n *Instance) recordOperatorsSeen(at time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.operatorsSeenAt = max(n.operatorsSeenAt, at)
+}
+
+func (n *Instance) operatorsSeen() time.Duration {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.operatorsSeenAt
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -48,23 +48,24 @@
 
 	holderWrites singleflight.Group // records of holders that are being written
 
-	mu          sync.RWMutex // guards everything below
-	catalog     *snapshot
-	evacuated   id.Set[id.DataCentre]
-	waves       map[int]announcedWave
-	workers     map[string]catalog.Worker
-	holders     map[catalog.Route][]holder
-	owners      owners.Table
-	ownersEnd   int64 // offset up to which the table of owners is read
-	alive       []owners.Member
-	partitions  int           // partitions of the group, as of alive
-	observer    bool          // stays out of the group, since enough heavier instances are in it
-	aliveAsOf   time.Duration // steady time of the request that returned alive
-	shards      map[string]*owned
-	lastReply   time.Duration // steady time of the newest reply of the store
-	stopping    bool
-	ownersKnown bool
-	ownedSince  map[string]time.Duration // steady time at which this instance saw the owner of a shard change
+	mu              sync.RWMutex // guards everything below
+	catalog         *snapshot
+	evacuated       id.Set[id.DataCentre]
+	waves           map[int]announcedWave
+	workers         map[string]catalog.Worker
+	holders         map[catalog.Route][]holder
+	owners          owners.Table
+	ownersEnd       int64 // offset up to which the table of owners is read
+	alive           []owners.Member
+	partitions      int           // partitions of the group, as of alive
+	observer        bool          // stays out of the group, since enough heavier instances are in it
+	aliveAsOf       time.Duration // steady time of the request that returned alive
+	operatorsSeenAt time.Duration // steady time as of which all that the operators have written is applied
+	shards          map[string]*owned
+	lastReply       time.Duration // steady time of the newest reply of the store
+	stopping        bool
+	ownersKnown     bool
+	ownedSince      map[string]time.Duration // steady time at which this instance saw the owner of a shard change
 
 	ownersChanged chan struct{}
 	stop          chan struct{} // closed when the instance is to stop
@@ -98,7 +99,9 @@
 // Run follows the platform until the context ends.
 func (n *Instance) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	operators := &feed{instance: n, table: n.config.Tables.Operators, wait: operatorWait, replace: n.replaceOperators, apply: n.applyOperator}
+	operators := &feed{
+		instance: n, table: n.config.Tables.Operators, wait: operatorWait, replace: n.replaceOperators, apply: n.applyOperator, onSeen: n.recordOperatorsSeen,
+	}
 	workers := &feed{instance: n, table: n.config.Tables.Workers, gap: workerGap, replace: n.replaceWorkers, apply: n.applyWorker, needed: n.ownsPools}
 	table := n.ownerFeed()
 	members := &membership{instance: n}
--- a/internal/jobs/shard/deaf_test.go
+++ b/internal/jobs/shard/deaf_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
+// alwaysSeen stands for operators' settings that are always up to date.
+func alwaysSeen() time.Duration { return math.MaxInt64 }
+
 // deafOwner is an owner whose reads of the intake can be held, and whose worker can be hidden.
 type deafOwner struct {
 	*owner
@@ -140,6 +145,39 @@
 	})
 }
 
+// TestOwnerDeafToOperatorsStartsNothing guards against starts in a data centre whose evacuation an owner has not learned of,
+// since its reads of the operators' table stood still.
+func TestOwnerDeafToOperatorsStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(time.Second) // until all goroutines have ended
+		defer cancel()
+		d := startDeafOwner(ctx)
+		var seenAt atomic.Int64
+		now := func() int64 { return int64(d.shard.config.Clock.Moment().Steady) }
+		d.submit(t, longJob())
+		seenAt.Store(now())
+		if err := d.shard.do(ctx, func(pool.Moment) {
+			d.shard.config.OperatorsSeen = func() time.Duration { return time.Duration(seenAt.Load()) }
+		}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		later := longJob()
+		later.ID = someJob(2).ID
+		d.submit(t, later)
+		time.Sleep(5 * time.Second)
+		if n := len(d.starts()); n != 1 {
+			t.Errorf("%d starts, want only the one from before the operators' table was last seen", n)
+		}
+		seenAt.Store(now())
+		time.Sleep(time.Second)
+		if n := len(d.starts()); n != 2 {
+			t.Errorf("%d starts once the operators' table is read, want 2", n)
+		}
+	})
+}
+
 // TestSlowLongPollDoesNotStopStarts checks that an owner whose long polls of the intake are not answered reads it without
 // waiting, and only while a start waits for that.
 func TestSlowLongPollDoesNotStopStarts(t *testing.T) {
--- a/internal/jobs/shard/intake.go
+++ b/internal/jobs/shard/intake.go
@@ -43,32 +43,19 @@
 // read reads records once, waiting for the first one for at most the given time.
 func (r *intakeReader) read(ctx context.Context, wait time.Duration) error {
 	s := r.shard
-	sent := s.config.Clock.Moment().Steady
+	reading := stream.Reading{From: r.next, Wait: wait, Sent: s.config.Clock.Moment().Steady}
 	batch, err := s.config.Log.Read(ctx, s.intake, r.next, wait)
 	if err != nil {
 		return err
 	}
-	answered := s.config.Clock.Moment().Steady
+	reading.Answered = s.config.Clock.Moment().Steady
 	for _, stored := range batch.Records {
 		s.handleIntakeRecord(ctx, stored)
 	}
-	empty := batch.Next == r.next
-	r.advance(ctx, batch.Next, completeAt(batch, sent, answered, wait, empty))
+	r.advance(ctx, batch.Next, batch.CompleteAt(reading))
 	return nil
 }
 
-// completeAt returns the steady time as of which a read with a given wait shows all records of a table, or 0 if the table has
-// more.
-func completeAt(b stream.Batch, sent, answered, wait time.Duration, empty bool) time.Duration {
-	switch {
-	case b.Next != b.End:
-		return 0
-	case empty && answered-sent >= wait:
-		return sent + wait // the store answers as soon as there is a record
-	}
-	return sent
-}
-
 // minReadGap is the minimum time between two reads of the intake that do not wait.
 const minReadGap = 250 * time.Millisecond
 
--- a/internal/jobs/shard/order.go
+++ b/internal/jobs/shard/order.go
@@ -12,39 +12,53 @@
 
 // Allowances for the time from deciding on a start until a worker carries it out.
 const (
-	defaultCancelTimeout = 3 * time.Second         // where the settings name none
-	startSendLimit       = 500 * time.Millisecond  // longest wait until a start is sent
-	startAllowance       = 1500 * time.Millisecond // for that wait and for the call
+	defaultCancelTimeout     = 3 * time.Second         // where the settings name none
+	defaultEvacuationTimeout = 5 * time.Second         // likewise
+	startSendLimit           = 500 * time.Millisecond  // longest wait until a start is sent
+	startAllowance           = 1500 * time.Millisecond // for that wait and for the call
 )
 
-// maxViewAge returns the largest age, at the decision on a start, of what is known of cancellations. The rest of the
-// CancelTimeout is left for the start to arrive.
-func (s *Settings) maxViewAge() time.Duration {
-	timeout := s.CancelTimeout
+// maxAge returns the largest age, at the decision on a start, of what is known of orders that have to be in force after a
+// timeout. The rest of the timeout is left for the start to arrive.
+func maxAge(timeout, unknown time.Duration) time.Duration {
 	if timeout <= 0 {
-		timeout = defaultCancelTimeout
+		timeout = unknown
 	}
 	return max(timeout-startAllowance, timeout/2)
 }
 
-// orderStarts orders the starts of stored runs, or holds them back while a cancellation may have been acknowledged that
-// this owner does not know: in the intake, or by a successor.
+// knowledge holds the ages of what an owner decides its starts on.
+type knowledge struct {
+	intake    time.Duration // of the view of the intake, which may have cancellations
+	proof     time.Duration // of the proof of ownership: a successor may have cancellations
+	operators time.Duration // of the operators' settings
+}
+
+func (s *Shard) knowledge() knowledge {
+	now := s.config.Clock.Moment().Steady
+	return knowledge{intake: now - s.intakeSeenAt, proof: now - s.provenAt, operators: now - s.config.OperatorsSeen()}
+}
+
+// orderStarts orders the starts of stored runs, or holds them back while a cancellation or an evacuation may be in force
+// that this owner does not know.
 func (s *Shard) orderStarts(ctx context.Context) {
 	if !s.pool.HasStored() || !s.termStored {
 		return
 	}
-	at, oldest := s.config.Clock.Moment(), s.config.Settings.maxViewAge()
-	intakeAge, proofAge := at.Steady-s.intakeSeenAt, at.Steady-s.provenAt
-	if max(intakeAge, proofAge) <= oldest {
+	set, at, age := &s.config.Settings, s.config.Clock.Moment(), s.knowledge()
+	cancelAge := maxAge(set.CancelTimeout, defaultCancelTimeout)
+	evacuationAge := maxAge(set.EvacuationTimeout, defaultEvacuationTimeout)
+	if age.intake <= cancelAge && age.proof <= cancelAge && age.operators <= evacuationAge {
 		s.pool.SendStored(at)
 		return
 	}
-	if intakeAge > oldest {
+	if age.intake > cancelAge {
 		s.refreshIntake(ctx, at)
 	}
 	if at.Steady-s.heldLoggedAt >= statusInterval {
 		s.heldLoggedAt = at.Steady
-		s.config.Logger.Info("starts held back", zap.String("pool", s.config.Pool), zap.Duration("intake_age", intakeAge), zap.Duration("proof_age", proofAge))
+		s.config.Logger.Info("starts held back", zap.String("pool", s.config.Pool), zap.Duration("intake_age", age.intake),
+			zap.Duration("proof_age", age.proof), zap.Duration("operators_age", age.operators))
 	}
 }
 
--- a/internal/jobs/shard/partition_test.go
+++ b/internal/jobs/shard/partition_test.go
@@ -263,7 +263,8 @@
 		})
 	}
 	return New(Config{
-		Pool: "p", Holder: holder, Log: s, Workers: s, Clock: fakeClock{}, Logger: zap.NewNop(),
+		OperatorsSeen: alwaysSeen,
+		Pool:          "p", Holder: holder, Log: s, Workers: s, Clock: fakeClock{}, Logger: zap.NewNop(),
 		Settings: Settings{Lease: 4 * time.Second, Retention: time.Minute}, View: func() View { return View{Workers: list} },
 	})
 }
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -37,13 +37,14 @@
 
 // Settings holds the limits that the platform sets.
 type Settings struct {
-	Lease          time.Duration // how long a worker keeps running tasks without a renewal
-	MaxLease       time.Duration // longest lease that a worker grants, 0 if unknown
-	Retention      time.Duration
-	CancelTimeout  time.Duration // time after the acknowledgement of a cancellation after which no task of the job starts, 0 if unknown
-	RemoteSlowdown float64       // factor by which a task takes longer away from its data
-	RecordBytes    int           // longest record that the store takes, 0 if unknown
-	CallBytes      int           // bytes of records that the store takes in one call, 0 if unknown
+	Lease             time.Duration // how long a worker keeps running tasks without a renewal
+	MaxLease          time.Duration // longest lease that a worker grants, 0 if unknown
+	Retention         time.Duration
+	CancelTimeout     time.Duration // time after the acknowledgement of a cancellation after which no task of the job starts, 0 if unknown
+	EvacuationTimeout time.Duration // time after an evacuation after which no task starts in the data centre, 0 if unknown
+	RemoteSlowdown    float64       // factor by which a task takes longer away from its data
+	RecordBytes       int           // longest record that the store takes, 0 if unknown
+	CallBytes         int           // bytes of records that the store takes in one call, 0 if unknown
 }
 
 // Config holds what a Shard needs.
@@ -59,6 +60,8 @@
 	Observer       pool.Observer
 	TimingObserver TimingObserver // may be nil
 	View           func() View
+	// OperatorsSeen returns the steady time as of which View has all that the operators have written.
+	OperatorsSeen func() time.Duration
 	// Forward submits a job to the pool that its route belongs to now, and returns once that pool has it.
 	Forward func(ctx context.Context, spec job.Spec) error
 }
--- a/internal/jobs/shard/surge_bench_test.go
+++ b/internal/jobs/shard/surge_bench_test.go
@@ -134,7 +134,8 @@
 func benchmarkSurge(b *testing.B, load surge) {
 	busy := &timedWorkers{workers: map[string]*timedWorker{}}
 	s := New(Config{
-		Pool: "p", Holder: "a", Log: discardingLog{newFakeLog()}, Workers: busy, Clock: steady.Clock{}, Logger: zap.NewNop(),
+		OperatorsSeen: alwaysSeen,
+		Pool:          "p", Holder: "a", Log: discardingLog{newFakeLog()}, Workers: busy, Clock: steady.Clock{}, Logger: zap.NewNop(),
 		Settings: Settings{Lease: 4 * time.Second, Retention: time.Minute},
 		View: func() View {
 			var v View
--- a/internal/jobs/stream/stream.go
+++ b/internal/jobs/stream/stream.go
@@ -34,6 +34,24 @@
 	Records []StoredRecord
 }
 
+// Reading is one read of a table, with the steady times at which it was sent and answered.
+type Reading struct {
+	From           int64         // offset from which on records were asked for
+	Wait           time.Duration // how long the read was to wait for the first one
+	Sent, Answered time.Duration
+}
+
+// CompleteAt returns the steady time as of which a batch shows all records of its table, or 0 if the table has more.
+func (b Batch) CompleteAt(r Reading) time.Duration {
+	switch {
+	case b.Next != b.End:
+		return 0
+	case b.Next == r.From && r.Answered-r.Sent >= r.Wait:
+		return r.Sent + r.Wait // the store answers as soon as there is a record
+	}
+	return r.Sent
+}
+
 // Page is one page of the newest records, ordered by key.
 type Page struct {
 	Items []StoredRecord
