soak: Cancel a sixth of the accepted jobs

Tasks of cancelled jobs have started over 3 s after the acknowledgement in a user's run, and the soak cancelled no job. A sixth of the jobs is now given a chain of steps, so that it has tasks to start for seconds, and is cancelled up to 1.5 s after it is accepted, at random instances until one answers 2xx or 410. A start over 3 s after that answer breaks UNASKED, unless the worker carried the order out late by its own fault. An accepted job whose cancel is answered 410 counts as lost, and a cancel that nobody acknowledges within 45 s is a violation too.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -28,6 +28,7 @@
 	deadly       bool // its first task crashes each worker that starts it
 	doneTasks    map[string]bool
 	startedTasks int
+	cancel       cancellation
 }
 
 // submitResult is what a caller knows about the submission of a job.
@@ -103,6 +104,7 @@
 	if c.ackedDone[o.Task] {
 		c.recordViolation("TWICE: %s run %d starts after its end was acknowledged", o.Task, o.Run)
 	}
+	c.checkCancelled(j, w, o)
 	if j.isDeadly(o.Task) && c.crashes[o.Task] >= crashBudget {
 		c.restarts[o.Task]++
 		if c.restarts[o.Task] == crashBudget {
--- a/soak/instance_test.go
+++ b/soak/instance_test.go
@@ -47,7 +47,7 @@
 		"listen":              map[string]string{"front": fmt.Sprintf("%s:%d", i.ip, frontPort), "ready": fmt.Sprintf("%s:%d", i.ip, readyPort)},
 		"internal_port_range": []int{7000, 7015}, "orders": "rpc",
 		"limits":   map[string]any{"cpu_share": 1.0, "cores": 1, "memory_mb": 284, "max_fds": 4100},
-		"bounds":   map[string]any{"grace_s": 4, "hold_max_ms": longestLease.Milliseconds(), "status_s": 120, "lease_ms": 1000, "far_x": 3},
+		"bounds":   map[string]any{"grace_s": 4, "hold_max_ms": longestLease.Milliseconds(), "status_s": 120, "lease_ms": 1000, "far_x": 3, "cancel_ms": cancelBound.Milliseconds()},
 		"platform": map[string]any{"addr": i.proxy.address(), "ttl_min_ms": 1000},
 		"cloud":    map[string]any{"addr": cloud},
 	})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,6 +70,7 @@
 	instances []*instance
 	client    *http.Client
 	random    *rand.Rand // determines the faults; used by one goroutine
+	cancels   sync.WaitGroup
 }
 
 func runSeed(t *testing.T, binary string, seed uint64) {
@@ -99,6 +100,7 @@
 	faults := s.injectFaults(ctx, t)
 	wait.Wait()
 	s.removeFaults()
+	s.cancels.Wait()
 	s.awaitJobs(t, longRunning)
 	s.report(t, seed, faults)
 }
@@ -168,7 +170,12 @@
 		if random.IntN(2) == 0 {
 			j.phases = append(j.phases, phase{Count: 1 + random.IntN(3), CPU: 500, MemMB: 100, EstMS: 200, After: []int{0}})
 		}
-		s.submit(j, random)
+		if random.IntN(cancelShare) == 0 {
+			j.phases = append(j.phases, chain(len(j.phases))...)
+			s.submitAndCancel(j, random)
+		} else {
+			s.submit(j, random)
+		}
 		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
 	}
 }
@@ -329,7 +336,8 @@
 		return false
 	}
 	gaveUp := answer.State == "failed" && s.checker.mayHaveFailed(j)
-	if (answer.State == "failed" || answer.State == "cancelled") && !gaveUp {
+	cancelled := answer.State == "cancelled" && s.checker.cancelWasSent(j)
+	if (answer.State == "failed" || answer.State == "cancelled") && !gaveUp && !cancelled {
 		t.Errorf("LOST: job %s is shown as %s, want completed", j.id, answer.State)
 	}
 	if answer.State == "completed" {
@@ -369,6 +377,7 @@
 		}
 	}
 	t.Logf("%d jobs, %d accepted, %d rejected, %d starts, %d faults", len(s.checker.jobs), acceptedCount, rejectedCount, s.checker.starts, len(faults))
+	t.Log(s.checker.summarizeCancels())
 	if acceptedCount == 0 {
 		t.Error("no job was accepted")
 	}
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -149,6 +149,7 @@
 	Fence int64  `json:"fence"`
 	Acked int64  `json:"ack_offset"`
 	Wait  int64  `json:"wait_ms"`
+	late  bool   // carried out late by this worker's fault
 }
 
 func (w *worker) setCut(cut bool) {
@@ -193,6 +194,7 @@
 	}
 	switch chance := w.fleet.draw(); {
 	case chance < w.fleet.currentLateRate():
+		o.late = true
 		time.AfterFunc(time.Duration(1500+rand.IntN(4000))*time.Millisecond, func() { w.handleOrder(context.Background(), r.URL.Path, o) })
 		closeConnection(rw)
 		return
