soak: Cut instances off from each other and hold back reads

The soak harmed only the connections between instances and the store. In seeds with odd numbers each instance now reaches each other one through a proxy. The stand-in store shows each instance the addresses of its proxies in place of those of the others, and stores what it writes with theirs. Proxies accept connections for a process that is dead, so even seeds go on without them and see refused connections. Weights differ, since a tie in the choice of a successor is broken by a hash of the addresses, which differ between views.

New faults: an instance is cut off from the others, both ways or one way; no read of an instance is answered; no read of a pool's intake is answered, whoever reads; the owner of a pool is cut off from the others and its intake stands still for 4 to 9 s.

--- a/soak/instance_test.go
+++ b/soak/instance_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,7 +22,8 @@
 	ip       string
 	settings string
 	binary   string
-	proxy    *proxy
+	proxy    *proxy // to the store
+	view     *view  // of the store
 	logs     string
 
 	mu      sync.Mutex
@@ -31,22 +34,25 @@
 const (
 	frontPort = 8340
 	readyPort = 8343
+	peerPort  = 7000
 )
 
 // newInstance writes the settings of an instance on a loopback address of its own.
-func newInstance(t *testing.T, binary, store, cloud string, number int) *instance {
+func newInstance(t *testing.T, binary string, v *view, cloud string, number int) *instance {
 	t.Helper()
+	store := httptest.NewServer(v)
+	t.Cleanup(store.CloseClientConnections)
 	i := &instance{
-		name: fmt.Sprintf("front-%d", number), ip: fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250, number+1),
-		binary: binary, proxy: newProxy(t, store),
+		name: fmt.Sprintf("front-%d", number), ip: instanceIP(number), binary: binary, proxy: newProxy(t, "127.0.0.1:0", strings.TrimPrefix(store.URL, "http://")), view: v,
 	}
 	dir := t.TempDir()
 	i.settings, i.logs = filepath.Join(dir, "settings.json"), filepath.Join(dir, "log")
 	data, err := json.Marshal(map[string]any{
 		"node": i.name, "role": "entry", "class": "front", "ip": i.ip, "zone": "z1", "region": "r", "heartbeat_ms": heartbeat.Milliseconds(),
 		"listen":              map[string]string{"front": fmt.Sprintf("%s:%d", i.ip, frontPort), "ready": fmt.Sprintf("%s:%d", i.ip, readyPort)},
-		"internal_port_range": []int{7000, 7015}, "orders": "rpc",
-		"limits":   map[string]any{"cpu_share": 1.0, "cores": 1, "memory_mb": 284, "max_fds": 4100},
+		"internal_port_range": []int{peerPort, peerPort + 15}, "orders": "rpc",
+		// Equal weights would leave the choice of successors to a hash of the addresses, which differ between views.
+		"limits":   map[string]any{"cpu_share": 1 - float64(number)/100, "cores": 1, "memory_mb": 284, "max_fds": 4100},
 		"bounds":   map[string]any{"grace_s": 4, "hold_max_ms": longestLease.Milliseconds(), "status_s": 120, "lease_ms": 1000, "far_x": 3, "cancel_ms": cancelBound.Milliseconds()},
 		"platform": map[string]any{"addr": i.proxy.address(), "ttl_min_ms": 1000},
 		"cloud":    map[string]any{"addr": cloud},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,6 +68,7 @@
 	fleet     *fleet
 	checker   *checker
 	instances []*instance
+	links     links
 	client    *http.Client
 	random    *rand.Rand // determines the faults; used by one goroutine
 	cancels   sync.WaitGroup
@@ -79,12 +80,14 @@
 		client: &http.Client{Timeout: callTimeout + 500*time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 	}
 	s.fleet = newFleet(t, s.store, s.checker, seed)
-	store := httptest.NewServer(s.store)
 	cloud := httptest.NewServer(s.fleet.handler(t))
-	t.Cleanup(func() { store.CloseClientConnections(); cloud.CloseClientConnections() })
+	t.Cleanup(cloud.CloseClientConnections)
+	if seed%2 == 1 {
+		s.links = newLinks(t)
+	}
 	s.configure()
 	for n := range instances {
-		i := newInstance(t, binary, strings.TrimPrefix(store.URL, "http://"), strings.TrimPrefix(cloud.URL, "http://"), n)
+		i := newInstance(t, binary, newView(s.store, s.links, n), strings.TrimPrefix(cloud.URL, "http://"), n)
 		s.instances = append(s.instances, i)
 		i.start(t)
 		t.Cleanup(i.stop)
@@ -233,7 +236,11 @@
 	nothing := func() {}
 	signal := func(sig syscall.Signal) func() { return func() { i.signal(sig) } }
 	proxied := func(f fault) func() { return func() { i.proxy.setFault(f) } }
-	switch s.random.IntN(16) {
+	kinds := unlinkedKinds
+	if s.links != nil {
+		kinds += linkKinds
+	}
+	switch s.random.IntN(kinds) {
 	case 0:
 		return i.name + " is killed", signal(syscall.SIGKILL), nothing
 	case 1:
@@ -261,8 +268,18 @@
 		return "a worker is cut off and keeps running", func() { reconnect = s.fleet.cutWorker() }, func() { reconnect() }
 	case 13, 14:
 		return i.name + " and some workers are cut off, and another instance gets a stop signal", func() { s.isolate(i) }, func() { s.rejoin(i) }
+	case 15:
+		return "a worker crashes", func() { s.fleet.crashWorker(t) }, nothing
+	case 16:
+		return i.name + " gets no answers to its reads", func() { i.view.holdReads(true) }, func() { i.view.holdReads(false) }
+	case 17:
+		pool := s.drawPool()
+		return "reads of the intake of " + pool + " get no answers", func() { s.store.holdIntake(pool, true) }, func() { s.store.holdIntake(pool, false) }
+	case 18, 19, 20:
+		return s.deafenOwner(s.drawPool())
+	default:
+		return s.pickCut(i)
 	}
-	return "a worker crashes", func() { s.fleet.crashWorker(t) }, nothing
 }
 
 // Times of a network partition between data centres.
@@ -276,11 +293,13 @@
 func (s *simulation) isolate(isolated *instance) {
 	isolated.proxy.setFault(blackhole)
 	s.fleet.blockNewOwners()
-	n := slices.Index(s.instances, isolated)
+	n := s.index(isolated)
 	other := s.instances[(n+1+s.random.IntN(len(s.instances)-1))%len(s.instances)]
 	time.AfterFunc(takeoverTime, func() { other.signal(syscall.SIGTERM) })
 }
 
+func (s *simulation) index(i *instance) int { return slices.Index(s.instances, i) }
+
 func (s *simulation) rejoin(isolated *instance) {
 	time.Sleep(isolationTime)
 	s.fleet.unblockNewOwners()
@@ -288,14 +307,16 @@
 }
 
 func (s *simulation) removeFaults() {
-	time.Sleep(3 * time.Second) // the longest fault lasts 2.8 s; isolation may last longer and is ended below
+	time.Sleep(3 * time.Second) // the longest fault lasts 2.8 s; isolation and deafness may last longer and are ended below
 	s.store.setMode(serving)
 	s.fleet.setLateRate(0)
 	s.fleet.unblockNewOwners()
 	for _, i := range s.instances {
 		i.proxy.setFault(noFault)
+		i.view.holdReads(false)
 		i.signal(syscall.SIGCONT)
 	}
+	s.removeCuts()
 }
 
 // awaitJobs waits until every accepted job has ended and all tasks of the long-running job run.
@@ -357,7 +378,7 @@
 	return answer.State != "queued" && answer.State != "running"
 }
 
-// report fails the test for every violated guarantee and for panics, and logs the injected faults when the test failed.
+// report fails the test for every violated guarantee and for panics, logs the injected faults and saves the logs of a seed that failed.
 func (s *simulation) report(t *testing.T, seed uint64, faults []string) {
 	t.Helper()
 	s.checker.mu.Lock()
@@ -387,11 +408,8 @@
 			t.Errorf("%s panicked: %s", i.name, text)
 		}
 	}
-	if !t.Failed() {
-		return
-	}
 	t.Log(strings.Join(faults, "\n"))
-	if *logsDir == "" {
+	if !t.Failed() || *logsDir == "" {
 		return
 	}
 	for _, i := range s.instances {
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -50,11 +50,12 @@
 	members     map[string]*member
 	generation  int64
 	mode        storeMode
+	heldReads   map[string]bool // partitions whose reads are not answered
 	random      *rand.Rand
 }
 
 func newStore(seed uint64) *store {
-	s := &store{partitions: map[string]*partition{}, members: map[string]*member{}, random: rand.New(rand.NewPCG(seed, 2))}
+	s := &store{partitions: map[string]*partition{}, heldReads: map[string]bool{}, members: map[string]*member{}, random: rand.New(rand.NewPCG(seed, 2))}
 	s.recordAdded = sync.NewCond(&s.mu)
 	go s.wakeReaders()
 	return s
@@ -100,7 +101,8 @@
 	p.records = append(p.records, record{key: key, value: value, raw: append(raw, value...)})
 }
 
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (v *view) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s := v.store
 	s.mu.Lock()
 	mode := s.mode
 	lost := mode == losingReplies && r.URL.Path == "/log-append" && s.random.IntN(4) == 0
@@ -114,7 +116,7 @@
 		return
 	case serving, losingReplies:
 	}
-	status, body := s.route(r)
+	status, body := s.route(r, v)
 	if lost {
 		<-r.Context().Done()
 		return
@@ -123,20 +125,20 @@
 	_, _ = w.Write(body)
 }
 
-func (s *store) route(r *http.Request) (int, []byte) {
+func (s *store) route(r *http.Request, v *view) (int, []byte) {
 	q := r.URL.Query()
 	part, _ := strconv.Atoi(q.Get("part"))
 	switch r.URL.Path {
 	case "/log-append":
-		return s.append(r, q.Get("topic"), part)
+		return s.append(r, v, q.Get("topic"), part)
 	case "/log-read":
-		return s.read(r, q.Get("topic"), part)
+		return s.read(r, v, q.Get("topic"), part)
 	case "/log-newest":
-		return s.newest(q.Get("topic"), part, q.Get("after"))
+		return s.newest(v, q.Get("topic"), part, q.Get("after"))
 	case "/log-join", "/log-leave":
-		return s.joinOrLeave(r)
+		return s.joinOrLeave(r, v)
 	case "/log-owners":
-		return s.owners()
+		return s.owners(v)
 	}
 	return http.StatusNotFound, nil
 }
@@ -146,7 +148,7 @@
 	return status, data
 }
 
-func (s *store) append(r *http.Request, topic string, part int) (int, []byte) {
+func (s *store) append(r *http.Request, v *view, topic string, part int) (int, []byte) {
 	var body []byte
 	buffer := make([]byte, 64<<10)
 	for {
@@ -156,6 +158,7 @@
 			break
 		}
 	}
+	body = v.toInstances(body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(topic, part)
@@ -190,7 +193,7 @@
 	return jsonReply(http.StatusOK, map[string]any{"offset": offset, "end": len(p.records)})
 }
 
-func (s *store) read(r *http.Request, topic string, part int) (int, []byte) {
+func (s *store) read(r *http.Request, v *view, topic string, part int) (int, []byte) {
 	q := r.URL.Query()
 	from, _ := strconv.Atoi(q.Get("from"))
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
@@ -198,19 +201,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(topic, part)
-	for len(p.records) <= from && time.Now().Before(until) && r.Context().Err() == nil {
+	isHeld := func() bool { return v.readsHeld || s.heldReads[topic+"/"+strconv.Itoa(part)] }
+	for (len(p.records) <= from && time.Now().Before(until) || isHeld()) && r.Context().Err() == nil {
 		s.recordAdded.Wait()
 	}
 	data := binary.BigEndian.AppendUint64(nil, uint64(len(p.records)))
 	data = binary.BigEndian.AppendUint64(data, 0)
 	for i := from; i < len(p.records) && len(data) < 900_000; i++ {
 		data = binary.BigEndian.AppendUint32(data, uint32(len(p.records[i].raw)))
-		data = append(data, p.records[i].raw...)
+		data = append(data, v.toLinks(p.records[i].raw)...)
 	}
 	return http.StatusOK, data
 }
 
-func (s *store) newest(topic string, part int, after string) (int, []byte) {
+func (s *store) newest(v *view, topic string, part int, after string) (int, []byte) {
 	const pageItems = 500
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -234,13 +238,13 @@
 	items := []map[string]any{}
 	for _, key := range keys {
 		items = append(items, map[string]any{
-			"key": key, "value": base64.StdEncoding.EncodeToString(p.records[last[key]].value), "offset": last[key],
+			"key": key, "value": base64.StdEncoding.EncodeToString(v.toLinks(p.records[last[key]].value)), "offset": last[key],
 		})
 	}
 	return jsonReply(http.StatusOK, map[string]any{"items": items, "has_more": more, "end": len(p.records)})
 }
 
-func (s *store) joinOrLeave(r *http.Request) (int, []byte) {
+func (s *store) joinOrLeave(r *http.Request, v *view) (int, []byte) {
 	var b struct {
 		Member string
 		Topics []string
@@ -249,6 +253,7 @@
 	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
 		return http.StatusBadRequest, nil
 	}
+	b.Member = string(v.toInstances([]byte(b.Member)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireMembers()
@@ -276,13 +281,13 @@
 }
 
 // owners assigns one partition to every member.
-func (s *store) owners() (int, []byte) {
+func (s *store) owners(v *view) (int, []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireMembers()
 	rows := [][]any{}
 	for name, m := range s.members {
-		rows = append(rows, []any{strings.Join(m.topics, ","), len(rows), name, 0})
+		rows = append(rows, []any{strings.Join(m.topics, ","), len(rows), string(v.toLinks([]byte(name))), 0})
 	}
 	return jsonReply(http.StatusOK, rows)
 }
