soak: Link instances by messages, not bytes

A link now forwards messages and translates the addresses in the answers. A message that a cut held back arrives late, also when its caller has given up. A round of questions about jobs ends with its time; without that, a pool that answers nothing kept the test for 17 minutes.

--- a/soak/cut_test.go
+++ b/soak/cut_test.go
@@ -1,9 +1,19 @@
 package soak
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"os"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -18,22 +28,88 @@
 
 func linkIP(from, to int) string { return loopback(110 + 10*from + to) }
 
-// links are the proxies through which each instance (the first index) reaches each other one.
-type links [][]*proxy
+// link is the way from one instance to another. It forwards messages rather than bytes, because answers that hold reads of
+// the store (one instance may read for another) must show the addresses that the reader knows.
+type link struct {
+	reader *view // the store as the first instance sees it
+	proxy  httputil.ReverseProxy
 
-func newLinks(t *testing.T) links {
+	mu    sync.Mutex
+	fault fault
+}
+
+// links are those from each instance (the first index) to each other one.
+type links [][]*link
+
+// newLinks returns the links between instances with the given views.
+func newLinks(t *testing.T, views []*view) links {
 	t.Helper()
-	l := make(links, instances)
-	for from := range l {
-		l[from] = make([]*proxy, instances)
-		for to := range l[from] {
-			l[from][to] = newProxy(t, fmt.Sprintf("%s:%d", linkIP(from, to), peerPort), fmt.Sprintf("%s:%d", instanceIP(to), peerPort))
+	l := make(links, len(views))
+	for from, reader := range views {
+		for to := range views {
+			k := &link{reader: reader}
+			target := &url.URL{Scheme: "http", Host: fmt.Sprintf("%s:%d", instanceIP(to), peerPort)}
+			k.proxy = httputil.ReverseProxy{
+				Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}, Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(target) },
+				ModifyResponse: k.translate, ErrorLog: log.New(io.Discard, "", 0),
+			}
+			listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", fmt.Sprintf("%s:%d", linkIP(from, to), peerPort))
+			if err != nil {
+				t.Fatal(err)
+			}
+			server := &http.Server{Handler: k, ReadHeaderTimeout: time.Second}
+			t.Cleanup(func() { _ = server.Close() })
+			go func() { _ = server.Serve(listener) }()
+			l[from] = append(l[from], k)
 		}
 	}
 	return l
 }
 
-// cut sets what happens to the connections that an instance opens to the others and to those that the others open to it.
+func (k *link) setFault(f fault) {
+	k.mu.Lock()
+	k.fault = f
+	k.mu.Unlock()
+}
+
+// await waits while one of the faults is in force.
+func (k *link) await(blocking ...fault) {
+	for {
+		k.mu.Lock()
+		blocked := slices.Contains(blocking, k.fault)
+		k.mu.Unlock()
+		if !blocked {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// ServeHTTP forwards a call. A call that was held back arrives late, also when its caller has given up.
+func (k *link) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	k.await(blackhole)
+	late := r.Clone(context.WithoutCancel(r.Context()))
+	late.Header.Del("Accept-Encoding") // the answer is to be translated
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	k.proxy.ServeHTTP(w, late)
+}
+
+// translate shows the caller the addresses that it knows; they have equal lengths.
+func (k *link) translate(r *http.Response) error {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	k.await(blackhole, blockReplies)
+	r.Body = io.NopCloser(bytes.NewReader(k.reader.toLinks(k.reader.toInstances(body))))
+	return nil
+}
+
+// cut sets what happens to the calls that an instance makes to the others and to those that the others make to it.
 func (l links) cut(n int, opened, accepted fault) {
 	for other := range l {
 		l[n][other].setFault(opened)
@@ -49,10 +125,14 @@
 	readsHeld bool // no read of this instance is answered; guarded by the store's lock
 }
 
-func newView(s *store, l links, self int) *view {
+// newView returns the view of an instance, which is linked to the others or reaches them directly.
+func newView(s *store, self int, linked bool) *view {
 	var shown, stored []string
-	for from := range l {
-		for to := range l {
+	for from := range instances {
+		for to := range instances {
+			if !linked {
+				continue
+			}
 			stored = append(stored, linkIP(from, to), instanceIP(to))
 			if from == self && to != self {
 				shown = append(shown, instanceIP(to), linkIP(from, to))
--- a/soak/instance_test.go
+++ b/soak/instance_test.go
@@ -43,7 +43,7 @@
 	store := httptest.NewServer(v)
 	t.Cleanup(store.CloseClientConnections)
 	i := &instance{
-		name: fmt.Sprintf("front-%d", number), ip: instanceIP(number), binary: binary, proxy: newProxy(t, "127.0.0.1:0", strings.TrimPrefix(store.URL, "http://")), view: v,
+		name: fmt.Sprintf("front-%d", number), ip: instanceIP(number), binary: binary, proxy: newProxy(t, strings.TrimPrefix(store.URL, "http://")), view: v,
 	}
 	dir := t.TempDir()
 	i.settings, i.logs = filepath.Join(dir, "settings.json"), filepath.Join(dir, "log")
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -15,11 +15,11 @@
 	noFault      fault = iota
 	delayed            // every read is forwarded 60 ms late
 	blackhole          // nothing is forwarded; the connections stay open
-	blockReplies       // only the replies of the target are held back
+	blockReplies       // only the replies of the store are held back
 	reset              // connections are closed, new ones too
 )
 
-// proxy forwards the connections of one instance to the store or to another instance and injects faults.
+// proxy forwards the connections of one instance to the store and injects faults.
 type proxy struct {
 	listener net.Listener
 	target   string
@@ -29,9 +29,9 @@
 	conns map[net.Conn]struct{}
 }
 
-func newProxy(t *testing.T, address, target string) *proxy {
+func newProxy(t *testing.T, target string) *proxy {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -82,12 +82,17 @@
 	s.fleet = newFleet(t, s.store, s.checker, seed)
 	cloud := httptest.NewServer(s.fleet.handler(t))
 	t.Cleanup(cloud.CloseClientConnections)
-	if seed%2 == 1 {
-		s.links = newLinks(t)
+	linked := seed%2 == 1
+	var views []*view
+	for n := range instances {
+		views = append(views, newView(s.store, n, linked))
+	}
+	if linked {
+		s.links = newLinks(t, views)
 	}
 	s.configure()
-	for n := range instances {
-		i := newInstance(t, binary, newView(s.store, s.links, n), strings.TrimPrefix(cloud.URL, "http://"), n)
+	for n, v := range views {
+		i := newInstance(t, binary, v, strings.TrimPrefix(cloud.URL, "http://"), n)
 		s.instances = append(s.instances, i)
 		i.start(t)
 		t.Cleanup(i.stop)
@@ -327,7 +332,7 @@
 	for len(left) > 0 && time.Now().Before(until) {
 		var next []*job
 		for n, j := range left {
-			if !s.hasEnded(t, j, longRunning, s.instances[n%len(s.instances)]) {
+			if time.Now().After(until) || !s.hasEnded(t, j, longRunning, s.instances[n%len(s.instances)]) {
 				next = append(next, j)
 			}
 		}
