shard: Log late starts by the bound on their decision

A start is logged now if what it was decided on would not allow the decision any more when it is sent.

--- a/internal/jobs/shard/order.go
+++ b/internal/jobs/shard/order.go
@@ -27,6 +27,16 @@
 	return max(timeout-startAllowance, timeout/2)
 }
 
+// maxCancelAge returns the largest age of what is known of cancellations.
+func (s *Settings) maxCancelAge() time.Duration {
+	return maxAge(s.CancelTimeout, defaultCancelTimeout)
+}
+
+// maxEvacuationAge returns the largest age of what is known of evacuations.
+func (s *Settings) maxEvacuationAge() time.Duration {
+	return maxAge(s.EvacuationTimeout, defaultEvacuationTimeout)
+}
+
 // knowledge holds the ages of what an owner decides its starts on.
 type knowledge struct {
 	intake    time.Duration // of the view of the intake, which may have cancellations
@@ -45,14 +55,13 @@
 	if !s.pool.HasStored() || !s.termStored {
 		return
 	}
-	set, at, age := &s.config.Settings, s.config.Clock.Moment(), s.knowledge()
-	cancelAge := maxAge(set.CancelTimeout, defaultCancelTimeout)
-	evacuationAge := maxAge(set.EvacuationTimeout, defaultEvacuationTimeout)
-	if age.intake <= cancelAge && age.proof <= cancelAge && age.operators <= evacuationAge {
+	at, age := s.config.Clock.Moment(), s.knowledge()
+	oldest := s.config.Settings.maxCancelAge()
+	if age.intake <= oldest && age.proof <= oldest && age.operators <= s.config.Settings.maxEvacuationAge() {
 		s.pool.SendStored(at)
 		return
 	}
-	if age.intake > cancelAge {
+	if age.intake > oldest {
 		s.refreshIntake(ctx, at)
 	}
 	if at.Steady-s.heldLoggedAt >= statusInterval {
@@ -124,16 +133,12 @@
 		o.logStart("start not sent", a, sent)
 		return worker.Reply{}, worker.NotSentError{Waited: waited}
 	}
-	if sent-min(o.intakeSeenAt, o.provenAt) > lateStart {
+	if sent-min(o.intakeSeenAt, o.provenAt) > o.shard.config.Settings.maxCancelAge() {
 		o.logStart("start sent late", a, sent)
 	}
 	return o.shard.config.Workers.Start(ctx, a.To, a.Start)
 }
 
-// lateStart is the age of what a start was decided on from which its sending is logged. Views and proofs that are renewed in
-// time stay below it.
-const lateStart = 1200 * time.Millisecond
-
 func (o *order) logStart(message string, a pool.StartAction, sent time.Duration) {
 	task := a.Start.Task
 	o.shard.config.Logger.Info(message, zap.String("pool", o.shard.config.Pool), zap.String("job", string(task.Job)), zap.Int("step", task.Step),
