instance: Find a job that moves between two questions about it

Callers could be answered 410 to the state of an accepted job: pools were asked one after the other, and a job that was forwarded from the second to the first in between was in neither answer.

A job moves between two holders of its route once at most, and the former one has it until the other does. So the holders are asked once more before a job is called unknown; routes that have not moved cost no further question.

--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -64,7 +64,13 @@
 
 // locate finds a job in the pool of its queue, or in another pool that the queue had in an earlier configuration.
 func (n *Instance) locate(ctx context.Context, q catalog.Queue, name job.ID) (job.State, string, error) {
-	for _, shardName := range n.poolsFrom(q.Pool) {
+	// A job goes from one holder of its route to another once at most. One that does so between two questions is found when the
+	// holders are asked again.
+	pools := n.poolsFrom(q.Pool)
+	if others := n.otherPools(q.Route(), q.Pool); len(others) > 0 {
+		pools = append(append(pools, q.Pool), others...)
+	}
+	for _, shardName := range pools {
 		state, known, err := n.queryStateWithRetry(ctx, shardName, name)
 		if err != nil {
 			return 0, shardName, NotReadyError{Reason: err.Error(), Retry: retryAfter}
--- a/internal/jobs/instance/cancel_test.go
+++ b/internal/jobs/instance/cancel_test.go
@@ -100,6 +100,40 @@
 	runs  *endlessRuns
 	owner *Instance
 	stop  map[string]context.CancelFunc // ends the owner of a pool
+
+	mu       sync.Mutex
+	answered func(pool string) // called once the owner of a pool has answered about a job
+}
+
+// answers are those of the owners of pools.
+type answers struct {
+	*Instance
+	world *cancelWorld
+}
+
+func (a *answers) HandleState(ctx context.Context, q relay.JobRequest) (relay.JobReply, error) {
+	defer a.world.recordAnswer(q.Pool)
+	return a.Instance.HandleState(ctx, q)
+}
+
+func (a *answers) HandleCancel(ctx context.Context, q relay.JobRequest) (relay.PresenceReply, error) {
+	defer a.world.recordAnswer(q.Pool)
+	return a.Instance.HandleCancel(ctx, q)
+}
+
+func (w *cancelWorld) recordAnswer(pool string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.answered != nil {
+		w.answered(pool)
+	}
+}
+
+// onAnswer has a function called after each answer.
+func (w *cancelWorld) onAnswer(f func(pool string)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answered = f
 }
 
 var unreachable = netip.MustParseAddrPort("127.0.0.1:1")
@@ -108,7 +142,7 @@
 	w := &cancelWorld{t: t, log: pollingLog{newMemoryLog()}, runs: &endlessRuns{}, stop: map[string]context.CancelFunc{}}
 	w.owner = w.newInstance(unreachable)
 	w.owner.recordOperatorsSeen(math.MaxInt64) // it gets its configuration directly
-	server := httptest.NewServer(relay.NewHandler(w.owner))
+	server := httptest.NewServer(relay.NewHandler(&answers{Instance: w.owner, world: w}))
 	t.Cleanup(server.Close)
 	at := strings.TrimPrefix(server.URL, "http://")
 	w.append(ownerTable(), stream.Record{Key: "old", Value: []byte(at)}, stream.Record{Key: "new", Value: []byte(at)}, stream.Record{Key: "third", Value: []byte(at)})
@@ -316,22 +350,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			w := newCancelWorld(t, routeConfig(5, "q", "new"), "old", "new")
-			before := w.newInstance(unreachable)
-			freeze := w.follow(before, routeConfig(3, "q", "old"))
-			w.submit(before, "5c0e7a21d94b000a")
-			freeze()
-			after := w.start(routeConfig(5, "q", "new"))
-			w.submit(after, "5c0e7a21d94b000b")
-			q := w.queue(after, name)
-			// The job is on its way while the owner of another holder does not answer.
-			third := holder{route: q.Route(), pool: "third", version: 4}
-			w.append(ownerTable(), third.record())
-			eventually(t, "the third holder is known", func() bool { return after.hasHolder(third) && w.owner.hasHolder(third) })
-			spec := w.submittedSpec(before, name)
-			w.submitToIntake(spec)
-			eventually(t, "the job is being forwarded", func() bool {
-				return w.owner.shards["old"].shard.Submit(t.Context(), spec) == nil // else it is sealed
-			})
+			before, after := w.forwardSlowly(name)
 			test.play(w)
 			w.cancel(test.at(before, after), name)
 			for _, pool := range []string{"old", "new", "third"} {
@@ -381,3 +400,66 @@
 		})
 	}
 }
+
+// forwardSlowly submits a job under an earlier configuration, at the first of two instances, and returns when it is being
+// forwarded from pool old to pool new. It is on its way until pool third has an owner. Only the second instance knows the
+// newer configuration and the newer holders.
+func (w *cancelWorld) forwardSlowly(name job.ID) (before, after *Instance) {
+	w.t.Helper()
+	before = w.newInstance(unreachable)
+	freeze := w.follow(before, routeConfig(3, "q", "old"))
+	w.submit(before, "5c0e7a21d94b000a")
+	freeze()
+	after = w.start(routeConfig(5, "q", "new"))
+	w.submit(after, "5c0e7a21d94b000b")
+	q := w.queue(after, name)
+	third := holder{route: q.Route(), pool: "third", version: 4}
+	w.append(ownerTable(), third.record())
+	eventually(w.t, "the third holder is known", func() bool { return after.hasHolder(third) && w.owner.hasHolder(third) })
+	spec := w.submittedSpec(before, name)
+	w.submitToIntake(spec)
+	eventually(w.t, "the job is being forwarded", func() bool {
+		return w.owner.shards["old"].shard.Submit(w.t.Context(), spec) == nil // else it is sealed
+	})
+	return before, after
+}
+
+// TestJobThatMovesBetweenQuestionsIsFound guards against issue 34: pools were asked for a job one after the other, and one that went
+// from the second to the first in between was called unknown.
+func TestJobThatMovesBetweenQuestionsIsFound(t *testing.T) {
+	const name = job.ID("5c0e7a21d94b0003")
+	tests := []struct {
+		name string
+		ask  func(w *cancelWorld, n *Instance)
+	}{
+		{"for its state", func(w *cancelWorld, n *Instance) {
+			if _, err := n.State(w.t.Context(), w.queue(n, name), name); err != nil {
+				w.t.Errorf("state of an accepted job: error %v", err)
+			}
+			w.cancel(n, name)
+		}},
+		{"to be cancelled", func(w *cancelWorld, n *Instance) {
+			w.cancel(n, name)
+			w.checkCancelled(n, name)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newCancelWorld(t, routeConfig(5, "q", "new"), "old", "new")
+			_, after := w.forwardSlowly(name)
+			var once sync.Once
+			w.onAnswer(func(pool string) {
+				if pool == "new" {
+					once.Do(func() {
+						w.own("third")
+						eventually(t, "the job has moved", func() bool {
+							_, known, err := w.owner.shards["old"].shard.State(t.Context(), name)
+							return err == nil && !known
+						})
+					})
+				}
+			})
+			test.ask(w, after)
+		})
+	}
+}
