instance: Keep a job that two former pools forward at the same time

Callers could lose an accepted job: it stood in the intakes of two pools that its route had left (its request was repeated at instances with different configurations, while the owners were silent). Each forwarded it, asked the other, was told that the other had it, and dropped it.

A pool that forwards a job now goes on unless another has it for good (job.Present); the newest holder's owner takes it once. For the request of a caller "forwards" is enough, as before. A seal now reports a tombstone for a job that is on its way or kept as a cancelled one, so that a cancellation is passed on whichever copy goes first; it reads the intake's tail for those, too. Answers to a question that has ended with an error no longer read what the control thread may still write.

--- a/internal/jobs/instance/cancel_test.go
+++ b/internal/jobs/instance/cancel_test.go
@@ -463,3 +463,27 @@
 		})
 	}
 }
+
+// TestJobForwardedByTwoPoolsIsKept guards against a loss that was looked for after a trial of issue 34 had lost a job: it stood in
+// the intakes of two former pools, both forwarded it at the same time, took each other's word that they had it, and dropped it.
+func TestJobForwardedByTwoPoolsIsKept(t *testing.T) {
+	const name = job.ID("5c0e7a21d94b0004")
+	w := newCancelWorld(t, routeConfig(5, "q", "new"), "old", "new", "third")
+	first, second := w.start(routeConfig(3, "q", "old")), w.start(routeConfig(4, "q", "third"))
+	specs := []job.Spec{w.submittedSpec(first, name), w.submittedSpec(second, name)}
+	w.submit(first, "5c0e7a21d94b000a")
+	w.submit(second, "5c0e7a21d94b000b")
+	after := w.start(routeConfig(5, "q", "new"))
+	w.submit(after, "5c0e7a21d94b000c")
+	w.disown("old")
+	w.disown("third")
+	for _, spec := range specs {
+		w.submitToIntake(spec)
+	}
+	w.own("old")
+	w.own("third")
+	eventually(t, "the job has started in its pool", func() bool { return w.runs.hasStarted(name) })
+	if _, err := after.State(t.Context(), w.queue(after, name), name); err != nil {
+		t.Errorf("state of an accepted job: error %v", err)
+	}
+}
--- a/internal/jobs/instance/route.go
+++ b/internal/jobs/instance/route.go
@@ -172,27 +172,35 @@
 	}
 }
 
-// isHeldBy reports whether one of the given pools has a job. Those that do not have it accept it no more under a version
-// below the holder's. Where one keeps a cancellation of the job, the holder's pool does so, too, after that.
-func (n *Instance) isHeldBy(ctx context.Context, pools []string, h holder, name job.ID) (bool, error) {
-	cancelled := false
+// findIn tells what the given pools know of a job: whether it is Present in one, else whether one forwards it. Those where it is
+// not accept it no more under a version below the holder's. Where one keeps a cancellation of the job, the holder's pool does so,
+// too, after that.
+func (n *Instance) findIn(ctx context.Context, pools []string, h holder, name job.ID) (job.Presence, error) {
+	forwarded, cancelled := false, false
 	for _, pool := range pools {
 		presence, err := n.seal(ctx, relay.SealRequest{Pool: pool, Job: name, Route: h.route, Version: h.version})
 		if err != nil {
-			return false, NotReadyError{Reason: err.Error(), Retry: retryAfter}
+			return job.Absent, NotReadyError{Reason: err.Error(), Retry: retryAfter}
 		}
-		if presence.Known() {
-			return true, nil
+		switch presence {
+		case job.Present:
+			return job.Present, nil
+		case job.Forwarded:
+			forwarded = true
+		case job.Tombstone:
+			cancelled = true
+		case job.Absent:
 		}
-		cancelled = cancelled || presence == job.Tombstone
 	}
-	if !cancelled {
-		return false, nil
+	if cancelled {
+		if _, err := n.cancelAtOwner(ctx, h.pool, name); err != nil {
+			return job.Absent, NotReadyError{Reason: "passing on a cancellation: " + err.Error(), Retry: retryAfter}
+		}
 	}
-	if _, err := n.cancelAtOwner(ctx, h.pool, name); err != nil {
-		return false, NotReadyError{Reason: "passing on a cancellation: " + err.Error(), Retry: retryAfter}
+	if forwarded {
+		return job.Forwarded, nil
 	}
-	return false, nil
+	return job.Absent, nil
 }
 
 // seal asks the owner of a pool whether it has a job, and to accept no other job of the route under a lower version.
@@ -243,8 +251,9 @@
 	for ctx.Err() == nil {
 		newest := n.newestHolder(spec.Route)
 		spec.Pool, spec.Version = newest.pool, newest.version
-		known, err := n.isHeldBy(ctx, n.otherPools(spec.Route, from, newest.pool), newest, spec.ID)
-		if err == nil && !known && newest.pool != "" {
+		presence, err := n.findIn(ctx, n.otherPools(spec.Route, from, newest.pool), newest, spec.ID)
+		// Another pool that forwards the job may rely on this one.
+		if err == nil && presence != job.Present && newest.pool != "" {
 			err = n.submitToOwner(ctx, spec)
 		}
 		if err == nil && newest.pool != "" {
--- a/internal/jobs/instance/submit.go
+++ b/internal/jobs/instance/submit.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	spec.Route, spec.Version = h.route, h.version
-	if known, err := n.isHeldBy(ctx, n.otherPools(h.route, h.pool), h, spec.ID); err != nil || known {
+	if presence, err := n.findIn(ctx, n.otherPools(h.route, h.pool), h, spec.ID); err != nil || presence.Known() {
 		return err
 	}
 	err = n.submitToOwner(ctx, spec)
--- a/internal/jobs/job/presence.go
+++ b/internal/jobs/job/presence.go
@@ -8,7 +8,7 @@
 	Absent    Presence = iota
 	Present            // the pool has the job, and no other has it
 	Forwarded          // the pool hands the job to another one, will do so, or may have done so
-	Tombstone          // the pool does not have the job, and keeps a cancellation of it
+	Tombstone          // the pool keeps a cancellation of the job, which may be elsewhere or come later
 )
 
 // Known reports whether a job was submitted to the pool.
--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -28,42 +28,42 @@
 		}
 		tail = s.intakeOffset
 	}
-	if err := s.do(ctx, query); err != nil || known {
-		return state, known, err
+	if err := s.do(ctx, query); err != nil {
+		return 0, false, err
+	}
+	if known {
+		return state, true, nil
 	}
-	presence, err := s.presenceInTail(ctx, tail, name)
-	if err != nil || presence.Known() {
-		return job.Queued, presence.Known(), err
+	unread, err := s.readTail(ctx, tail, name)
+	if err != nil || unread.submitted {
+		return job.Queued, unread.submitted, err
 	}
 	return 0, false, s.claim.Prove(ctx)
 }
 
-// presenceInTail tells what the intake holds of a job from an offset on. A job there may have to be forwarded.
-func (s *Shard) presenceInTail(ctx context.Context, from int64, name job.ID) (job.Presence, error) {
-	submitted, cancelled := false, false
+// intakeTail is what the records of the intake that are not handled yet say of a job.
+type intakeTail struct{ submitted, cancelled bool }
+
+// readTail reads what the intake says of a job from an offset to its end.
+func (s *Shard) readTail(ctx context.Context, from int64, name job.ID) (intakeTail, error) {
+	var tail intakeTail
 	for {
 		batch, err := s.config.Log.Read(ctx, s.intake, from, 0)
 		if err != nil {
-			return job.Absent, err
+			return intakeTail{}, err
 		}
 		for _, stored := range batch.Records {
 			switch stored.Key {
 			case specPrefix + string(name):
-				submitted = len(stored.Value) > 0
+				tail.submitted = len(stored.Value) > 0
 			case cancelPrefix + string(name):
-				cancelled = len(stored.Value) > 0
+				tail.cancelled = len(stored.Value) > 0
 			}
 		}
-		from = batch.Next
-		switch {
-		case len(batch.Records) > 0 && batch.Next != batch.End:
-		case submitted:
-			return job.Forwarded, nil
-		case cancelled:
-			return job.Tombstone, nil
-		default:
-			return job.Absent, nil
+		if len(batch.Records) == 0 || batch.Next == batch.End {
+			return tail, nil
 		}
+		from = batch.Next
 	}
 }
 
--- a/internal/jobs/shard/seal.go
+++ b/internal/jobs/shard/seal.go
@@ -51,8 +51,8 @@
 // isSealed reports whether a job was submitted under a version that its route's seal excludes.
 func (s *Shard) isSealed(spec *job.Spec) bool { return spec.Version < s.seals[spec.Route].version }
 
-// Seal tells whether the pool has a job. Otherwise the pool will not accept it under a version below the given one, and
-// that is stored.
+// Seal tells whether the pool has a job, and stores that it accepts no job of the route under a version below the given one. If
+// the job is not Present, the answer knows the whole intake.
 func (s *Shard) Seal(ctx context.Context, route catalog.Route, version int64, name job.ID) (job.Presence, error) {
 	if err := s.awaitStarted(ctx); err != nil {
 		return job.Absent, err
@@ -60,20 +60,24 @@
 	var presence job.Presence
 	var stored <-chan struct{}
 	var tail int64
-	err := s.do(ctx, func(pool.Moment) {
-		if presence = s.presence(name); !presence.Known() {
-			stored = s.raiseSeal(route, version)
-		}
-		tail = s.intakeOffset
-	})
-	if err != nil || presence.Known() {
-		return presence, err
+	query := func(pool.Moment) {
+		presence, tail = s.presence(name), s.intakeOffset
+		stored = s.raiseSeal(route, version)
 	}
-	if err := s.awaitStored(ctx, stored); err != nil {
+	if err := s.do(ctx, query); err != nil {
+		return job.Absent, err
+	}
+	if err := s.awaitStored(ctx, stored); err != nil || presence == job.Present {
 		return presence, err
 	}
-	inTail, err := s.presenceInTail(ctx, tail, name)
-	return max(presence, inTail), err
+	unread, err := s.readTail(ctx, tail, name)
+	switch {
+	case unread.cancelled:
+		return job.Tombstone, err
+	case unread.submitted && presence == job.Absent:
+		return job.Forwarded, err
+	}
+	return presence, err
 }
 
 // raiseSeal raises the seal of a route to at least a version, and returns a channel that is closed once that is stored.
@@ -103,22 +107,28 @@
 	return sealed
 }
 
-// presence tells whether the pool has a job. A cancelled job of an excluded version may have been forwarded by an earlier
-// owner that did not know of the cancellation.
+// presence tells what the pool knows of a job. A cancelled job of an excluded version may have been forwarded by an earlier
+// owner that did not know of the cancellation, so it counts as one that is not here.
 func (s *Shard) presence(name job.ID) job.Presence {
-	spec := s.pool.Spec(name)
+	spec, cancelled := s.pool.Spec(name), s.pool.IsCancelled(name)
 	_, forwarding := s.forwarding[name]
 	switch {
-	case forwarding || spec != nil && s.isSealed(spec) && s.pool.IsCancelled(name):
-		return job.Forwarded
-	case spec != nil:
+	case spec != nil && (!cancelled || !s.isSealed(spec)):
 		return job.Present
-	case s.pool.IsCancelled(name):
+	case cancelled:
 		return job.Tombstone
+	case forwarding:
+		return job.Forwarded
 	}
 	return job.Absent
 }
 
+// has reports whether the pool has a job, or forwards it.
+func (s *Shard) has(name job.ID) bool {
+	_, forwarding := s.forwarding[name]
+	return forwarding || s.pool.Spec(name) != nil
+}
+
 // mustForward reports whether a job that came to the intake belongs to another pool. A cancelled one stays here.
 func (s *Shard) mustForward(spec *job.Spec) bool {
 	return s.checkSeal(spec) != nil && !s.pool.IsCancelled(spec.ID)
--- a/internal/jobs/shard/submit.go
+++ b/internal/jobs/shard/submit.go
@@ -40,21 +40,27 @@
 // comes within the retention time; the pools to which a Forwarded one may go have to know of the cancellation, too.
 func (s *Shard) Cancel(ctx context.Context, name job.ID) (job.Presence, error) {
 	var presence job.Presence
-	var from int64
+	var known bool
+	var tail int64
 	err := s.storeRecord(ctx, CancelRecord(name), func(at pool.Moment) error {
-		presence, from = s.presence(name), s.intakeOffset
+		presence, known, tail = s.presence(name), s.has(name), s.intakeOffset
 		s.applyCancellation(at, name, fromCaller, noOffset)
 		return nil
 	})
-	if err != nil || presence.Known() {
-		return presence, err
+	switch {
+	case err != nil:
+		return job.Absent, err
+	case presence == job.Present:
+		return job.Present, nil
+	case known:
+		return job.Forwarded, nil
 	}
 	// The stored cancellation proves that this instance owned the pool, so only the intake may have the job.
-	presence, err = s.presenceInTail(ctx, from, name)
-	if presence == job.Tombstone {
-		presence = job.Absent
+	unread, err := s.readTail(ctx, tail, name)
+	if unread.submitted {
+		return job.Forwarded, err // if its route has moved, else it stays
 	}
-	return presence, err
+	return job.Absent, err
 }
 
 // storeRecord runs handle on the control thread and waits until the record is stored. The record is not stored when handle
