shard: Say that the pool has a job only once it is stored

Callers could lose an accepted job: its request was repeated after its route had moved, and the former pool's owner said that it had the job while it was still storing it. The repeat was answered 200, the owner ended before the job was stored, and no pool had it.

Where the seal was stored earlier it now stores it once more, behind the job.

--- a/internal/jobs/shard/seal.go
+++ b/internal/jobs/shard/seal.go
@@ -51,8 +51,8 @@
 // isSealed reports whether a job was submitted under a version that its route's seal excludes.
 func (s *Shard) isSealed(spec *job.Spec) bool { return spec.Version < s.seals[spec.Route].version }
 
-// Seal tells whether the pool has a job, and stores that it accepts no job of the route under a version below the given one. If
-// the job is not Present, the answer knows the whole intake.
+// Seal tells whether the pool has a job, and stores that it accepts no job of the route under a version below the given one. A
+// job that is Present is stored, too, and another answer knows the whole intake.
 func (s *Shard) Seal(ctx context.Context, route catalog.Route, version int64, name job.ID) (job.Presence, error) {
 	if err := s.awaitStarted(ctx); err != nil {
 		return job.Absent, err
@@ -62,7 +62,9 @@
 	var tail int64
 	query := func(pool.Moment) {
 		presence, tail = s.presence(name), s.intakeOffset
-		stored = s.raiseSeal(route, version)
+		if stored = s.raiseSeal(route, version); presence == job.Present {
+			stored = s.storeSeal(route, s.seals[route].version) // after the job
+		}
 	}
 	if err := s.do(ctx, query); err != nil {
 		return job.Absent, err
@@ -85,11 +87,16 @@
 	if current, ok := s.seals[route]; ok && current.version >= version {
 		return current.stored
 	}
+	s.seals[route] = seal{version: version, stored: s.storeSeal(route, version)}
+	s.config.Logger.Info("sealed a route that has moved", zap.String("pool", s.config.Pool), zap.String("route", string(route)), zap.Int64("version", version))
+	return s.seals[route].stored
+}
+
+// storeSeal stores the seal of a route, and returns a channel that is closed once it is stored, and all before it.
+func (s *Shard) storeSeal(route catalog.Route, version int64) <-chan struct{} {
 	stored := make(chan struct{})
-	s.seals[route] = seal{version: version, stored: stored}
 	s.pendingRecords = append(s.pendingRecords, sealRecord(route, version))
 	s.callers = append(s.callers, stored)
-	s.config.Logger.Info("sealed a route that has moved", zap.String("pool", s.config.Pool), zap.String("route", string(route)), zap.Int64("version", version))
 	return stored
 }
 
--- a/internal/jobs/shard/seal_test.go
+++ b/internal/jobs/shard/seal_test.go
@@ -158,3 +158,36 @@
 		t.Errorf("starts: %v", workers.starts)
 	}
 }
+
+// TestSealDoesNotCountUnstoredJob guards against a loss that was looked for after a trial of issue 34 had lost a job: an owner said
+// that the pool had a job that it was about to store. A repeat was answered so, the owner ended before that, and no pool had it.
+func TestSealDoesNotCountUnstoredJob(t *testing.T) {
+	for _, sealed := range []bool{false, true} { // before the job came
+		log := newFakeLog()
+		s := newShard(log, &fakeWorkers{starts: map[worker.Run]int{}, log: log}, "a")
+		start(t.Context(), s)
+		if err := s.awaitStarted(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if sealed {
+			if _, err := s.Seal(t.Context(), "r", 5, someJob(9).ID); err != nil {
+				t.Fatal(err)
+			}
+		}
+		log.set(0, true)
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		if err := s.Submit(ctx, routedJob(1, 5)); err == nil {
+			t.Fatal("a job was accepted while the log was down")
+		}
+		ctx, cancel = context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		if presence, err := s.Seal(ctx, "r", 5, someJob(1).ID); err == nil {
+			t.Errorf("sealed before: %v; the answer to a seal is %q while the job is not stored", sealed, presence)
+		}
+		log.set(0, false)
+		if presence, err := s.Seal(t.Context(), "r", 5, someJob(1).ID); err != nil || presence != job.Present {
+			t.Errorf("sealed before: %v; the answer to a seal is %q once the job is stored, error %v", sealed, presence, err)
+		}
+	}
+}
