shard: Do not pass on the cancellation of a job that had ended before

A caller could be shown a completed job as cancelled: it was cancelled afterwards, its route moved, and its request came again. The former pool answered that it keeps a cancellation, so the job was stored in the newer pool, cancelled, beside the completed one.

A job that has completed or failed was never forwarded, so it is Present.

--- a/internal/jobs/shard/answers_test.go
+++ b/internal/jobs/shard/answers_test.go
@@ -132,6 +132,13 @@
 			w.submit()
 			awaitCompleted(w.t, w.shard, w.spec.ID)
 		}, "completed", 0, job.Present, job.Present, "completed", "completed", "completed", "completed"},
+		{"ended, then cancelled, of a route that has moved", func(w *answersWorld) {
+			w.own(true, true)
+			w.submit()
+			awaitCompleted(w.t, w.shard, w.spec.ID)
+			w.cancel()
+			w.seal(someJob(9).ID)
+		}, "completed", 0, job.Present, job.Present, "completed", "completed", "completed", "completed"},
 		{"cancelled and not here", func(w *answersWorld) {
 			w.own(false, true)
 			w.cancel()
--- a/internal/jobs/shard/seal.go
+++ b/internal/jobs/shard/seal.go
@@ -118,9 +118,11 @@
 // owner that did not know of the cancellation, so it counts as one that is not here.
 func (s *Shard) presence(name job.ID) job.Presence {
 	spec, cancelled := s.pool.Spec(name), s.pool.IsCancelled(name)
+	state, _ := s.pool.State(name)
+	endedBefore := state.Ended() && state != job.Cancelled
 	_, forwarding := s.forwarding[name]
 	switch {
-	case spec != nil && (!cancelled || !s.isSealed(spec)):
+	case spec != nil && (!cancelled || endedBefore || !s.isSealed(spec)):
 		return job.Present
 	case cancelled:
 		return job.Tombstone
