soak: Cancel jobs that are still being submitted

Every second cancel is now sent a random time, more often a short one, after the first attempt to submit its job was begun, so that the attempt may be on its way or has to be repeated.

--- a/soak/cancel_test.go
+++ b/soak/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -33,14 +34,20 @@
 	return steps
 }
 
-// submitAndCancel submits a job and cancels it a random time after it is accepted.
+// submitAndCancel submits a job and cancels it a random time after it is accepted, or every second one a random time, more
+// often a short one, after the first attempt to submit it was begun: that may still be on its way, or have to be repeated.
 func (s *simulation) submitAndCancel(j *job, random *rand.Rand) {
 	own := rand.New(rand.NewPCG(random.Uint64(), 0))
-	wait := time.Duration(own.Int64N(int64(maxCancelWait)))
-	s.submit(j, random)
-	if s.checker.isAccepted(j) {
-		s.cancels.Go(func() { s.cancel(j, wait, own) })
+	if own.IntN(2) == 0 {
+		s.submit(j, random)
+		if s.checker.isAccepted(j) {
+			s.cancels.Go(func() { s.cancel(j, time.Duration(own.Int64N(int64(maxCancelWait))), own) })
+		}
+		return
 	}
+	s.checker.addJob(j)
+	s.cancels.Go(func() { s.cancel(j, time.Duration(math.Pow(own.Float64(), 4)*float64(maxCancelWait)), own) })
+	s.submit(j, random)
 }
 
 // cancel cancels a job after a wait, at random instances until one acknowledges it.
