shard: Send starts before the next placement

What callers could have seen: an owner that lacks processor time starts nothing at all.

Cause: a start that was decided in an iteration was sent at its end, behind the placements of that iteration, and was too late by then. Class: a bound on a wait that the owner itself causes.

The test on the commit before:

--- FAIL: TestSlowOwnerStartsTasks 0 of 2 tasks have started

Fix: orders go out as soon as starts are ordered. A start is late by the age of what it was decided on, with a second left for the call, not by a wait of 0.5 s: knowledge that is newer allows a longer wait.

--- a/internal/jobs/shard/late_start_test.go
+++ b/internal/jobs/shard/late_start_test.go
@@ -61,3 +61,42 @@
 		})
 	}
 }
+
+// slowPool is an observer that makes each placement take longer than a start may wait.
+type slowPool struct{ pool.Observer }
+
+func (slowPool) Placed(*job.Spec, job.Name, int, string, time.Duration) {
+	time.Sleep(1200 * time.Millisecond)
+}
+func (slowPool) RunBegun(*job.Spec, pool.Waits) {}
+func (slowPool) WorkerChanged(string, string)   {}
+func (slowPool) Ended(*job.Spec, pool.RunEnd)   {}
+
+// TestSlowOwnerStartsTasks guards against an owner that lacks processor time and starts nothing at all: the starts of one
+// iteration waited for the placements of the same one, and came too late to be sent.
+func TestSlowOwnerStartsTasks(t *testing.T) {
+	for _, jobs := range []int{1, 2, 4} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer time.Sleep(5 * time.Second) // until all goroutines have ended
+			defer cancel()
+			network := newOwnerNetwork(newFakeLog(), newFakeCluster("w"), "w")
+			s := network.shard("a")
+			s.config.Observer = slowPool{}
+			start(ctx, s)
+			time.Sleep(1300 * time.Millisecond) // until the worker has answered and the term is stored
+			for i := range jobs {
+				spec := longJob()
+				spec.ID = someJob(i + 1).ID
+				s.post(ctx, func(at pool.Moment) { s.pool.Submit(at, spec) })
+				time.Sleep(200 * time.Millisecond)
+			}
+			time.Sleep(time.Minute)
+			network.cluster.mu.Lock()
+			defer network.cluster.mu.Unlock()
+			if n := len(network.cluster.starts); n != jobs {
+				t.Errorf("%d of %d tasks have started", n, jobs)
+			}
+		})
+	}
+}
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -80,6 +80,7 @@
 	}
 	s.pool.Tick(at)
 	s.orderStarts(ctx)
+	s.sendOrders(ctx) // a start must not wait for the rest
 	if at.Steady-s.pacedAt > paceInterval {
 		s.pacedAt = at.Steady
 		s.pool.Pace(at)
--- a/internal/jobs/shard/order.go
+++ b/internal/jobs/shard/order.go
@@ -10,43 +10,46 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
-// Allowances for the time from deciding on a start until a worker carries it out.
+// What a start depends on has to be known as of a time that leaves it an allowance: of the time after which a cancellation or an
+// evacuation must be in force.
 const (
 	defaultCancelTimeout     = 3 * time.Second         // where the settings name none
 	defaultEvacuationTimeout = 5 * time.Second         // likewise
-	startSendLimit           = 500 * time.Millisecond  // longest wait until a start is sent
-	startAllowance           = 1500 * time.Millisecond // for that wait and for the call
+	decisionAllowance        = 1500 * time.Millisecond // from deciding on a start until a worker carries it out
+	sendAllowance            = time.Second             // from sending it
 )
 
-// maxAge returns the largest age, at the decision on a start, of what is known of orders that have to be in force after a
-// timeout. The rest of the timeout is left for the start to arrive.
-func maxAge(timeout, unknown time.Duration) time.Duration {
+// maxAge returns the largest age of what is known of orders that have to be in force after a timeout.
+func maxAge(timeout, unknown, allowance time.Duration) time.Duration {
 	if timeout <= 0 {
 		timeout = unknown
 	}
-	return max(timeout-startAllowance, timeout/2)
+	return max(timeout-allowance, timeout/2)
 }
 
-// maxCancelAge returns the largest age of what is known of cancellations.
-func (s *Settings) maxCancelAge() time.Duration {
-	return maxAge(s.CancelTimeout, defaultCancelTimeout)
+// knowledge holds the steady times as of which an owner knows what its starts depend on.
+type knowledge struct {
+	intake    time.Duration // the intake, which may have cancellations
+	proof     time.Duration // that it owns the pool: a successor may have cancellations
+	operators time.Duration // the operators' settings, which may have evacuations
 }
 
-// maxEvacuationAge returns the largest age of what is known of evacuations.
-func (s *Settings) maxEvacuationAge() time.Duration {
-	return maxAge(s.EvacuationTimeout, defaultEvacuationTimeout)
+func (s *Shard) knowledge() knowledge {
+	return knowledge{intake: s.intakeSeenAt, proof: s.provenAt, operators: s.config.OperatorsSeen()}
 }
 
-// knowledge holds the ages of what an owner decides its starts on.
-type knowledge struct {
-	intake    time.Duration // of the view of the intake, which may have cancellations
-	proof     time.Duration // of the proof of ownership: a successor may have cancellations
-	operators time.Duration // of the operators' settings
+// allows reports whether a start may be decided on, or sent, at a time that leaves it an allowance.
+func (k knowledge) allows(set *Settings, at, allowance time.Duration) bool {
+	cancellations := at - min(k.intake, k.proof)
+	return cancellations <= maxAge(set.CancelTimeout, defaultCancelTimeout, allowance) &&
+		at-k.operators <= maxAge(set.EvacuationTimeout, defaultEvacuationTimeout, allowance)
 }
 
-func (s *Shard) knowledge() knowledge {
-	now := s.config.Clock.Moment().Steady
-	return knowledge{intake: now - s.intakeSeenAt, proof: now - s.provenAt, operators: now - s.config.OperatorsSeen()}
+// fields returns the ages of what is known at a time, for log lines.
+func (k knowledge) fields(at time.Duration) []zap.Field {
+	return []zap.Field{
+		zap.Duration("intake_age", at-k.intake), zap.Duration("proof_age", at-k.proof), zap.Duration("operators_age", at-k.operators),
+	}
 }
 
 // orderStarts orders the starts of stored runs, or holds them back while a cancellation or an evacuation may be in force
@@ -55,19 +58,17 @@
 	if !s.pool.HasStored() || !s.termStored {
 		return
 	}
-	at, age := s.config.Clock.Moment(), s.knowledge()
-	oldest := s.config.Settings.maxCancelAge()
-	if age.intake <= oldest && age.proof <= oldest && age.operators <= s.config.Settings.maxEvacuationAge() {
+	at, known := s.config.Clock.Moment(), s.knowledge()
+	if known.allows(&s.config.Settings, at.Steady, decisionAllowance) {
 		s.pool.SendStored(at)
 		return
 	}
-	if age.intake > oldest {
+	if at.Steady-known.intake > maxAge(s.config.Settings.CancelTimeout, defaultCancelTimeout, decisionAllowance) {
 		s.refreshIntake(ctx, at)
 	}
 	if at.Steady-s.heldLoggedAt >= statusInterval {
 		s.heldLoggedAt = at.Steady
-		s.config.Logger.Info("starts held back", zap.String("pool", s.config.Pool), zap.Duration("intake_age", age.intake),
-			zap.Duration("proof_age", age.proof), zap.Duration("operators_age", age.operators))
+		s.config.Logger.Info("starts held back", append(known.fields(at.Steady), zap.String("pool", s.config.Pool))...)
 	}
 }
 
@@ -77,7 +78,7 @@
 		return
 	}
 	for _, a := range s.pool.Actions() {
-		o := &order{shard: s, action: a, decidedAt: s.config.Clock.Moment().Steady, provenAt: s.provenAt, intakeSeenAt: s.intakeSeenAt}
+		o := &order{shard: s, action: a, decidedAt: s.config.Clock.Moment().Steady, known: s.knowledge()}
 		if start, ok := a.(pool.StartAction); ok {
 			o.decidedAt = start.Decided
 		}
@@ -87,11 +88,10 @@
 
 // order carries out one action and posts its outcome to the control thread. Its times are steady times.
 type order struct {
-	shard        *Shard
-	action       pool.Action
-	decidedAt    time.Duration // when it was decided
-	provenAt     time.Duration // when the newest answered proof of ownership had been sent by then
-	intakeSeenAt time.Duration // as of when all records of the intake were handled by then
+	shard     *Shard
+	action    pool.Action
+	decidedAt time.Duration // when it was decided
+	known     knowledge     // what it was decided on
 }
 
 func (o *order) run(ctx context.Context) {
@@ -102,7 +102,7 @@
 	case pool.StartAction:
 		reply, err := o.start(ctx, a, sent)
 		outcome = func(at pool.Moment) {
-			s.stats.recordIntakeAge(sent - o.intakeSeenAt)
+			s.stats.recordIntakeAge(sent - o.known.intake)
 			s.pool.RecordStart(at, a, reply, err)
 		}
 	case pool.StopAction:
@@ -126,14 +126,15 @@
 	})
 }
 
-// start sends a start, unless its run has been stopped or it comes too late: the sender may have lacked processor time or
-// have been frozen, and what the start was decided on is old.
+// start sends a start, unless its run has been stopped or what it was decided on is too old by now: the sender may have lacked
+// processor time or have been frozen.
 func (o *order) start(ctx context.Context, a pool.StartAction, sent time.Duration) (worker.Reply, error) {
-	if waited := sent - o.decidedAt; waited > startSendLimit || a.IsRevoked() {
+	set := &o.shard.config.Settings
+	if a.IsRevoked() || !o.known.allows(set, sent, sendAllowance) {
 		o.logStart("start not sent", a, sent)
-		return worker.Reply{}, worker.NotSentError{Waited: waited}
+		return worker.Reply{}, worker.NotSentError{Waited: sent - o.decidedAt}
 	}
-	if sent-min(o.intakeSeenAt, o.provenAt) > o.shard.config.Settings.maxCancelAge() {
+	if !o.known.allows(set, sent, decisionAllowance) {
 		o.logStart("start sent late", a, sent)
 	}
 	return o.shard.config.Workers.Start(ctx, a.To, a.Start)
@@ -141,7 +142,7 @@
 
 func (o *order) logStart(message string, a pool.StartAction, sent time.Duration) {
 	task := a.Start.Task
-	o.shard.config.Logger.Info(message, zap.String("pool", o.shard.config.Pool), zap.String("job", string(task.Job)), zap.Int("step", task.Step),
-		zap.Int("index", task.Index), zap.Int("run", a.Start.Number), zap.String("worker", a.To.ID), zap.Duration("intake_age", sent-o.intakeSeenAt),
-		zap.Duration("proof_age", sent-o.provenAt), zap.Duration("waited", sent-o.decidedAt), zap.Bool("revoked", a.IsRevoked()))
+	o.shard.config.Logger.Info(message, append(o.known.fields(sent), zap.String("pool", o.shard.config.Pool), zap.String("job", string(task.Job)),
+		zap.Int("step", task.Step), zap.Int("index", task.Index), zap.Int("run", a.Start.Number), zap.String("worker", a.To.ID),
+		zap.Duration("waited", sent-o.decidedAt), zap.Bool("revoked", a.IsRevoked()))...)
 }
