pool: Start no gang of which a member was lost while it was held back

What callers may see: members of a gang start, wait gang_ms for one that never comes and end alone.

Cause: a run that has ended with its worker is no longer unsent, so nothing said that its gang was not whole.

TestGangIsCheckedAgainOnceItIsStored, new case on the commit before:

--- FAIL: TestGangIsCheckedAgainOnceItIsStored/a_worker_ends 2 starts, want 0

Fix: a member that is gone stops its gang like one that may not start any more.

--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -101,8 +101,8 @@
 	stored := p.stored
 	p.stored = nil
 	for _, r := range stored {
-		if r.step.Gang && p.isUnsent(r) && !p.mayStillStart(r) {
-			p.stopGang(at, r) // its members start all or none
+		if r.step.Gang && (!p.isUnsent(r) || !p.mayStillStart(r)) {
+			p.stopGang(at, r) // its members start all or none, and one may have been lost with its worker
 		}
 	}
 	for _, r := range stored {
--- a/internal/jobs/pool/send_test.go
+++ b/internal/jobs/pool/send_test.go
@@ -162,12 +162,15 @@
 func TestGangIsCheckedAgainOnceItIsStored(t *testing.T) {
 	tests := []struct {
 		name   string
-		change func(p *Pool, list []catalog.Worker)
+		change func(p *Pool, at Moment, list []catalog.Worker)
 		starts int
 	}{
-		{"nothing changes", func(*Pool, []catalog.Worker) {}, 4},
-		{"a worker drains", func(_ *Pool, list []catalog.Worker) { list[0].Draining = true }, 0},
-		{"a data centre is evacuated", func(p *Pool, list []catalog.Worker) {
+		{"nothing changes", func(*Pool, Moment, []catalog.Worker) {}, 4},
+		{"a worker drains", func(_ *Pool, _ Moment, list []catalog.Worker) { list[0].Draining = true }, 0},
+		{"a worker ends", func(p *Pool, at Moment, list []catalog.Worker) {
+			p.endWorker(at, p.workers[list[0].ID], OtherAtAddress)
+		}, 0},
+		{"a data centre is evacuated", func(p *Pool, _ Moment, list []catalog.Worker) {
 			p.SetEvacuated(id.Set[id.DataCentre]{list[1].DataCentre: {}})
 		}, 0},
 	}
@@ -186,7 +189,7 @@
 			p.Submit(w.moment(), spec)
 			p.Place(w.moment())
 			p.RecordStored(w.moment(), p.Flush())
-			test.change(p, list)
+			test.change(p, w.moment(), list)
 			p.SetWorkers(w.moment(), list)
 			p.Actions()
 			p.SendStored(w.moment())
