stream: Judge an empty read without the end of its table

What callers could have seen, while instances of two versions run beside each other: an owner that reaches the store through a peer of the earlier version only starts nothing. Such a peer passes on no end of the table, so no read counted as complete.

--- a/internal/jobs/stream/stream.go
+++ b/internal/jobs/stream/stream.go
@@ -41,15 +41,18 @@
 	Sent, Answered time.Duration
 }
 
-// CompleteAt returns the steady time as of which a batch shows all records of its table, or 0 if the table has more.
+// CompleteAt returns the steady time as of which a batch shows all records of its table, or 0 if the table has more. The store
+// answers as soon as there is a record, so after a wait without any the table had none until then, whoever has passed the
+// answer on.
 func (b Batch) CompleteAt(r Reading) time.Duration {
+	empty := b.Next == r.From
 	switch {
-	case b.Next != b.End:
-		return 0
-	case b.Next == r.From && r.Answered-r.Sent >= r.Wait:
-		return r.Sent + r.Wait // the store answers as soon as there is a record
+	case empty && r.Answered-r.Sent >= r.Wait:
+		return r.Sent + r.Wait
+	case empty || b.Next == b.End:
+		return r.Sent
 	}
-	return r.Sent
+	return 0
 }
 
 // Page is one page of the newest records, ordered by key.
