shard, instance, job: One vocabulary for what a pool knows of a job

The names of job.Presence and the words of logs and pages differed (has, forwards, unknown, cancelled). No logic has changed.

--- a/internal/jobs/job/presence.go
+++ b/internal/jobs/job/presence.go
@@ -14,7 +14,7 @@
 // Known reports whether a job was submitted to the pool.
 func (p Presence) Known() bool { return p == Present || p == Forwarded }
 
-// String returns what a pool answers.
+// String returns the name of the answer.
 func (p Presence) String() string {
-	return [...]string{"unknown", "has", "forwards", "cancelled"}[p]
+	return [...]string{"absent", "present", "forwarded", "tombstone"}[p]
 }
--- a/internal/jobs/relay/presence_test.go
+++ b/internal/jobs/relay/presence_test.go
@@ -16,9 +16,9 @@
 	}{
 		{"an older instance has the job", PresenceReply{Known: true}, job.Present},
 		{"an older instance does not", PresenceReply{}, job.Absent},
-		{"has", NewPresenceReply(job.Present), job.Present},
-		{"forwards", NewPresenceReply(job.Forwarded), job.Forwarded},
-		{"keeps a cancellation", NewPresenceReply(job.Tombstone), job.Tombstone},
+		{"present", NewPresenceReply(job.Present), job.Present},
+		{"forwarded", NewPresenceReply(job.Forwarded), job.Forwarded},
+		{"tombstone", NewPresenceReply(job.Tombstone), job.Tombstone},
 	}
 	for _, test := range tests {
 		if got := test.reply.Answer(); got != test.want {
