--- a/internal/jobs/pool/advice_test.go
+++ b/internal/jobs/pool/advice_test.go
@@ -25,7 +25,7 @@
 	p.RecordAdvice(at, question, worker.Advice{Tickets: map[string]string{"w1": "t"}, Valid: time.Second}, nil)
 	p.Place(at)
 	p.RecordStored(at, p.Flush())
-	p.SendStored(at)
+	p.SendStarts(at)
 	for _, a := range p.Actions() {
 		start, ok := a.(StartAction)
 		if !ok || start.To.ID != "w1" || start.Start.Ticket != "t" {
--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -75,7 +75,7 @@
 }
 
 // RecordStored sends the stops that waited for a batch and marks its ends for acknowledgement. Its starts wait for
-// SendStored.
+// SendStarts.
 func (p *Pool) RecordStored(at Moment, b *Batch) {
 	for _, s := range b.Jobs {
 		if e, ok := p.jobs[s.ID]; ok {
@@ -84,7 +84,7 @@
 	}
 	for _, r := range b.runs {
 		if p.isUnsent(r) {
-			p.stored = append(p.stored, r)
+			p.unsent = append(p.unsent, r)
 		}
 	}
 	for _, r := range b.leaving {
@@ -95,11 +95,11 @@
 	p.MarkEndsStored(b)
 }
 
-// SendStored orders the starts of all stored runs that may still start. The caller calls it only while what the pool knows
+// SendStarts orders the starts of all stored runs that may still start. The caller calls it only while what the pool knows
 // of cancellations is new enough.
-func (p *Pool) SendStored(at Moment) {
-	stored := p.stored
-	p.stored = nil
+func (p *Pool) SendStarts(at Moment) {
+	stored := p.unsent
+	p.unsent = nil
 	for _, r := range stored {
 		if r.step.Gang && (!p.isUnsent(r) || !p.mayStillStart(r)) {
 			p.stopGang(at, r) // its members start all or none, and one may have been lost with its worker
@@ -110,8 +110,8 @@
 	}
 }
 
-// HasStored reports whether stored runs wait for SendStored.
-func (p *Pool) HasStored() bool { return len(p.stored) > 0 }
+// HasUnsent reports whether stored runs wait for SendStarts.
+func (p *Pool) HasUnsent() bool { return len(p.unsent) > 0 }
 
 // MarkEndsStored marks the ends of a batch for acknowledgement.
 func (p *Pool) MarkEndsStored(b *Batch) {
--- a/internal/jobs/pool/flush_test.go
+++ b/internal/jobs/pool/flush_test.go
@@ -29,7 +29,7 @@
 			stored[s.ID] = true
 		}
 		p.RecordStored(at, b)
-		p.SendStored(at)
+		p.SendStarts(at)
 		for _, a := range p.Actions() {
 			if start, ok := a.(StartAction); ok && !stored[start.Start.Task.Job] {
 				t.Fatalf("%v was ordered before it was stored", start.Start.Run)
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -68,7 +68,7 @@
 	evacuated        id.Set[id.DataCentre]
 	changed          map[job.ID]struct{} // jobs with progress to store
 	unstored         []*run              // runs to start once they are stored
-	stored           []*run              // stored runs whose start is not ordered yet
+	unsent           []*run              // stored runs whose start is not ordered yet
 	leaving          []*run              // runs to stop once it is stored that their tasks leave
 	actions          []Action
 	dropped          []job.ID // jobs to be removed from the log
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -267,7 +267,7 @@
 func (p *Pool) dropUnsent(r *run) {
 	isRun := func(other *run) bool { return other == r }
 	p.unstored = slices.DeleteFunc(p.unstored, isRun)
-	p.stored = slices.DeleteFunc(p.stored, isRun)
+	p.unsent = slices.DeleteFunc(p.unsent, isRun)
 }
 
 func (p *Pool) sendStop(r *run) {
--- a/internal/jobs/pool/send_test.go
+++ b/internal/jobs/pool/send_test.go
@@ -66,7 +66,7 @@
 	if !stored {
 		p.RecordStored(w.moment(), batch)
 	}
-	p.SendStored(w.moment())
+	p.SendStarts(w.moment())
 	for _, a := range p.Actions() {
 		switch a.(type) {
 		case StartAction:
@@ -143,7 +143,7 @@
 func startAll(p *Pool, at Moment) []StartAction {
 	p.Place(at)
 	p.RecordStored(at, p.Flush())
-	p.SendStored(at)
+	p.SendStarts(at)
 	var starts []StartAction
 	var others []Action
 	for _, a := range p.Actions() {
@@ -192,7 +192,7 @@
 			test.change(p, w.moment(), list)
 			p.SetWorkers(w.moment(), list)
 			p.Actions()
-			p.SendStored(w.moment())
+			p.SendStarts(w.moment())
 			starts := 0
 			for _, a := range p.Actions() {
 				if _, ok := a.(StartAction); ok {
--- a/internal/jobs/pool/simulated_owner_test.go
+++ b/internal/jobs/pool/simulated_owner_test.go
@@ -131,7 +131,7 @@
 		o.runOnControlThread(func() {
 			o.writing = false
 			o.pool.RecordStored(o.w.moment(), b)
-			o.pool.SendStored(o.w.moment())
+			o.pool.SendStarts(o.w.moment())
 		})
 	})
 }
--- a/internal/jobs/pool/waits_test.go
+++ b/internal/jobs/pool/waits_test.go
@@ -51,7 +51,7 @@
 			}
 			p.Place(at(test.chosen))
 			p.RecordStored(at(test.stored), p.Flush())
-			p.SendStored(at(test.stored))
+			p.SendStarts(at(test.stored))
 			for _, a := range p.Actions() {
 				if start, ok := a.(StartAction); ok {
 					p.RecordStart(at(test.answered), start, worker.Reply{Clock: time.Second}, nil)
--- a/internal/jobs/shard/knowledge.go
+++ b/internal/jobs/shard/knowledge.go
@@ -52,12 +52,12 @@
 // orderStarts orders the starts of stored runs, or holds them back while a cancellation or an evacuation may be in force
 // that this owner does not know.
 func (s *Shard) orderStarts(ctx context.Context) {
-	if !s.pool.HasStored() || !s.termStored {
+	if !s.pool.HasUnsent() || !s.termStored {
 		return
 	}
 	at, known := s.config.Clock.Moment(), s.knowledge()
 	if known.allows(&s.config.Settings, at.Steady, decisionAllowance) {
-		s.pool.SendStored(at)
+		s.pool.SendStarts(at)
 		return
 	}
 	if at.Steady-known.intake > maxAge(s.config.Settings.CancelTimeout, defaultCancelTimeout, decisionAllowance) {
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -88,7 +88,7 @@
 		s.pool.Rescue(at)
 		s.placeRequested = true
 	}
-	if s.placeRequested && !s.writing && !s.pool.HasStored() && at.Steady-s.placedAt >= placeInterval {
+	if s.placeRequested && !s.writing && !s.pool.HasUnsent() && at.Steady-s.placedAt >= placeInterval {
 		s.placeRequested = false
 		s.placedAt = at.Steady
 		s.pool.Place(at)
