instance, docs: Test the cancel that went into another pool, and write down what the soak showed

The second cause that the soak has shown on real processes: the pool of a job does not have it yet, the owner of a pool that has nothing to do with it is silent, and the cancellation is stored for that pool alone and answered 200.

--- a/internal/jobs/instance/cancel_test.go
+++ b/internal/jobs/instance/cancel_test.go
@@ -51,6 +51,18 @@
 	}
 }
 
+// TestCancelIsKeptWhileAnotherPoolIsSilent guards against issue 34: the pool of a job did not have it yet, the owner of a pool that
+// had nothing to do with it was silent, and the cancellation was stored for that pool alone.
+func TestCancelIsKeptWhileAnotherPoolIsSilent(t *testing.T) {
+	const name = job.ID("5c0e7a21d94b0005")
+	w := newCancelWorld(t, routeConfig(3, "q", "old"), "old", "new")
+	n := w.start(routeConfig(3, "q", "old"))
+	w.submit(n, "5c0e7a21d94b000a")
+	w.cancel(n, name)
+	w.submit(n, name)
+	w.checkCancelled(n, name)
+}
+
 // TestCancelReachesForwardedJob guards against issue 34: a cancellation that came while its job was on its way from a former
 // pool to the one that its route belongs to was acknowledged, and the job ran in the other pool.
 func TestCancelReachesForwardedJob(t *testing.T) {
