instance: Number each append of an owner once

What callers could see: an accepted job is unknown, and tasks that have ended run again.

Cause: both attempts of an append read the number from the owner's writer when they are sent, and the owner counts it up when the first one is answered. An attempt that comes after that carries its records under the next number; the next batch is refused as a repeat, which the owner takes for stored. Class: two goroutines, one value.

The test on the commit before:

--- FAIL: TestLateAttemptKeepsItsNumber the late attempt is sent as {Epoch:5 Sequence:2}, want {Epoch:5 Sequence:1}

Fix: the attempts of an append share a copy that nobody changes.

--- a/internal/jobs/instance/proxiedlog.go
+++ b/internal/jobs/instance/proxiedlog.go
@@ -181,12 +181,15 @@
 // Append adds records. Only numbered records are proxied, since the store gives a repeated append the reply of the
 // first.
 func (d *proxiedLog) Append(ctx context.Context, t stream.Table, records []stream.Record, w *stream.Writer) (int64, error) {
-	direct := func(ctx context.Context) (int64, error) { return d.Log.Append(ctx, t, records, w) }
 	if w == nil {
-		return direct(ctx)
+		return d.Log.Append(ctx, t, records, nil)
 	}
-	return callStore(ctx, d, directTimeout, direct, func(ctx context.Context, to netip.AddrPort) (int64, error) {
-		return d.instance.config.Peers.Append(ctx, to, relay.AppendRequest{Table: t, Records: records, Writer: *w})
+	// The caller numbers its next append with the same writer, while an attempt of this one may still be on its way.
+	writer := *w
+	return callStore(ctx, d, directTimeout, func(ctx context.Context) (int64, error) {
+		return d.Log.Append(ctx, t, records, &writer)
+	}, func(ctx context.Context, to netip.AddrPort) (int64, error) {
+		return d.instance.config.Peers.Append(ctx, to, relay.AppendRequest{Table: t, Records: records, Writer: writer})
 	})
 }
 
