http1: Send nothing for a context that has ended

What callers could see: an order that nobody waits for any more is carried out, for instance the attempt of an append that another attempt has made needless.

Cause: the end of a context closes the connection of a request, and a request whose context had ended before it was sent raced with that.

The test on the commit before: 3 requests on 2 connections, want 2 on 1, with 200 requests of an ended context.

Fix: the context is asked before the first byte is sent.

--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -63,6 +63,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		t.keep(h, c)
+		return nil, context.Cause(ctx) // closing the connection now might come too late to keep the request from being sent
+	}
 	reportConn(ctx, c)
 	sent := time.Now()
 	stopClosing := context.AfterFunc(ctx, c.close)
--- a/internal/transport/http1/transport_test.go
+++ b/internal/transport/http1/transport_test.go
@@ -311,3 +311,25 @@
 		t.Errorf("%d requests got no answer, want 1", failed)
 	}
 }
+
+// TestEndedContextSendsNothing guards against requests that were sent although their context had ended before.
+func TestEndedContextSendsNothing(t *testing.T) {
+	p := newPeer(t, say(okResponse))
+	transport := newTransport(Config{MaxIdle: 1})
+	if _, err := post(t.Context(), transport, p); err != nil {
+		t.Fatal(err)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 200 {
+		if _, err := post(ended, transport, p); !errors.Is(err, context.Canceled) {
+			t.Fatalf("error %v, want %v", err, context.Canceled)
+		}
+	}
+	if _, err := post(t.Context(), transport, p); err != nil {
+		t.Fatal(err)
+	}
+	if requests, conns := p.requests.Load(), p.conns.Load(); requests != 2 || conns != 1 {
+		t.Errorf("%d requests on %d connections, want 2 on 1", requests, conns)
+	}
+}
