instance: Keep an owner for each pool that may have jobs

What callers could see: a cancel is answered 410, the job's request comes after its route has moved and the former pool has left the configuration or become a spare one, and the job runs. An accepted job in such a pool was unknown once the pool's owner had ended.

Cause: only pools that serve had owners and were asked. Class: who is asked was taken from the configuration, which says where jobs go, not from the log, which says where they may be.

The test on the commit before:

Fix: the pools are those that serve and all holders of routes. Where no pool has left the configuration that is the same list as before.

--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -82,12 +82,12 @@
 	return 0, "", NoJobError{Job: name}
 }
 
-// poolsFrom returns all pools that run tasks, the given one first.
+// poolsFrom returns all pools, the given one first.
 func (n *Instance) poolsFrom(first string) []string {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	pools := []string{first}
-	for _, p := range n.catalog.Serving() {
+	for _, p := range n.poolsLocked() {
 		if p != first {
 			pools = append(pools, p)
 		}
--- a/internal/jobs/instance/cancel_test.go
+++ b/internal/jobs/instance/cancel_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 
+	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 )
 
@@ -194,3 +195,20 @@
 		t.Errorf("state of an accepted job: error %v", err)
 	}
 }
+
+// TestCancelInPoolThatServesNoMoreIsKept guards against issue 34: a job was cancelled before its request came, its route moved, and the
+// former pool was dropped from the configuration or became a spare one, so nobody asked it for the cancellation.
+func TestCancelInPoolThatServesNoMoreIsKept(t *testing.T) {
+	const name = job.ID("5c0e7a21d94b0006")
+	spare := routeConfig(5, "q", "new")
+	spare.Pools[0].Spare = true
+	dropped := routeConfig(5, "q", "new")
+	dropped.Pools = dropped.Pools[1:]
+	for _, c := range []*catalog.Config{spare, dropped} {
+		w := newCancelWorld(t, routeConfig(5, "q", "new"), "old", "new", "third")
+		w.cancel(w.start(routeConfig(3, "q", "old")), name)
+		after := w.start(c)
+		w.submit(after, name)
+		w.checkCancelled(after, name)
+	}
+}
--- a/internal/jobs/instance/election.go
+++ b/internal/jobs/instance/election.go
@@ -60,7 +60,7 @@
 	n := c.membership.instance
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	successors := owners.Successors(n.catalog.shardNames(), n.alive, n.owners)
+	successors := owners.Successors(n.shardNamesLocked(), n.alive, n.owners)
 	c.changes = slices.DeleteFunc(c.changes, func(ch change) bool { return successors[ch.shard] != ch.to })
 }
 
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -194,10 +195,22 @@
 // snapshot is the current configuration.
 type snapshot struct{ *catalog.Config }
 
-// shardNames returns the names of all shards: the serving pools and the fleet.
-func (c snapshot) shardNames() []string {
-	return append(c.Serving(), fleetShard)
+// poolsLocked returns the sorted names of the pools that have owners: those that run tasks, and those that an earlier
+// configuration sent jobs to, which may have jobs and cancellations. The caller holds the lock.
+func (n *Instance) poolsLocked() []string {
+	pools := n.catalog.Serving()
+	for _, holders := range n.holders {
+		for _, h := range holders {
+			if i, found := slices.BinarySearch(pools, h.pool); !found {
+				pools = slices.Insert(pools, i, h.pool)
+			}
+		}
+	}
+	return pools
 }
 
+// shardNamesLocked returns the names of all shards: the pools and the fleet. The caller holds the lock.
+func (n *Instance) shardNamesLocked() []string { return append(n.poolsLocked(), fleetShard) }
+
 // fleetShard is the shard whose owner moves and maintains instances.
 const fleetShard = "fleet"
--- a/internal/jobs/instance/member.go
+++ b/internal/jobs/instance/member.go
@@ -240,7 +240,7 @@
 		return
 	}
 	now := n.config.Clock.Moment().Steady
-	shardNames := n.catalog.shardNames()
+	shardNames := n.shardNamesLocked()
 	for shardName, o := range n.shards {
 		select {
 		case <-o.done:
@@ -321,7 +321,7 @@
 	n.shards = map[string]*owned{}
 	var changes []change
 	if n.catalog != nil {
-		for _, o := range owners.HandoverOffers(n.self(), n.catalog.shardNames(), n.alive, n.owners) {
+		for _, o := range owners.HandoverOffers(n.self(), n.shardNamesLocked(), n.alive, n.owners) {
 			changes = append(changes, change{shard: o.Shard, from: n.self().Address, to: o.To})
 		}
 	}
--- a/internal/jobs/instance/observer.go
+++ b/internal/jobs/instance/observer.go
@@ -77,7 +77,7 @@
 	if n.catalog == nil {
 		return len(n.shards) > 0
 	}
-	for _, shardName := range n.catalog.shardNames() {
+	for _, shardName := range n.shardNamesLocked() {
 		if n.owners[shardName] == n.self().Address {
 			return true
 		}
--- a/internal/jobs/instance/route.go
+++ b/internal/jobs/instance/route.go
@@ -83,13 +83,13 @@
 	return newest
 }
 
-// otherPools returns the pools besides the given ones that serve and may have jobs of a route.
+// otherPools returns the pools besides the given ones that may have jobs of a route.
 func (n *Instance) otherPools(route catalog.Route, except ...string) []string {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	var others []string
 	for _, h := range n.holders[route] {
-		if !slices.Contains(except, h.pool) && slices.Contains(n.catalog.Serving(), h.pool) {
+		if !slices.Contains(except, h.pool) {
 			others = append(others, h.pool)
 		}
 	}
