instance: Do not deny a cancel that some pools keep

What callers could see: a DELETE is answered 503, that nothing was done, while the pools that were asked keep the cancellation and the job ends cancelled.

Cause: the error of the read that follows was passed on as it was. Class: a denial of one step, given for the whole.

The test on the commit before:

--- FAIL: TestHalfStoredCancelIsNotDenied error not ready: reading the pools of a route: store: nothing was done: no reads, want an UnknownError

Fix: once a pool was asked, the outcome of what fails is unknown (504).

--- a/internal/jobs/instance/cancel.go
+++ b/internal/jobs/instance/cancel.go
@@ -18,7 +18,8 @@
 // A cancellation has to reach the job wherever it is or comes later. So each holder of its route keeps it, whether or not it
 // has the job. A holder that is recorded later asks the earlier ones before it accepts the job.
 
-// Cancel cancels a job. After a NoJobError no pool has it, and it is cancelled if it comes later.
+// Cancel cancels a job. After a NoJobError no pool has it, and it is cancelled if it comes later; after any other error some
+// pools may keep the cancellation.
 func (n *Instance) Cancel(ctx context.Context, q catalog.Queue, name job.ID) error {
 	c := &cancellation{instance: n, queue: q, job: name}
 	err := c.run(ctx)
@@ -42,7 +43,7 @@
 			return err
 		}
 		if pools, err = c.newHolders(ctx); err != nil {
-			return err
+			return UnknownError{Reason: err.Error()}
 		}
 	}
 	if slices.ContainsFunc(c.answers, (*poolCancellation).mayHaveJob) {
--- a/internal/jobs/instance/cancel_test.go
+++ b/internal/jobs/instance/cancel_test.go
@@ -1,12 +1,15 @@
 package instance
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"testing"
+	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/stream"
 )
 
 // TestJobHandedInAfterItsCancelStaysCancelled guards against issue 34: a cancellation that came before its job was answered that
@@ -212,3 +215,26 @@
 		w.checkCancelled(after, name)
 	}
 }
+
+// TestHalfStoredCancelIsNotDenied guards against a cancel that was answered that nothing had been done, while the pools that were
+// asked kept it.
+func TestHalfStoredCancelIsNotDenied(t *testing.T) {
+	const name = job.ID("5c0e7a21d94b0007")
+	w := newCancelWorld(t, routeConfig(3, "q", "old"), "old")
+	n := w.start(routeConfig(3, "q", "old"))
+	w.submit(n, "5c0e7a21d94b000a")
+	q := w.queue(n, name)
+	w.onAnswer(func(string) { n.proxiedLog.Log = unreadableLog{n.proxiedLog.Log} })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if err := n.Cancel(ctx, q, name); !errors.As(err, new(UnknownError)) {
+		t.Errorf("error %v, want an UnknownError", err)
+	}
+}
+
+// unreadableLog is a log that answers no read.
+type unreadableLog struct{ stream.Log }
+
+func (unreadableLog) Read(context.Context, stream.Table, int64, time.Duration) (stream.Batch, error) {
+	return stream.Batch{}, stream.NotDoneError{Reason: "no reads"}
+}
