shard: Name the case of a cancelled job that may be elsewhere

One condition had three meanings. No logic has changed; the tests of the package and of package instance hold.

--- a/internal/jobs/shard/seal.go
+++ b/internal/jobs/shard/seal.go
@@ -114,17 +114,14 @@
 	return sealed
 }
 
-// presence tells what the pool knows of a job. A cancelled job of an excluded version may have been forwarded by an earlier
-// owner that did not know of the cancellation, so it counts as one that is not here.
+// presence tells what the pool knows of a job.
 func (s *Shard) presence(name job.ID) job.Presence {
-	spec, cancelled := s.pool.Spec(name), s.pool.IsCancelled(name)
-	state, _ := s.pool.State(name)
-	endedBefore := state.Ended() && state != job.Cancelled
+	spec := s.pool.Spec(name)
 	_, forwarding := s.forwarding[name]
 	switch {
-	case spec != nil && (!cancelled || endedBefore || !s.isSealed(spec)):
+	case spec != nil && !s.mayBeElsewhere(spec):
 		return job.Present
-	case cancelled:
+	case s.pool.IsCancelled(name):
 		return job.Tombstone
 	case forwarding:
 		return job.Forwarded
@@ -132,6 +129,14 @@
 	return job.Absent
 }
 
+// mayBeElsewhere reports whether a job that the pool has may be in another one, too: an earlier owner may have forwarded a job of
+// an excluded version before it learned of the cancellation. A job that has completed or failed was never forwarded.
+func (s *Shard) mayBeElsewhere(spec *job.Spec) bool {
+	state, _ := s.pool.State(spec.ID)
+	endedHere := state.Ended() && state != job.Cancelled
+	return s.pool.IsCancelled(spec.ID) && s.isSealed(spec) && !endedHere
+}
+
 // has reports whether the pool has a job, or forwards it.
 func (s *Shard) has(name job.ID) bool {
 	_, forwarding := s.forwarding[name]
