shard: Apply what the operators ask before starts that waited for it

What callers could see: an owner that had not read the operators' table for a while starts a task in a data centre whose evacuation it has just read.

Cause: the feed signals a new view and then says as of when it has read the table; the control thread looked at the second first. Class: seen taken for applied.

Fix: a signal that is waiting is handled before the decision. The signal comes before the time, so whoever sees the time has the signal.

--- a/internal/jobs/shard/deaf_test.go
+++ b/internal/jobs/shard/deaf_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
@@ -178,6 +179,46 @@
 	})
 }
 
+// TestSeenEvacuationIsAppliedBeforeStarts guards against a start in an evacuated data centre: the operators' table had been read
+// again, so the start was no longer held back, but the evacuation was not yet applied.
+func TestSeenEvacuationIsAppliedBeforeStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(time.Second) // until all goroutines have ended
+		defer cancel()
+		d := startDeafOwner(ctx)
+		var seenAt atomic.Int64
+		var evacuated atomic.Bool
+		now := func() int64 { return int64(d.shard.config.Clock.Moment().Steady) }
+		seenAt.Store(now())
+		view := d.shard.config.View
+		if err := d.shard.do(ctx, func(pool.Moment) {
+			d.shard.config.OperatorsSeen = func() time.Duration { return time.Duration(seenAt.Load()) }
+			d.shard.config.View = func() View {
+				v := view()
+				if evacuated.Load() {
+					v.Evacuated = id.Set[id.DataCentre]{v.Workers[0].DataCentre: {}}
+				}
+				return v
+			}
+		}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		d.submit(t, longJob())
+		time.Sleep(2 * time.Second)
+		d.shard.post(ctx, func(pool.Moment) { // the feed reads on during one event
+			evacuated.Store(true)
+			d.shard.Refresh()
+			seenAt.Store(now())
+		})
+		time.Sleep(3 * time.Second)
+		if n := len(d.starts()); n != 0 {
+			t.Errorf("%d starts after the evacuation was seen, want none", n)
+		}
+	})
+}
+
 // TestSlowLongPollDoesNotStopStarts checks that an owner whose long polls of the intake are not answered reads it without
 // waiting, and only while a start waits for that.
 func TestSlowLongPollDoesNotStopStarts(t *testing.T) {
--- a/internal/jobs/shard/knowledge.go
+++ b/internal/jobs/shard/knowledge.go
@@ -56,6 +56,7 @@
 		return
 	}
 	at, known := s.config.Clock.Moment(), s.knowledge()
+	s.applyPendingView(at) // what is known was published before it was called known
 	if known.allows(&s.config.Settings, at.Steady, decisionAllowance) {
 		s.pool.SendStarts(at)
 		return
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -265,6 +265,15 @@
 	}
 }
 
+// applyPendingView reads the View if a Refresh is still to be handled.
+func (s *Shard) applyPendingView(at pool.Moment) {
+	select {
+	case <-s.refresh:
+		s.applyView(at)
+	default:
+	}
+}
+
 func (s *Shard) applyView(at pool.Moment) {
 	v := s.config.View()
 	s.pool.SetWorkers(at, v.Workers)
