pool: Start no gang of which a member was lost while it was being stored

What callers may see: half a gang starts and ends alone.

Cause: a run that was lost before its batch was stored was left out of those that wait for their starts, so its gang looked whole.

TestGangIsCheckedAgainOnceItIsStored, each case now before and after the gang is stored, on the commit before:

--- FAIL: .../a_worker_ends,_stored_before:_false: 2 starts, want 0

Fix: all runs of a gang are kept until its starts are sent.

--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -83,7 +83,7 @@
 		}
 	}
 	for _, r := range b.runs {
-		if p.isUnsent(r) {
+		if p.isUnsent(r) || r.step.Gang { // SendStarts has to know of a gang's lost members
 			p.unsent = append(p.unsent, r)
 		}
 	}
@@ -98,14 +98,14 @@
 // SendStarts orders the starts of all stored runs that may still start. The caller calls it only while what the pool knows
 // of cancellations is new enough.
 func (p *Pool) SendStarts(at Moment) {
-	stored := p.unsent
+	waiting := p.unsent
 	p.unsent = nil
-	for _, r := range stored {
+	for _, r := range waiting {
 		if r.step.Gang && (!p.isUnsent(r) || !p.mayStillStart(r)) {
 			p.stopGang(at, r) // its members start all or none, and one may have been lost with its worker
 		}
 	}
-	for _, r := range stored {
+	for _, r := range waiting {
 		p.send(at, r)
 	}
 }
--- a/internal/jobs/pool/send_test.go
+++ b/internal/jobs/pool/send_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -175,33 +176,41 @@
 		}, 0},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			w := newSimulation(1, 2)
-			p := New(Config{Name: "p", Fence: 1, Lease: testLease, Retention: time.Minute})
-			list := w.list()
-			p.SetWorkers(w.moment(), list)
-			for name, f := range w.workers {
-				p.RecordPoll(w.moment(), PollAction{To: p.workers[name].target(), Sent: w.moment().Steady}, f.report(), nil)
-			}
-			spec := shortJob(4)
-			spec.ID = "0000000000000001"
-			spec.Steps[0].Gang, spec.Steps[0].PerWorker = true, 2
-			p.Submit(w.moment(), spec)
-			p.Place(w.moment())
-			p.RecordStored(w.moment(), p.Flush())
-			test.change(p, w.moment(), list)
-			p.SetWorkers(w.moment(), list)
-			p.Actions()
-			p.SendStarts(w.moment())
-			starts := 0
-			for _, a := range p.Actions() {
-				if _, ok := a.(StartAction); ok {
-					starts++
+		for _, stored := range []bool{false, true} { // before the change
+			t.Run(fmt.Sprintf("%s, stored before: %v", test.name, stored), func(t *testing.T) {
+				w := newSimulation(1, 2)
+				p := New(Config{Name: "p", Fence: 1, Lease: testLease, Retention: time.Minute})
+				list := w.list()
+				p.SetWorkers(w.moment(), list)
+				for name, f := range w.workers {
+					p.RecordPoll(w.moment(), PollAction{To: p.workers[name].target(), Sent: w.moment().Steady}, f.report(), nil)
 				}
-			}
-			if starts != test.starts {
-				t.Errorf("%d starts, want %d", starts, test.starts)
-			}
-		})
+				spec := shortJob(4)
+				spec.ID = "0000000000000001"
+				spec.Steps[0].Gang, spec.Steps[0].PerWorker = true, 2
+				p.Submit(w.moment(), spec)
+				p.Place(w.moment())
+				batch := p.Flush()
+				if stored {
+					p.RecordStored(w.moment(), batch)
+				}
+				test.change(p, w.moment(), list)
+				p.SetWorkers(w.moment(), list)
+				if !stored {
+					p.RecordStored(w.moment(), batch)
+				}
+				p.Actions()
+				p.SendStarts(w.moment())
+				starts := 0
+				for _, a := range p.Actions() {
+					if _, ok := a.(StartAction); ok {
+						starts++
+					}
+				}
+				if starts != test.starts {
+					t.Errorf("%d starts, want %d", starts, test.starts)
+				}
+			})
+		}
 	}
 }
