stream, shard, instance: Go on reading past records that cannot be decoded

What callers could see: a job or a cancellation that stands in an intake behind records of another writer is not found (410).

The searches themselves have no test of this.

Fix: a search ends where a read does not get on, and an empty batch is complete only where the table ends there or no end is known.

--- a/internal/jobs/instance/route.go
+++ b/internal/jobs/instance/route.go
@@ -165,7 +165,7 @@
 		for _, stored := range batch.Records {
 			n.applyHolder(stored.Record)
 		}
-		if len(batch.Records) == 0 {
+		if batch.Next == from {
 			return nil
 		}
 		from = batch.Next
--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -60,7 +60,7 @@
 				tail.cancelled = len(stored.Value) > 0
 			}
 		}
-		if len(batch.Records) == 0 || batch.Next == batch.End {
+		if batch.Next == from || batch.Next == batch.End {
 			return tail, nil
 		}
 		from = batch.Next
--- a/internal/jobs/stream/stream.go
+++ b/internal/jobs/stream/stream.go
@@ -45,7 +45,7 @@
 // answers as soon as there is a record, so after a wait without any the table had none until then, whoever has passed the
 // answer on.
 func (b Batch) CompleteAt(r Reading) time.Duration {
-	empty := b.Next == r.From
+	empty := b.Next == r.From && b.End <= b.Next // an instance of an earlier version reports no end
 	switch {
 	case empty && r.Answered-r.Sent >= r.Wait:
 		return r.Sent + r.Wait
