http1: Tell a response that has begun from silence, and touch no connection for an ended context

The context is asked before a connection is taken now. TestInterruptedResponseIsToldApart: callers that may give a response more time have to know that it has begun.

--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -29,6 +29,15 @@
 	return fmt.Sprintf("the response is longer than %d bytes", e.Limit)
 }
 
+// InterruptedResponseError reports a response that had begun to arrive when the context of its request ended.
+type InterruptedResponseError struct{ Cause error }
+
+// Error returns the cause.
+func (e InterruptedResponseError) Error() string { return "response interrupted: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e InterruptedResponseError) Unwrap() error { return e.Cause }
+
 // Transport sends requests over connections that it keeps open. It implements http.RoundTripper.
 type Transport struct {
 	config Config
@@ -59,14 +68,13 @@
 		return nil, err
 	}
 	defer h.release()
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx) // closing its connection might come too late to keep the request from being sent
+	}
 	c, err := t.connect(ctx, h)
 	if err != nil {
 		return nil, err
 	}
-	if ctx.Err() != nil {
-		t.keep(h, c)
-		return nil, context.Cause(ctx) // closing the connection now might come too late to keep the request from being sent
-	}
 	reportConn(ctx, c)
 	sent := time.Now()
 	stopClosing := context.AfterFunc(ctx, c.close)
@@ -74,6 +82,9 @@
 	interrupted := !stopClosing()
 	switch {
 	case interrupted:
+		if response != nil {
+			return nil, InterruptedResponseError{Cause: context.Cause(ctx)}
+		}
 		if c.isSilent(sent) {
 			t.closeIdle(h, sent)
 		}
--- a/internal/transport/http1/transport_test.go
+++ b/internal/transport/http1/transport_test.go
@@ -333,3 +333,26 @@
 		t.Errorf("%d requests on %d connections, want 2 on 1", requests, conns)
 	}
 }
+
+// TestInterruptedResponseIsToldApart checks that a response that had begun when its time was over is told from none at all.
+func TestInterruptedResponseIsToldApart(t *testing.T) {
+	tests := []struct {
+		name  string
+		text  string
+		begun bool
+	}{
+		{"silence", "", false},
+		{"a part of the head", "HTTP/1.1 200 OK\r\n", false},
+		{"a part of the body", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok", true},
+	}
+	for _, test := range tests {
+		p := newPeer(t, say(test.text))
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, err := post(ctx, newTransport(Config{}), p)
+		cancel()
+		var interrupted InterruptedResponseError
+		if errors.As(err, &interrupted) != test.begun || !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("%s: error %v, want an InterruptedResponseError: %v", test.name, err, test.begun)
+		}
+	}
+}
