shard: Leave a start some time to be sent under short timeouts, too

With a timeout of cancellations of 2 s or less the limits for deciding on a start and for sending it were the same, so any wait in between dropped it. Allowances shrink with the timeout now; for 3 s and more they are as before.

--- a/internal/jobs/shard/knowledge.go
+++ b/internal/jobs/shard/knowledge.go
@@ -16,12 +16,14 @@
 	sendAllowance            = time.Second             // from sending it
 )
 
-// maxAge returns the largest age of what is known of orders that have to be in force after a timeout.
-func maxAge(timeout, unknown, allowance time.Duration) time.Duration {
+// maxAge returns the largest age of what is known of orders that have to be in force after a timeout. A shorter timeout than
+// the usual one leaves a shorter allowance.
+func maxAge(timeout, usual, allowance time.Duration) time.Duration {
 	if timeout <= 0 {
-		timeout = unknown
+		timeout = usual
 	}
-	return max(timeout-allowance, timeout/2)
+	share := float64(allowance) / float64(defaultCancelTimeout)
+	return timeout - min(allowance, time.Duration(share*float64(timeout)))
 }
 
 // knowledge holds the steady times as of which an owner knows what its starts depend on.
@@ -31,14 +33,14 @@
 	operators time.Duration // the operators' settings, which may have evacuations
 }
 
-func (s *Shard) knowledge() knowledge {
+func (s *Shard) known() knowledge {
 	return knowledge{intake: s.intakeSeenAt, proof: s.provenAt, operators: s.config.OperatorsSeen()}
 }
 
 // allows reports whether a start may be decided on, or sent, at a time that leaves it an allowance.
 func (k knowledge) allows(set *Settings, at, allowance time.Duration) bool {
-	cancellations := at - min(k.intake, k.proof)
-	return cancellations <= maxAge(set.CancelTimeout, defaultCancelTimeout, allowance) &&
+	cancelAge := at - min(k.intake, k.proof)
+	return cancelAge <= maxAge(set.CancelTimeout, defaultCancelTimeout, allowance) &&
 		at-k.operators <= maxAge(set.EvacuationTimeout, defaultEvacuationTimeout, allowance)
 }
 
@@ -55,7 +57,7 @@
 	if !s.pool.HasUnsent() || !s.termStored {
 		return
 	}
-	at, known := s.config.Clock.Moment(), s.knowledge()
+	at, known := s.config.Clock.Moment(), s.known()
 	s.applyPendingView(at) // what is known was published before it was called known
 	if known.allows(&s.config.Settings, at.Steady, decisionAllowance) {
 		s.pool.SendStarts(at)
--- a/internal/jobs/shard/order.go
+++ b/internal/jobs/shard/order.go
@@ -16,7 +16,7 @@
 		return
 	}
 	for _, a := range s.pool.Actions() {
-		o := &order{shard: s, action: a, decidedAt: s.config.Clock.Moment().Steady, known: s.knowledge()}
+		o := &order{shard: s, action: a, decidedAt: s.config.Clock.Moment().Steady, known: s.known()}
 		if start, ok := a.(pool.StartAction); ok {
 			o.decidedAt = start.Decided
 		}
