--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -82,7 +82,7 @@
 	return 0, "", NoJobError{Job: name}
 }
 
-// poolsFrom returns all pools, the given one first.
+// poolsFrom returns all pools that have owners, the given one first.
 func (n *Instance) poolsFrom(first string) []string {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -196,7 +196,7 @@
 type snapshot struct{ *catalog.Config }
 
 // poolsLocked returns the sorted names of the pools that have owners: those that run tasks, and those that an earlier
-// configuration sent jobs to, which may have jobs and cancellations. The caller holds the lock.
+// configuration sent jobs to, which may have jobs and cancellations. Capacity goes to the former alone. The caller holds the lock.
 func (n *Instance) poolsLocked() []string {
 	pools := n.catalog.Serving()
 	for _, holders := range n.holders {
