--- /dev/null
+++ b/review/stand2/cloud.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// States of a machine.
+const (
+	up       = "up"
+	moving   = "moving"
+	inUpkeep = "upkeep"
+	down     = "down"
+)
+
+// machine is a machine of the fleet.
+type machine struct {
+	name, pool, state string
+	worker            *worker // nil while it has none
+	upkeep            bool    // its upkeep has begun
+}
+
+// cloud is a stand-in for the platform's service of machines.
+type cloud struct {
+	world    *world
+	pageSize int                             // machines in one page, 0 for all
+	delay    time.Duration                   // of each answer
+	duration func(task string) time.Duration // of a task's run
+	wave     []string                        // machines of wave 1
+
+	mu       sync.Mutex
+	machines []*machine
+	serial   int
+	onPage   func(first int) // called without the lock after a page was read
+}
+
+func (c *cloud) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.machines {
+		if m.worker != nil {
+			m.worker.kill()
+		}
+	}
+}
+
+// add adds a machine, and starts its worker unless it is in the spare pool.
+func (c *cloud) add(name, pool string) (*machine, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := &machine{name: name, pool: pool, state: up}
+	c.machines = append(c.machines, m)
+	return m, c.startOn(m)
+}
+
+// startOn starts a new worker on a machine unless that is spare; the caller holds the lock.
+func (c *cloud) startOn(m *machine) error {
+	m.state = up
+	if m.pool == spareName {
+		return nil
+	}
+	c.serial++
+	w, err := startWorker(c.world, "w-"+strconv.Itoa(c.serial), m.name, m.pool, "", 0, c.duration)
+	m.worker = w
+	return err
+}
+
+// remove takes a machine away for good.
+func (c *cloud) remove(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.machines = slices.DeleteFunc(c.machines, func(m *machine) bool { return m.name == name })
+}
+
+func (c *cloud) find(name string) *machine {
+	for _, m := range c.machines {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// ServeHTTP answers one call.
+func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(c.delay)
+	w.Header().Set("Content-Type", "application/json")
+	if r.URL.Path == "/machines" {
+		first := c.list(w, r)
+		if c.onPage != nil {
+			c.onPage(first)
+		}
+		return
+	}
+	var b struct {
+		Machine, Pool string
+		Wave          int
+	}
+	if json.NewDecoder(r.Body).Decode(&b) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	status, reason := c.order(r.URL.Path, b.Machine, b.Pool)
+	c.world.note("order %s machine=%s pool=%s wave=%d by %s, fence %s: %d %s", r.URL.Path, b.Machine, b.Pool, b.Wave,
+		r.Header.Get("Marigoldshed-Lease-Holder"), r.Header.Get("Marigoldshed-Fencing-Token"), status, reason)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]string{"reason": reason})
+}
+
+// list writes the page that a token names, the number of its first machine, and returns that number.
+func (c *cloud) list(w http.ResponseWriter, r *http.Request) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first, _ := strconv.Atoi(r.URL.Query().Get("page_token"))
+	end := len(c.machines)
+	if c.pageSize > 0 {
+		end = min(end, first+c.pageSize)
+	}
+	list, next := []map[string]any{}, ""
+	for _, m := range c.machines[min(first, len(c.machines)):end] {
+		entry := map[string]any{
+			"machine": m.name, "pool": m.pool, "state": m.state, "zone": "z1", "labels": []string{"a", "rack-1"}, "capacity": resources(workerCPU, workerMemMB),
+		}
+		if m.worker != nil {
+			entry["id"] = m.worker.id
+		}
+		list = append(list, entry)
+	}
+	if end < len(c.machines) {
+		next = strconv.Itoa(end)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"machines": list, "next_token": next})
+	return first
+}
+
+// order carries out a move or an upkeep.
+func (c *cloud) order(path, name, pool string) (int, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.find(name)
+	if m == nil {
+		return http.StatusBadRequest, ""
+	}
+	isUpkeep := path == "/machine-upkeep"
+	switch {
+	case isUpkeep && !slices.Contains(c.wave, name):
+		return http.StatusConflict, "wave"
+	case isUpkeep && m.upkeep, !isUpkeep && m.pool == pool:
+		return http.StatusOK, "" // done already
+	case m.state != up:
+		return http.StatusConflict, "busy"
+	}
+	after := moveTime
+	m.state = moving
+	if isUpkeep {
+		after, m.state, m.upkeep = upkeepTime, inUpkeep, true
+	} else {
+		m.pool = pool
+	}
+	if w := m.worker; w != nil {
+		m.worker = nil
+		w.kill()
+		time.AfterFunc(3*heartbeat, func() { c.world.store.put("servers", w.id, nil) })
+	}
+	time.AfterFunc(after, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if err := c.startOn(m); err != nil {
+			c.world.note("cannot start a worker: %v", err)
+		}
+	})
+	return http.StatusOK, ""
+}
