--- a/review/stand2/cloud.go
+++ b/review/stand2/cloud.go
@@ -14,7 +14,6 @@
 	up       = "up"
 	moving   = "moving"
 	inUpkeep = "upkeep"
-	down     = "down"
 )
 
 // machine is a machine of the fleet.
@@ -27,15 +26,13 @@
 // cloud is a stand-in for the platform's service of machines.
 type cloud struct {
 	world    *world
-	pageSize int                             // machines in one page, 0 for all
-	delay    time.Duration                   // of each answer
 	duration func(task string) time.Duration // of a task's run
 	wave     []string                        // machines of wave 1
 
 	mu       sync.Mutex
 	machines []*machine
 	serial   int
-	onPage   func(first int) // called without the lock after a page was read
+	isDown   bool // every call is answered with 503
 }
 
 func (c *cloud) close() {
@@ -49,12 +46,12 @@
 }
 
 // add adds a machine, and starts its worker unless it is in the spare pool.
-func (c *cloud) add(name, pool string) (*machine, error) {
+func (c *cloud) add(name, pool string) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := &machine{name: name, pool: pool, state: up}
 	c.machines = append(c.machines, m)
-	return m, c.startOn(m)
+	return c.startOn(m)
 }
 
 // startOn starts a new worker on a machine unless that is spare; the caller holds the lock.
@@ -69,11 +66,18 @@
 	return err
 }
 
-// remove takes a machine away for good.
-func (c *cloud) remove(name string) {
+// setDown makes the service answer every call with 503, or ends that.
+func (c *cloud) setDown(isDown bool) {
+	c.mu.Lock()
+	c.isDown = isDown
+	c.mu.Unlock()
+	c.world.note("the platform's service of machines is down: %v", isDown)
+}
+
+func (c *cloud) isUnavailable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.machines = slices.DeleteFunc(c.machines, func(m *machine) bool { return m.name == name })
+	return c.isDown
 }
 
 func (c *cloud) find(name string) *machine {
@@ -87,13 +91,13 @@
 
 // ServeHTTP answers one call.
 func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(c.delay)
+	if c.isUnavailable() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if r.URL.Path == "/machines" {
-		first := c.list(w, r)
-		if c.onPage != nil {
-			c.onPage(first)
-		}
+		c.list(w)
 		return
 	}
 	var b struct {
@@ -111,17 +115,12 @@
 	_ = json.NewEncoder(w).Encode(map[string]string{"reason": reason})
 }
 
-// list writes the page that a token names, the number of its first machine, and returns that number.
-func (c *cloud) list(w http.ResponseWriter, r *http.Request) int {
+// list writes all machines.
+func (c *cloud) list(w http.ResponseWriter) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first, _ := strconv.Atoi(r.URL.Query().Get("page_token"))
-	end := len(c.machines)
-	if c.pageSize > 0 {
-		end = min(end, first+c.pageSize)
-	}
-	list, next := []map[string]any{}, ""
-	for _, m := range c.machines[min(first, len(c.machines)):end] {
+	list := []map[string]any{}
+	for _, m := range c.machines {
 		entry := map[string]any{
 			"machine": m.name, "pool": m.pool, "state": m.state, "zone": "z1", "labels": []string{"a", "rack-1"}, "capacity": resources(workerCPU, workerMemMB),
 		}
@@ -130,11 +129,7 @@
 		}
 		list = append(list, entry)
 	}
-	if end < len(c.machines) {
-		next = strconv.Itoa(end)
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"machines": list, "next_token": next})
-	return first
+	_ = json.NewEncoder(w).Encode(map[string]any{"machines": list, "next_token": ""})
 }
 
 // order carries out a move or an upkeep.
