--- a/review/stand2/cloud.go
+++ b/review/stand2/cloud.go
@@ -18,9 +18,9 @@
 
 // machine is a machine of the fleet.
 type machine struct {
-	name, pool, state string
-	worker            *worker // nil while it has none
-	upkeep            bool    // its upkeep has begun
+	name, pool, state, zone string
+	worker                  *worker // nil while it has none
+	upkeep                  bool    // its upkeep has begun
 }
 
 // cloud is a stand-in for the platform's service of machines.
@@ -32,7 +32,8 @@
 	mu       sync.Mutex
 	machines []*machine
 	serial   int
-	isDown   bool // every call is answered with 503
+	isDown   bool            // every call is answered with 503
+	cutZones map[string]bool // zones whose workers are cut off
 }
 
 func (c *cloud) close() {
@@ -46,10 +47,10 @@
 }
 
 // add adds a machine, and starts its worker unless it is in the spare pool.
-func (c *cloud) add(name, pool string) error {
+func (c *cloud) add(name, pool, zone string) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := &machine{name: name, pool: pool, state: up}
+	m := &machine{name: name, pool: pool, state: up, zone: zone}
 	c.machines = append(c.machines, m)
 	return c.startOn(m)
 }
@@ -61,7 +62,7 @@
 		return nil
 	}
 	c.serial++
-	w, err := startWorker(c.world, "w-"+strconv.Itoa(c.serial), m.name, m.pool, "", 0, c.duration)
+	w, err := startWorker(c.world, "w-"+strconv.Itoa(c.serial), m.name, m.pool, m.zone, c.duration, c.cutZones[m.zone])
 	m.worker = w
 	return err
 }
@@ -80,6 +81,31 @@
 	return c.isDown
 }
 
+// workerWith returns the worker that has a run of a task, or nil.
+func (c *cloud) workerWith(task string) *worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.machines {
+		if m.worker != nil && m.worker.hasRun(task) {
+			return m.worker
+		}
+	}
+	return nil
+}
+
+// cutZone cuts all workers of a zone off, or ends that.
+func (c *cloud) cutZone(zone string, isCut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cutZones = map[string]bool{zone: isCut}
+	for _, m := range c.machines {
+		if m.worker != nil && m.zone == zone {
+			m.worker.setCut(isCut)
+		}
+	}
+	c.world.note("zone %s is cut off: %v", zone, isCut)
+}
+
 func (c *cloud) find(name string) *machine {
 	for _, m := range c.machines {
 		if m.name == name {
@@ -122,7 +148,7 @@
 	list := []map[string]any{}
 	for _, m := range c.machines {
 		entry := map[string]any{
-			"machine": m.name, "pool": m.pool, "state": m.state, "zone": "z1", "labels": []string{"a", "rack-1"}, "capacity": resources(workerCPU, workerMemMB),
+			"machine": m.name, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{"a", "rack-" + m.zone}, "capacity": resources(workerCPU, workerMemMB),
 		}
 		if m.worker != nil {
 			entry["id"] = m.worker.id
--- a/review/stand2/instance.go
+++ b/review/stand2/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -15,14 +16,17 @@
 
 // instance is one process of the program.
 type instance struct {
-	name, front, ready string
-	command            *exec.Cmd
-	ended              chan struct{}
+	name, front, ready, peers string
+	world                     *world
+	settings                  string
+	command                   *exec.Cmd
+	ended                     chan struct{}
 }
 
 // freePorts returns the first of some ports in a row that are free on a loopback address.
 func freePorts(ip string, count int) (int, error) {
-	for first := 20000 + os.Getpid()%20000; first < 60000; first += count {
+	for range 200 {
+		first := 20000 + rand.IntN(12000)
 		free := true
 		for n := range count {
 			listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", fmt.Sprintf("%s:%d", ip, first+n))
@@ -46,9 +50,9 @@
 		return nil, err
 	}
 	i := &instance{
-		name: fmt.Sprintf("front-%d", number+1), front: fmt.Sprintf("%s:%d", ip, first), ready: fmt.Sprintf("%s:%d", ip, first+1), ended: make(chan struct{}),
+		name: fmt.Sprintf("front-%d", number+1), front: fmt.Sprintf("%s:%d", ip, first), ready: fmt.Sprintf("%s:%d", ip, first+1), peers: fmt.Sprintf("%s:%d", ip, first+2),
+		world: w, settings: filepath.Join(w.dir, fmt.Sprintf("front-%d.json", number+1)),
 	}
-	settings := filepath.Join(w.dir, i.name+".json")
 	data, err := json.Marshal(map[string]any{
 		"node": i.name, "role": "entry", "class": "front", "serves": []string{"front"}, "ip": ip, "zone": "z1", "region": "r", "zones": map[string]string{"z1": "r"},
 		"listen":              map[string]string{"front": i.front, "ready": i.ready},
@@ -64,26 +68,41 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(settings, data, 0o600); err != nil {
+	if err := os.WriteFile(i.settings, data, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(w.dir, i.name+".log")) //nolint:gosec // in the folder of this case
+	return i, i.start()
+}
+
+// start starts the process.
+func (i *instance) start() error {
+	log, err := os.OpenFile(filepath.Join(i.world.dir, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	i.command = exec.Command(w.program, "run") //nolint:gosec,noctx // the program under review
-	i.command.Stdout, i.command.Stderr = log, log
-	i.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	i.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "MARIGOLDSHED_BOOT=" + settings}
-	if err := i.command.Start(); err != nil {
-		return nil, fmt.Errorf("%w: %w", errNotRun, err)
+	command, ended := exec.Command(i.world.program, "run"), make(chan struct{}) //nolint:gosec,noctx // the program under review
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + i.world.dir, "MARIGOLDSHED_BOOT=" + i.settings}
+	if err := command.Start(); err != nil {
+		return fmt.Errorf("%w: %w", errNotRun, err)
 	}
+	i.command, i.ended = command, ended
 	go func() {
-		_ = i.command.Wait()
+		_ = command.Wait()
 		_ = log.Close()
-		close(i.ended)
+		close(ended)
 	}()
-	return i, nil
+	return nil
+}
+
+// restart kills the process and starts it again after a second.
+func (i *instance) restart() error {
+	i.world.note("%s is killed", i.name)
+	i.kill()
+	time.Sleep(time.Second)
+	i.world.note("%s starts again", i.name)
+	return i.start()
 }
 
 func (i *instance) kill() {
--- a/review/stand2/wave.go
+++ b/review/stand2/wave.go
@@ -28,7 +28,7 @@
 		if n > waveMachines-waveServing {
 			pool = poolName
 		}
-		if err := w.cloud.add(machineName(n), pool); err != nil {
+		if err := w.cloud.add(machineName(n), pool, "z1"); err != nil {
 			return false, err
 		}
 	}
@@ -52,7 +52,7 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 	for n := waveMachines + 1; n <= waveLast; n++ {
-		if err := w.cloud.add(machineName(n), spareName); err != nil {
+		if err := w.cloud.add(machineName(n), spareName, "z1"); err != nil {
 			return false, err
 		}
 		w.note("%s has joined", machineName(n))
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -33,10 +33,10 @@
 	id       string
 	machine  string
 	pool     string
+	zone     string
 	address  string
 	server   *http.Server
 	started  time.Time
-	born     time.Time // its start by the time of day of its machine
 	duration func(task string) time.Duration
 
 	mu       sync.Mutex
@@ -47,35 +47,35 @@
 	unacked  []runEnd
 	lastEnd  int64
 	dead     bool
+	cut      bool      // nothing reaches it, and nothing of it reaches the store
+	beat     time.Time // its last heartbeat
+	listed   bool      // has an entry
 	endAdded chan struct{}
 }
 
 func (w *worker) clock() time.Duration { return time.Since(w.started) }
 
-// startWorker starts a lifetime of a worker. An empty address is chosen freely.
-func startWorker(wo *world, id, machine, pool, address string, skew time.Duration, duration func(string) time.Duration) (*worker, error) {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+// startWorker starts a lifetime of a worker on a free loopback port.
+func startWorker(wo *world, id, machine, pool, zone string, duration func(string) time.Duration, isCut bool) (*worker, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	w := &worker{
-		world: wo, id: id, machine: machine, pool: pool, address: listener.Addr().String(), started: now, born: now.Add(skew), duration: duration,
+		world: wo, id: id, machine: machine, pool: pool, zone: zone, address: listener.Addr().String(), started: now, duration: duration, cut: isCut,
 		runs: map[string]*taskRun{}, closed: map[string]int{}, endAdded: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
 	go func() { _ = w.server.Serve(listener) }()
 	go w.loop()
-	wo.note("worker %s starts on %s at %s, born %d", id, machine, w.address, w.born.UnixMilli())
+	wo.note("worker %s starts on %s at %s, born %d", id, machine, w.address, w.started.UnixMilli())
 	return w, nil
 }
 
-// loop writes the worker's entry with every heartbeat and ends its runs when their lease is over.
+// loop writes the worker's entry with every heartbeat and ends its runs when their lease is over. The store removes the
+// entry of a worker that has been silent for three heartbeats.
 func (w *worker) loop() {
-	const ticks = 30
 	for tick := 0; ; tick++ {
 		w.mu.Lock()
 		if w.dead {
@@ -87,18 +87,50 @@
 				w.end(task, "lapsed")
 			}
 		}
+		w.writeEntry(tick)
 		w.mu.Unlock()
-		if tick%ticks == 0 {
-			w.world.store.put("servers", w.id, map[string]any{
-				"backend": w.pool, "addr": w.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "machine": w.machine,
-				"cold_left_ms": 0, "sequence": tick / ticks, "capacity": resources(workerCPU, workerMemMB), "labels": []string{"a", "rack-1"},
-				"clock_ms": w.clock().Milliseconds(), "born": w.born.UnixMilli(),
-			})
-		}
-		time.Sleep(heartbeat / ticks)
+		time.Sleep(heartbeat / 30)
+	}
+}
+
+// writeEntry writes or removes the entry if that is due; the caller holds the lock.
+func (w *worker) writeEntry(sequence int) {
+	silent := time.Since(w.beat)
+	switch {
+	case w.cut && w.listed && silent >= 3*heartbeat:
+		w.listed = false
+		w.world.note("the store removes the entry of worker %s", w.id)
+		w.world.store.put("servers", w.id, nil)
+	case !w.cut && (!w.listed || silent >= heartbeat):
+		w.listed, w.beat = true, time.Now()
+		w.world.store.put("servers", w.id, map[string]any{
+			"backend": w.pool, "addr": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "machine": w.machine,
+			"cold_left_ms": 0, "sequence": sequence, "capacity": resources(workerCPU, workerMemMB), "labels": []string{"a", "rack-" + w.zone},
+			"clock_ms": w.clock().Milliseconds(), "born": w.started.UnixMilli(),
+		})
 	}
 }
 
+// setCut cuts the worker off from everything, or ends that. It runs on meanwhile.
+func (w *worker) setCut(isCut bool) {
+	w.mu.Lock()
+	w.cut = isCut
+	w.mu.Unlock()
+}
+
+func (w *worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
+// hasRun reports whether a run of a task is here.
+func (w *worker) hasRun(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[task] != nil
+}
+
 // kill ends the lifetime with all that runs; nobody is told.
 func (w *worker) kill() {
 	w.mu.Lock()
@@ -144,11 +176,19 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if w.isCut() {
+		<-r.Context().Done()
+		return
+	}
 	if r.Header.Get("Marigoldshed-Expect-Instance") != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	status, body := w.handle(r.Context(), r.URL.Path, &o)
+	if w.isCut() {
+		<-r.Context().Done()
+		return
+	}
 	rw.Header().Set("Content-Type", "application/json")
 	rw.WriteHeader(status)
 	_ = json.NewEncoder(rw).Encode(body)
@@ -251,5 +291,5 @@
 	for _, e := range w.unacked {
 		ends = append(ends, []any{e.number, e.task, e.run, e.outcome, ""})
 	}
-	return map[string]any{"running": rows, "finished": ends, "born": w.born.UnixMilli()}
+	return map[string]any{"running": rows, "finished": ends, "born": w.started.UnixMilli()}
 }
