--- a/review/stand2/cloud.go
+++ b/review/stand2/cloud.go
@@ -14,6 +14,7 @@
 	up       = "up"
 	moving   = "moving"
 	inUpkeep = "upkeep"
+	down     = "down"
 )
 
 // machine is a machine of the fleet.
@@ -93,6 +94,49 @@
 	return nil
 }
 
+// crash ends the worker of a machine without notice; another one is on the machine after a pause.
+func (c *cloud) crash(w *worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.machines {
+		if w == nil || m.worker != w {
+			continue
+		}
+		c.world.note("worker %s on %s crashes", w.id, m.name)
+		m.worker, m.state = nil, down
+		w.kill()
+		time.AfterFunc(3*heartbeat, func() { c.world.store.put("servers", w.id, nil) })
+		time.AfterFunc(crashPause, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if err := c.startOn(m); err != nil {
+				c.world.note("cannot start a worker: %v", err)
+			}
+		})
+	}
+}
+
+// use returns the capacity of the workers that is in use, the most that is free on one of them, and all of it.
+func (c *cloud) use() (used, free, all int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.machines {
+		if m.worker == nil {
+			continue
+		}
+		runs := m.worker.countRuns()
+		used, all, free = used+1000*runs, all+workerCPU, max(free, workerCPU-1000*runs)
+	}
+	return used, free, all
+}
+
+// isDone reports whether a run of a task has ended done.
+func (c *cloud) isDone(task string) bool {
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	return c.world.done[task]
+}
+
 // cutZone cuts all workers of a zone off, or ends that.
 func (c *cloud) cutZone(zone string, isCut bool) {
 	c.mu.Lock()
--- a/review/stand2/instance.go
+++ b/review/stand2/instance.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(i.settings, data, 0o600); err != nil {
+	if err := os.WriteFile(i.settings, data, 0o600); err != nil { //nolint:gosec // in the folder of this case
 		return nil, err
 	}
 	return i, i.start()
@@ -76,7 +76,7 @@
 
 // start starts the process.
 func (i *instance) start() error {
-	log, err := os.OpenFile(filepath.Join(i.world.dir, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(i.world.dir, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600) //nolint:gosec // in the folder of this case
 	if err != nil {
 		return err
 	}
@@ -113,12 +113,12 @@
 func (i *instance) awaitReady() bool {
 	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.ready+"/ready", http.NoBody)
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.ready+"/ready", http.NoBody) //nolint:gosec // a loopback address of this case
 		if err != nil {
 			cancel()
 			return false
 		}
-		response, err := http.DefaultClient.Do(request)
+		response, err := http.DefaultClient.Do(request) //nolint:gosec // a loopback address of this case
 		cancel()
 		if err != nil {
 			continue
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -20,7 +20,7 @@
 var errNotRun = errors.New("the case could not run")
 
 // cases maps the names of the cases to their functions, which report whether the rule was broken.
-var cases = map[string]func(w *world) (bool, error){"wave": playWave, "cuts": playCuts}
+var cases = map[string]func(w *world) (bool, error){"wave": playWave, "cuts": playCuts, "probation": playProbation}
 
 func main() { os.Exit(play()) }
 
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -112,7 +112,7 @@
 		status, body = s.owners()
 	}
 	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	_, _ = w.Write(body) //nolint:gosec // not read by a browser
 }
 
 func jsonReply(status int, value any) (int, []byte) {
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -156,10 +156,19 @@
 	w.lastEnd++
 	w.unacked = append(w.unacked, runEnd{number: w.lastEnd, task: task, run: r.number, outcome: outcome})
 	w.world.note("worker %s: run %d of %s ends %s", w.id, r.number, task, outcome)
+	if outcome == "done" {
+		w.world.recordDone(task)
+	}
 	close(w.endAdded)
 	w.endAdded = make(chan struct{})
 }
 
+func (w *worker) countRuns() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs)
+}
+
 type order struct {
 	Task  string `json:"task"`
 	Run   int    `json:"run"`
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -41,6 +41,7 @@
 
 	mu     sync.Mutex
 	record *os.File
+	done   map[string]bool // tasks that have ended done
 }
 
 func newWorld(program, path string, trouble bool) (*world, error) {
@@ -60,7 +61,7 @@
 		return nil, err
 	}
 	w := &world{
-		dir: dir, program: program, trouble: trouble, started: time.Now(), record: record,
+		dir: dir, program: program, trouble: trouble, started: time.Now(), record: record, done: map[string]bool{},
 		client: &http.Client{Timeout: callTimeout + time.Second},
 	}
 	w.store = newStore()
@@ -75,13 +76,19 @@
 	_, _ = fmt.Fprintf(w.record, "%8.3f s  %s\n", time.Since(w.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
+func (w *world) recordDone(task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done[task] = true
+}
+
 // close ends all processes that the world has started.
 func (w *world) close() {
 	for _, i := range w.instances {
 		i.kill()
 	}
 	w.cloud.close()
-	_ = os.RemoveAll(w.dir)
+	_ = os.RemoveAll(w.dir) //nolint:gosec // the folder of this case
 	_ = w.record.Close()
 }
 
@@ -145,7 +152,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.front+prefix+id, bytes.NewReader(data))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.front+prefix+id, bytes.NewReader(data)) //nolint:gosec // a loopback address of this case
 	if err != nil {
 		return 0, nil
 	}
