--- a/review/stand2/cuts.go
+++ b/review/stand2/cuts.go
@@ -11,16 +11,16 @@
 	cuts        = 5
 	cutTime     = 6500 * time.Millisecond // zone_cut of tambuli-ops-grown
 	killAfter   = 6100 * time.Millisecond // from the start of a cut
-	longTask    = 25 * time.Second
+	longTask    = 13 * time.Second        // 1.7 s, 8 times as long: poison long
 	settleTime  = 1500 * time.Millisecond // that the run is there before the next cut
-	cutsTimeout = 100 * time.Second
+	cutsTimeout = 95 * time.Second
 	longJob     = "5c0e7a21d94b36f8"
 	longRun     = longJob + ".0.0.0"
 )
 
 // playCuts hands in a job with one long task. With the disruption, the zone of the worker that runs it is cut off, five times, and
-// the owner of the pool is killed near the end of each cut. The rule is LOST: the job is shown as failed, though no run has ended
-// failed and no worker has crashed.
+// the owner of the pool is killed near the end of each cut. The rule is LOST: the job is shown as failed without cause, that is,
+// though no run has ended failed and no worker has ended under one.
 func playCuts(w *world) (bool, error) {
 	w.cloud.duration = func(string) time.Duration { return longTask }
 	for n, zone := range []string{"z2", "z2", "z3", "z3", "z2", "z3"} {
@@ -49,7 +49,7 @@
 			if err := w.cutOff(); err != nil {
 				return false, err
 			}
-			if w.state() == "failed" {
+			if w.state() == "failed" || time.Since(begun) > cutsTimeout {
 				break
 			}
 		}
@@ -57,7 +57,8 @@
 	for time.Since(begun) < cutsTimeout {
 		switch w.state() {
 		case "failed":
-			return true, nil
+			w.note("runs of the job that ended failed or with their worker: %d", w.causes(longRun))
+			return w.causes(longRun) == 0, nil
 		case "completed":
 			return false, nil
 		}
--- a/review/stand2/instance.go
+++ b/review/stand2/instance.go
@@ -54,7 +54,7 @@
 		world: w, settings: filepath.Join(w.dir, fmt.Sprintf("front-%d.json", number+1)),
 	}
 	data, err := json.Marshal(map[string]any{
-		"node": i.name, "role": "entry", "class": "front", "serves": []string{"front"}, "ip": ip, "zone": "z1", "region": "r", "zones": map[string]string{"z1": "r"},
+		"node": i.name, "role": "entry", "class": "front", "serves": []string{"front"}, "ip": ip, "zone": "z1", "region": "r", "zones": map[string]string{"z1": "r", "z2": "r", "z3": "r"},
 		"listen":              map[string]string{"front": i.front, "ready": i.ready},
 		"internal_port_range": []int{first + 2, first + 17}, "bootstrap": true, "orders": "rpc", "heartbeat_ms": heartbeat.Milliseconds(),
 		"limits": map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100},
@@ -82,7 +82,6 @@
 	}
 	command, ended := exec.Command(i.world.program, "run"), make(chan struct{}) //nolint:gosec,noctx // the program under review
 	command.Stdout, command.Stderr = log, log
-	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + i.world.dir, "MARIGOLDSHED_BOOT=" + i.settings}
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("%w: %w", errNotRun, err)
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -40,6 +42,13 @@
 		return unknown
 	}
 	defer w.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		w.close()
+		os.Exit(unknown)
+	}()
 	isBroken, err := run(w)
 	switch {
 	case err != nil:
--- a/review/stand2/probation.go
+++ b/review/stand2/probation.go
@@ -9,8 +9,8 @@
 // Figures of the case of the probation.
 const (
 	burstJobs   = 8
-	burstTask   = 20 * time.Second
-	crashAge    = 9 * time.Second         // of the runs when their worker crashes
+	burstTask   = 7 * time.Second         // est_ms of the example in PROTOCOL.md
+	crashAge    = 6 * time.Second         // of the runs when their worker crashes
 	crashPause  = 4500 * time.Millisecond // until another worker is on its machine
 	finishTime  = 14 * time.Second        // finish_s
 	idleTime    = 3 * time.Second         // for which a job has nothing running
@@ -20,7 +20,7 @@
 
 func burstID(n int) string { return fmt.Sprintf("5c0e7a21d94b36%02x", n) }
 
-// playProbation hands in some jobs of one task at one moment. With the disruption, the worker that runs them crashes once, 9 s
+// playProbation hands in some jobs of one task at one moment. With the disruption, the worker that runs them crashes once, 6 s
 // later. The rule is LOST: 14 s after the last job was handed in and after the crash, for 3 s, a job has nothing running, though there is capacity
 // for it twice over and under half of the capacity is in use.
 func playProbation(w *world) (bool, error) {
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -255,7 +255,7 @@
 		s.generation++
 	}
 	s.members[b.Member] = &member{name: b.Member, topics: b.Topics, ttl: time.Duration(b.TTL) * time.Millisecond, renewedAt: time.Now()}
-	return jsonReply(http.StatusOK, map[string]any{"generation": s.generation, "parts": []any{}})
+	return jsonReply(http.StatusOK, map[string]any{"generation": s.generation, "parts": s.partsOf(b.Member)})
 }
 
 func (s *store) expireMembers() {
@@ -267,12 +267,9 @@
 	}
 }
 
-// owners deals the partitions of all topics, twelve each, evenly among the members.
-func (s *store) owners() (int, []byte) {
+// deal deals the partitions of all topics, twelve each, evenly among the members; the caller holds the lock.
+func (s *store) deal() [][]any {
 	const parts = 12
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expireMembers()
 	var names, topics []string
 	for name, m := range s.members {
 		names, topics = append(names, name), m.topics
@@ -284,7 +281,25 @@
 			rows = append(rows, []any{topics[n/parts], n % parts, names[n%len(names)], 0})
 		}
 	}
-	return jsonReply(http.StatusOK, rows)
+	return rows
+}
+
+// partsOf returns the partitions of a member; the caller holds the lock.
+func (s *store) partsOf(name string) [][]any {
+	parts := [][]any{}
+	for _, row := range s.deal() {
+		if row[2] == name {
+			parts = append(parts, []any{row[0], row[1], row[3]})
+		}
+	}
+	return parts
+}
+
+func (s *store) owners() (int, []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireMembers()
+	return jsonReply(http.StatusOK, s.deal())
 }
 
 // isWave reports whether a record of the status table is that of a wave.
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -138,6 +138,7 @@
 	for task, r := range w.runs {
 		r.timer.Stop()
 		w.world.note("worker %s: run %d of %s is gone with it", w.id, r.number, task)
+		w.world.recordCause(task)
 	}
 	w.runs = map[string]*taskRun{}
 	w.mu.Unlock()
@@ -156,8 +157,11 @@
 	w.lastEnd++
 	w.unacked = append(w.unacked, runEnd{number: w.lastEnd, task: task, run: r.number, outcome: outcome})
 	w.world.note("worker %s: run %d of %s ends %s", w.id, r.number, task, outcome)
-	if outcome == "done" {
+	switch outcome {
+	case "done":
 		w.world.recordDone(task)
+	case "failed":
+		w.world.recordCause(task)
 	}
 	close(w.endAdded)
 	w.endAdded = make(chan struct{})
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -42,6 +42,7 @@
 	mu     sync.Mutex
 	record *os.File
 	done   map[string]bool // tasks that have ended done
+	cause  map[string]int  // by task, runs that ended failed or with their worker
 }
 
 func newWorld(program, path string, trouble bool) (*world, error) {
@@ -61,7 +62,7 @@
 		return nil, err
 	}
 	w := &world{
-		dir: dir, program: program, trouble: trouble, started: time.Now(), record: record, done: map[string]bool{},
+		dir: dir, program: program, trouble: trouble, started: time.Now(), record: record, done: map[string]bool{}, cause: map[string]int{},
 		client: &http.Client{Timeout: callTimeout + time.Second},
 	}
 	w.store = newStore()
@@ -82,6 +83,19 @@
 	w.done[task] = true
 }
 
+func (w *world) recordCause(task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cause[task]++
+}
+
+// causes returns how many runs of a task have ended failed or with their worker.
+func (w *world) causes(task string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cause[task]
+}
+
 // close ends all processes that the world has started.
 func (w *world) close() {
 	for _, i := range w.instances {
