pool, job: Store an open loss with what it rests on

Cause: a crash that was presumed from a missing entry was added to the job's stored count; which worker and which life of it the count rested on was known to one owner. A successor kept the count when that worker answered again.

Change: an open loss is stored whole and taken over by each owner, which takes it back or confirms it. Presumed crashes are counted from that list and give nothing up alone. For tasks with crashes the worker's life is stored with the placement, so that a later worker on its instance proves the crash to a successor as well.

--- a/internal/jobs/instance/metrics.go
+++ b/internal/jobs/instance/metrics.go
@@ -133,7 +133,7 @@
 func (o *observer) GivenUp(spec *job.Spec, t *job.Task) {
 	o.metrics.givenUp.WithLabelValues(o.pool).Inc()
 	o.logger.Warn("gave up a task that crashes workers", zap.String("job", string(spec.ID)), zap.String("queue", spec.Queue),
-		zap.Int("step", t.Name.Step), zap.Int("index", t.Name.Index), zap.Int("run", t.Run), zap.Int("crashes", t.Crash.Crashes), zap.Int("certain", t.Crash.Certain))
+		zap.Int("step", t.Name.Step), zap.Int("index", t.Name.Index), zap.Int("run", t.Run), zap.Int("crashes", t.Crash.Total()), zap.Int("certain", t.Crash.Certain))
 }
 
 func (o *observer) JobEnded(spec *job.Spec, state job.State, took time.Duration) {
--- a/internal/jobs/job/crash.go
+++ b/internal/jobs/job/crash.go
@@ -18,7 +18,7 @@
 // CrashRecord is what is known of the workers that crashed under a task. A task that crashes each worker that starts it
 // does so at about the same age of each run, so crashes at other ages, and a run that grows older, speak for the task.
 type CrashRecord struct {
-	Crashes   int           `cbor:"1,keyasint,omitempty"` // workers that crashed while they had a run, or may have had it
+	Crashes   int           `cbor:"1,keyasint,omitempty"` // workers that have certainly crashed while they had a run, or may have had it
 	Strikes   int           `cbor:"2,keyasint,omitempty"` // newest crashes in a row that may have come at one age of the run
 	From      time.Duration `cbor:"3,keyasint,omitempty"` // lower bound of that age
 	Until     time.Duration `cbor:"4,keyasint,omitempty"` // upper bound of that age
@@ -27,45 +27,42 @@
 	Uncertain int           `cbor:"7,keyasint,omitempty"` // strikes of runs that no answer of the worker had shown
 	Certain   int           `cbor:"8,keyasint,omitempty"` // crashes of workers that certainly had a run
 	Shown     int           `cbor:"9,keyasint,omitempty"` // newest run that was seen on its worker, of a task with crashes
+	Open      []OpenLoss    `cbor:"10,keyasint,omitempty"`
+	Newest    Incarnation   `cbor:"11,keyasint,omitzero"` // worker of the newest run, of a task with crashes or open losses
+}
+
+// Incarnation is one life of a worker, as far as it is known.
+type Incarnation struct {
+	Worker    string    `cbor:"1,keyasint"`
+	Instance  string    `cbor:"2,keyasint,omitempty"` // empty if unknown
+	StartedAt time.Time `cbor:"3,keyasint,omitzero"`  // zero if unknown
 }
 
 // Crash is the crash of a worker under a run.
 type Crash struct {
-	Instance    string
-	From, Until time.Duration // bounds of the age of the run
-	Suspect     bool          // the run was among those that had started last on the worker
-	Certain     bool          // an answer of the worker had shown the run; otherwise its start may have come too late
-	Alone       bool          // the run was on probation
+	Instance string        `cbor:"1,keyasint,omitempty"`
+	From     time.Duration `cbor:"2,keyasint,omitempty"` // lower bound of the age of the run
+	Until    time.Duration `cbor:"3,keyasint,omitempty"` // upper bound of the age of the run
+	Suspect  bool          `cbor:"4,keyasint,omitempty"` // the run was among those that had started last on the worker
+	Certain  bool          `cbor:"5,keyasint,omitempty"` // an answer of the worker had shown the run; otherwise its start may have come too late
+	Alone    bool          `cbor:"6,keyasint,omitempty"` // the run was on probation
 }
 
 // Add records a crash. An instance whose workers crash under older runs of the task again and again may be at fault
 // itself, so its crashes count once.
 func (c *CrashRecord) Add(crash Crash) {
-	c.Presume(crash.Certain)
+	c.Crashes++
+	if crash.Certain {
+		c.Certain++
+	}
 	if !crash.Certain && !crash.Alone {
-		c.Suspected = c.Suspected || crash.Suspect || c.Crashes >= repeatedCrashes
+		c.Suspected = c.Suspected || crash.Suspect || c.Total() >= repeatedCrashes
 		return
 	}
 	c.addStrike(crash)
 	c.Suspected = c.Suspected || crash.Suspect || c.Strikes >= repeatedCrashes
 }
 
-// Presume counts a crash that is not certain yet; certain tells whether the worker certainly had the run.
-func (c *CrashRecord) Presume(certain bool) {
-	c.Crashes++
-	if certain {
-		c.Certain++
-	}
-}
-
-// Retract takes a presumed crash back.
-func (c *CrashRecord) Retract(certain bool) {
-	c.Crashes--
-	if certain {
-		c.Certain--
-	}
-}
-
 func (c *CrashRecord) addStrike(crash Crash) {
 	if c.Strikes == 0 || crash.From > c.Until+ageTolerance || crash.Until < c.From-ageTolerance {
 		c.Strikes, c.From, c.Until, c.Uncertain = 0, crash.From, crash.Until, 0
@@ -92,7 +89,7 @@
 	if !c.Suspected && c.Strikes == 0 || age <= c.Probation() {
 		return false
 	}
-	*c = CrashRecord{Crashes: c.Crashes, Certain: c.Certain, Shown: c.Shown}
+	*c = CrashRecord{Crashes: c.Crashes, Certain: c.Certain, Shown: c.Shown, Open: c.Open, Newest: c.Newest}
 	return true
 }
 
--- a/internal/jobs/job/progress.go
+++ b/internal/jobs/job/progress.go
@@ -12,7 +12,7 @@
 	Crashes     []crashProgress      `cbor:"6,keyasint,omitempty"`
 }
 
-// crashProgress describes a task that is not done and under which workers have crashed.
+// crashProgress describes a task that is not done and under which workers have crashed, or may have.
 type crashProgress struct {
 	Occurrence int         `cbor:"1,keyasint,omitempty"`
 	Step       int         `cbor:"2,keyasint,omitempty"`
@@ -54,7 +54,7 @@
 	var list []crashProgress
 	for s := range o.Steps {
 		for i := range o.Steps[s] {
-			if t := &o.Steps[s][i]; !t.Done && t.Crash.Crashes > 0 {
+			if t := &o.Steps[s][i]; !t.Done && !t.Crash.Empty() {
 				list = append(list, crashProgress{Occurrence: o.Number, Step: s, Index: i, Record: t.Crash})
 			}
 		}
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -150,8 +150,13 @@
 // still alive.
 const retirementGrace = 4 * time.Second
 
-// CordonInstances cordons, for cordonTTL, the workers of instances that an earlier owner may have reported as empty.
+// CordonInstances cordons, for cordonTTL, the workers of instances that an earlier owner may have reported as empty, and
+// that the autoscaler may have given orders to.
 func (p *Pool) CordonInstances(at Moment, instances []string) {
+	p.ordered = id.Set[string]{}
+	for _, name := range instances {
+		p.ordered.Add(name)
+	}
 	p.cordonedUntil = at.Steady + cordonTTL
 	for _, h := range p.workers {
 		h.cordoned = h.cordoned || slices.Contains(instances, h.info.Instance)
--- a/internal/jobs/pool/incarnation.go
+++ b/internal/jobs/pool/incarnation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
@@ -46,6 +47,11 @@
 	return true
 }
 
+// incarnation returns the newest known incarnation of a worker.
+func (h *host) incarnation() job.Incarnation {
+	return job.Incarnation{Worker: h.info.ID, Instance: h.info.Instance, StartedAt: h.startedAt}
+}
+
 // hasCurrentInfo reports whether a worker's catalog entry describes its newest incarnation, whose capacity and labels
 // may differ from those of the one before.
 func (h *host) hasCurrentInfo() bool {
--- a/internal/jobs/pool/loss.go
+++ b/internal/jobs/pool/loss.go
@@ -89,7 +89,7 @@
 	if r.shownAt == 0 || r.loss != nil {
 		r.shownAt, r.loss = r.host.newestClock, nil
 	}
-	if c := &r.task.Crash; c.Crashes > 0 && c.Shown != r.id.Number && !r.orphaned {
+	if c := &r.task.Crash; !c.Empty() && c.Shown != r.id.Number && !r.orphaned {
 		c.Shown = r.id.Number
 		p.touch(r.job)
 	}
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -73,6 +73,7 @@
 	actions          []Action
 	dropped          []job.ID // jobs to be removed from the log
 	cordonedUntil    time.Duration
+	ordered          id.Set[string]           // instances that had been given orders shortly before the takeover
 	silences         int64                    // silences of workers so far
 	instanceCrashes  map[string]time.Duration // steady time of the newest crash of each instance's workers
 	arrivals         arrivals
--- a/internal/jobs/pool/probation.go
+++ b/internal/jobs/pool/probation.go
@@ -44,14 +44,19 @@
 // recordCrash records a crash under a run of a task, which may give up the task's job.
 func (p *Pool) recordCrash(at Moment, r *run) {
 	t, e := r.task, r.job
-	t.Crash.Add(job.Crash{
-		Instance: r.host.instance(), From: r.loss.survived, Until: r.loss.until, Suspect: r.loss.youngest,
-		Certain: r.loss.certain, Alone: r.loss.onProbation,
-	})
+	t.Crash.Add(r.crash())
 	e.suspected = e.suspected || t.Crash.Suspected
 	p.giveUpCulprit(at, r)
 }
 
+// crash returns what a crash of a lost run's worker says of its task.
+func (r *run) crash() job.Crash {
+	return job.Crash{
+		Instance: r.host.instance(), From: r.loss.survived, Until: r.loss.until, Suspect: r.loss.youngest,
+		Certain: r.loss.certain, Alone: r.loss.onProbation,
+	}
+}
+
 // giveUpCulprit gives up the job of a lost run's task if the task crashes workers.
 func (p *Pool) giveUpCulprit(at Moment, r *run) {
 	t, e := r.task, r.job
@@ -66,13 +71,14 @@
 	p.endJob(at, e)
 }
 
-// showsCulprit reports whether the loss of a run's worker shows that its task crashes workers.
+// showsCulprit reports whether the loss of a run's worker shows that its task crashes workers. Presumed crashes add to the
+// others, but never replace those that have to be certain.
 func (r *run) showsCulprit() bool {
 	c := &r.task.Crash
 	if c.Certain < certainCrashes {
 		return false
 	}
-	if !r.step.LongRunning && c.Crashes >= crashLimit {
+	if !r.step.LongRunning && c.Total() >= crashLimit {
 		return true
 	}
 	return r.loss.onProbation && r.loss.youngest && c.Strikes >= r.strikeLimit()
--- a/internal/jobs/pool/restore.go
+++ b/internal/jobs/pool/restore.go
@@ -31,6 +31,7 @@
 		e := p.add(at, j)
 		e.stored = j.State
 		p.restoreRuns(at, e)
+		p.restoreLosses(at, e)
 		if s.Cancelled {
 			p.Cancel(at, j.Spec.ID)
 		}
@@ -55,26 +56,43 @@
 	}
 }
 
-// restoreRuns adds the runs that the log records to the workers' run tables, with an indeterminate outcome.
+// restoreRuns adds the runs that the log records to the workers' run tables.
 func (p *Pool) restoreRuns(at Moment, e *entry) {
 	for _, o := range e.job.Occurrences {
 		for s := range o.Steps {
 			for i := range o.Steps[s] {
 				t := &o.Steps[s][i]
 				e.suspected = e.suspected || t.Crash.Suspected
-				if t.Done || !t.Placed() {
-					continue
+				if !t.Done && t.Placed() {
+					p.restoreRun(at, e, t)
 				}
-				h := p.workers[t.Worker]
-				if h == nil {
-					h = &host{info: catalog.Worker{ID: t.Worker}, runs: map[worker.Run]*run{}, clockAt: at.Steady}
-					p.workers[t.Worker] = h
-				}
-				r := p.attach(e, t, h)
-				r.phase = indeterminate
-				r.began = inheritedStart
-				h.leaseEnd = max(h.leaseEnd, at.Steady+p.config.InheritedWait)
 			}
 		}
 	}
 }
+
+// restoreRun adds the newest run of a task to its worker's run table, with an indeterminate outcome.
+func (p *Pool) restoreRun(at Moment, e *entry, t *job.Task) {
+	on := job.Incarnation{Worker: t.Worker}
+	if t.Crash.Newest.Worker == t.Worker {
+		on = t.Crash.Newest
+	}
+	h := p.inheritedHost(at, on)
+	r := p.attach(e, t, h)
+	r.phase = indeterminate
+	r.began = inheritedStart
+	h.leaseEnd = max(h.leaseEnd, at.Steady+p.config.InheritedWait)
+}
+
+// inheritedHost returns a worker that an earlier owner knew.
+func (p *Pool) inheritedHost(at Moment, on job.Incarnation) *host {
+	h := p.workers[on.Worker]
+	if h == nil {
+		h = &host{info: catalog.Worker{ID: on.Worker}, runs: map[worker.Run]*run{}, clockAt: at.Steady}
+		p.workers[on.Worker] = h
+	}
+	if !h.listed && on.Instance != "" && on.StartedAt.After(h.startedAt) {
+		h.info.Instance, h.startedAt = on.Instance, on.StartedAt
+	}
+	return h
+}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -70,6 +70,9 @@
 // place creates a run on a worker. Its order is sent once the run is stored.
 func (p *Pool) place(at Moment, e *entry, t *job.Task, h *host) *run {
 	e.job.Start(t, h.info.ID)
+	if !t.Crash.Empty() {
+		t.Crash.Newest = h.incarnation()
+	}
 	r := p.attach(e, t, h)
 	r.phase = storing
 	r.stepTimes, r.chosen = e.stepTimesOf(at, t.Name.Occurrence, t.Name.Step), at.Steady
@@ -320,7 +323,7 @@
 	if current {
 		p.recordLostRun(at, r, described.Cause)
 	}
-	described.Crashes = t.Crash.Crashes
+	described.Crashes = t.Crash.Total()
 	p.config.Observer.Ended(&e.job.Spec, described)
 	p.learn(at, r, end.Outcome)
 	if !current {
--- a/internal/jobs/pool/silence.go
+++ b/internal/jobs/pool/silence.go
@@ -51,7 +51,7 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(h.open.runs, func(r *run) bool { return r.shownAt > 0 })
+	return slices.ContainsFunc(h.open.runs, func(r *run) bool { return r.loss.certain })
 }
 
 // EndGone ends the runs of workers that their instances no longer have, given the numbers of the silences after which
