machines: Let only several fresh lists prove that an instance has left

Cause: an instance that the newest list lacked was stored as maintained. That list may be older than the wave, its pages are not read at one moment, and the stored set was never revised. The same absence dropped instances from the count of those that are down (LIMIT) and ended drains and moves.

Change: an instance has left once three lists in a row lack it, requested after the question came up, the newest at most 2 s old, or once an upkeep is answered with 400. That is never stored. A wave that ended without an instance goes on when it is back.

--- a/internal/jobs/machines/order.go
+++ b/internal/jobs/machines/order.go
@@ -71,8 +71,18 @@
 	case !errors.As(err, &refused):
 		o.autoscaler.config.Logger.Warn("order for an instance got no answer", zap.Error(err))
 		return Unanswered
-	case refused.Reason == worker.Invalid || refused.Reason == worker.NotInWave:
+	case refused.Reason == worker.NotInWave:
 		return Forbidden
+	case refused.Reason == worker.Invalid:
+		return o.invalid()
 	}
 	return Refused
 }
+
+// invalid returns the outcome of an order that names no instance that it can be for.
+func (o *order) invalid() Outcome {
+	if _, maintains := o.action.(MaintainAction); maintains {
+		return NoInstance
+	}
+	return Forbidden
+}
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -103,6 +103,7 @@
 
 // Planner decides which instances move and which are maintained.
 type Planner struct {
+	presence       presence
 	waves          map[int]*wave
 	draining       map[string]drainGoal
 	transit        map[string]transit
@@ -119,7 +120,7 @@
 // NewPlanner returns a planner without waves.
 func NewPlanner() *Planner {
 	return &Planner{
-		waves: map[int]*wave{}, draining: map[string]drainGoal{}, transit: map[string]transit{},
+		presence: newPresence(), waves: map[int]*wave{}, draining: map[string]drainGoal{}, transit: map[string]transit{},
 		demands: map[string]*demand{}, forbidden: map[[2]string]bool{}, cooldownUntil: map[string]time.Duration{}, inheritedUntil: map[string]time.Duration{},
 		retired: map[string]retirement{}, hosted: map[string]hostedWorker{},
 	}
@@ -156,6 +157,7 @@
 		typical: typicalOf(in.Instances),
 	}
 	r.index()
+	r.presence.record(in.Listed, in.Instances)
 	r.settle()
 	r.planWaves()
 	r.planSizes()
@@ -182,9 +184,10 @@
 }
 
 // settle drops orders whose effect the list shows or that timed out, drains of instances that have left their pool,
-// and retired workers after retiredTTL.
+// retired workers after retiredTTL, and what concerns instances that have left the fleet.
 func (r *round) settle() {
 	r.retireOrdered()
+	r.forgetForbidden()
 	for w, retired := range r.retired {
 		if r.Now-retired.at > retiredTTL {
 			delete(r.retired, w)
@@ -194,15 +197,16 @@
 		m := r.byName[name]
 		switch {
 		case t.sent:
-		case m == nil, r.Now-t.since > transitTimeout:
+		case r.Now-t.since > transitTimeout, r.hasLeft(name, t.since):
 			delete(r.transit, name)
-		case r.Listed > t.since && m.State == catalog.Up && m.Pool == t.pool:
+		case m != nil && r.Listed > t.since && m.State == catalog.Up && m.Pool == t.pool:
 			delete(r.transit, name)
 		}
 	}
 	for name, g := range r.draining {
 		m := r.byName[name]
-		if m == nil || m.Pool != g.pool && !r.inTransit(name) {
+		hasMoved := m != nil && m.Pool != g.pool && !r.inTransit(name)
+		if hasMoved || r.hasLeft(name, g.since) {
 			delete(r.draining, name)
 		}
 	}
@@ -251,13 +255,14 @@
 const (
 	Unanswered Outcome = iota // the order may have been carried out, or may still be
 	Completed
-	Refused   // the order may succeed later
-	Forbidden // the order can never succeed
+	Refused    // the order may succeed later
+	Forbidden  // the order can never succeed; of a move also that there is no such instance
+	NoInstance // there is no such instance to maintain
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"unanswered", "completed", "refused", "forbidden"}[o]
+	return [...]string{"unanswered", "completed", "refused", "forbidden", "no such instance"}[o]
 }
 
 // RecordMove applies the outcome of a MoveAction.
@@ -268,7 +273,7 @@
 		p.retire(now, a.Worker)
 		p.transit[a.Instance] = transit{pool: a.Pool, since: now}
 		return
-	case Forbidden:
+	case Forbidden, NoInstance:
 		p.forbidden[[2]string{a.Instance, a.Pool}] = true
 	case Refused:
 		p.cooldownUntil[a.Instance] = now + refusalBackoff
--- a/internal/jobs/machines/planner_test.go
+++ b/internal/jobs/machines/planner_test.go
@@ -209,8 +209,8 @@
 		}
 		f.complete(plan)
 	}
-	if done, all := f.planner.Done(1); !all {
-		t.Errorf("%d of %d instances were maintained", len(done), len(names))
+	if p := f.planner.Progress(1); !p.Complete || len(p.Done) != len(names) {
+		t.Errorf("%d of %d instances were maintained", len(p.Done), len(names))
 	}
 	for name, n := range count {
 		if n != 1 {
--- a/internal/jobs/machines/record.go
+++ b/internal/jobs/machines/record.go
@@ -116,13 +116,16 @@
 	a.finished[w.Number] = w.Finished
 }
 
-// addWave adds a wave to the planner and publishes that the wave is running.
+// addWave adds a wave to the planner and publishes that the wave is running, unless its end is published. A wave that has
+// ended without some of its instances goes on if one of them is back.
 func (a *Autoscaler) addWave(ctx context.Context, now time.Duration, w catalog.Wave) {
-	if _, known := a.planner.waves[w.Number]; known || a.finished[w.Number] {
+	if _, known := a.planner.waves[w.Number]; known {
 		return
 	}
 	a.planner.AddWave(now, w, a.stored[w.Number])
-	a.publish(ctx, w.Number, false)
+	if !a.finished[w.Number] {
+		a.publish(ctx, w.Number, false)
+	}
 }
 
 func (a *Autoscaler) publish(ctx context.Context, number int, done bool) bool {
@@ -138,22 +141,23 @@
 	return true
 }
 
-// report stores the progress of the waves and publishes the end of those that are complete.
+// report stores the progress of the waves and publishes the end of those that are complete, or that one goes on.
 func (a *Autoscaler) report(ctx context.Context) error {
 	for _, number := range a.planner.Waves() {
-		done, all := a.planner.Done(number)
-		if len(done) > a.done[number] {
-			if err := a.store(ctx, waveRecord{Number: number, Done: done}); err != nil {
-				return err
-			}
-			a.done[number] = len(done)
+		progress := a.planner.Progress(number)
+		changed := len(progress.Done) > a.done[number]
+		finished := a.finished[number]
+		if (!finished && progress.Complete || finished && progress.Returned) && a.publish(ctx, number, !finished) {
+			a.finished[number] = !finished
+			changed = true
+		}
+		if !changed {
+			continue
 		}
-		if all && !a.finished[number] && a.publish(ctx, number, true) {
-			if err := a.store(ctx, waveRecord{Number: number, Done: done, Finished: true}); err != nil {
-				return err
-			}
-			a.finished[number] = true
+		if err := a.store(ctx, waveRecord{Number: number, Done: progress.Done, Finished: a.finished[number]}); err != nil {
+			return err
 		}
+		a.done[number] = len(progress.Done)
 	}
 	return nil
 }
--- a/internal/jobs/machines/wave.go
+++ b/internal/jobs/machines/wave.go
@@ -13,7 +13,9 @@
 	catalog.Wave
 	instances    id.Set[string] // all instances of the wave
 	began        time.Duration
-	done         id.Set[string]
+	done         id.Set[string]           // maintained instances, and those that the platform's wave does not have
+	left         id.Set[string]           // other instances that are known to have left the fleet, until they are back
+	returned     bool                     // an instance that is still to be maintained is listed
 	down         map[string]time.Duration // instances taken down, with the time of the order
 	firstWorkers map[string]string        // worker whose incarnation the first order for the instance was to end
 	waitReasons  map[string]string        // what each pending instance waits for
@@ -24,7 +26,7 @@
 	if _, known := p.waves[w.Number]; known {
 		return
 	}
-	p.waves[w.Number] = &wave{Wave: w, instances: id.NewSet(w.Instances...), began: now, done: id.NewSet(done...), down: map[string]time.Duration{}, firstWorkers: map[string]string{}, waitReasons: map[string]string{}}
+	p.waves[w.Number] = &wave{Wave: w, instances: id.NewSet(w.Instances...), began: now, done: id.NewSet(done...), left: id.Set[string]{}, down: map[string]time.Duration{}, firstWorkers: map[string]string{}, waitReasons: map[string]string{}}
 }
 
 // DropWave removes a wave that was withdrawn.
@@ -40,18 +42,27 @@
 	return numbers
 }
 
-// Done returns the maintained instances of a wave, and whether none is pending.
-func (p *Planner) Done(number int) ([]string, bool) {
+// WaveProgress is how far a wave has come.
+type WaveProgress struct {
+	Done     []string // maintained instances, sorted
+	Complete bool     // none is pending; those that have left the fleet are not
+	Returned bool     // one that is pending is listed, such as one that had left
+}
+
+// Progress returns how far a wave has come.
+func (p *Planner) Progress(number int) WaveProgress {
 	w, ok := p.waves[number]
 	if !ok {
-		return nil, false
+		return WaveProgress{}
 	}
 	var names []string
 	for name := range w.done {
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	return names, len(w.pending()) == 0
+	pending := w.pending()
+	staying := slices.ContainsFunc(pending, func(name string) bool { return !w.left.Has(name) })
+	return WaveProgress{Done: names, Complete: !staying, Returned: w.returned}
 }
 
 func (w *wave) pending() []string {
@@ -80,6 +91,12 @@
 		w.done.Add(a.Instance)
 		delete(w.down, a.Instance)
 		delete(p.draining, a.Instance)
+	case NoInstance:
+		p.presence.recordNone(now, a.Instance)
+		delete(w.down, a.Instance)
+		delete(w.firstWorkers, a.Instance)
+		delete(p.draining, a.Instance)
+		p.cooldownUntil[a.Instance] = now + refusalBackoff
 	case Refused:
 		delete(w.down, a.Instance)
 		delete(w.firstWorkers, a.Instance)
@@ -123,26 +140,33 @@
 func (r *round) planWave(w *wave) {
 	for name, since := range w.down {
 		m := r.byName[name]
-		if m == nil || m.State == catalog.Up && r.Listed > since+minDown {
+		isUp := m != nil && m.State == catalog.Up && r.Listed > since+minDown
+		if isUp || m == nil && r.hasLeft(name, since) {
 			delete(w.down, name)
 		}
 	}
 	down := r.countDown(w)
 	free := max(1, w.AtOnce) - down
 	draining := 0
-	w.waitReasons = map[string]string{}
+	w.waitReasons, w.left = map[string]string{}, id.Set[string]{}
 	var waiting []*catalog.Instance
 	for _, name := range w.pending() {
+		if r.hasLeft(name, w.began) {
+			w.left.Add(name)
+			continue
+		}
+		g, leaves := r.draining[name]
+		drains := leaves && g.wave == w.Number
+		if drains {
+			draining++
+		}
 		m := r.byName[name]
 		if m == nil {
-			if len(r.Instances) > 0 {
-				w.done.Add(name) // it has left the fleet
-			}
+			w.waitReasons[name] = "being listed"
 			continue
 		}
 		w.waitReasons[name] = "a free place in the wave"
-		if g, leaves := r.draining[name]; leaves && g.wave == w.Number {
-			draining++
+		if drains {
 			w.waitReasons[name] = "its tasks to drain"
 			if free > 0 && r.movable(m) && r.empty(m) {
 				free--
@@ -156,19 +180,22 @@
 		}
 		waiting = append(waiting, m)
 	}
+	w.returned = r.listsPending(w)
 	r.drainNext(w, waiting, max(1, w.AtOnce)-down-draining)
 }
 
 // countDown counts the instances of a wave that are down or may be: those that this autoscaler took down, those that
-// the list shows in maintenance, and those that an earlier holder recently sent orders to.
+// the list shows in maintenance or lacks without proof that they are not, and those that an earlier holder recently sent
+// orders to.
 func (r *round) countDown(w *wave) int {
 	down := len(w.down)
 	for _, name := range w.Instances {
-		m := r.byName[name]
-		if _, own := w.down[name]; own || m == nil {
+		if _, own := w.down[name]; own {
 			continue
 		}
-		if m.State == catalog.InMaintenance || r.Now < r.inheritedUntil[name] {
+		m := r.byName[name]
+		inMaintenance := m != nil && m.State == catalog.InMaintenance || m == nil && r.mayBeDown(w, name)
+		if inMaintenance || r.Now < r.inheritedUntil[name] {
 			down++
 		}
 	}
