pool: Let suspected tasks of an idle pool share its workers

Cause: one worker in four, at least one, might run suspected tasks, so that a crash takes no busy pool away from its neighbours; an idle pool met the same limit, and with up to seven workers its suspected jobs ran one after the other.

Change: in a pool whose other work needs under half of its CPU a suspected task that has waited for 2 s opens a worker of its own while these have under half of the CPU, and else shares one: any number after one crash, three after two, none after three.

--- a/internal/jobs/pool/gang.go
+++ b/internal/jobs/pool/gang.go
@@ -115,7 +115,7 @@
 		return nil
 	}
 	if t.Crash.Suspected {
-		return p.hostForSuspect(at, it, step, hosts, o)
+		return p.hostForSuspect(at, it, t, hosts, o)
 	}
 	return p.hostFor(it, step, hosts, o)
 }
--- a/internal/jobs/pool/isolation.go
+++ b/internal/jobs/pool/isolation.go
@@ -5,121 +5,10 @@
 	"math"
 	"slices"
 	"time"
-
-	"marigoldshed.example/marigoldshed/internal/jobs/job"
-)
-
-// Limits for the wait of a suspected task for a worker of its own.
-const (
-	isolationTimeout  = 4 * time.Second        // then any of the workers kept free for suspected tasks will do
-	isolationRequest  = 300 * time.Millisecond // then the pool asks for one more worker
-	isolationFraction = 8                      // at most one of so many workers is kept free for suspected tasks
-	probationFraction = 4                      // at most one of so many workers runs suspected tasks alone
 )
 
-// hasSuspects reports whether a suspected task of a step waits for a run.
-func (it *item) hasSuspects() bool {
-	if !it.entry.suspected {
-		return false
-	}
-	return slices.ContainsFunc(it.occurrence.Steps[it.step], func(t job.Task) bool { return t.Waiting() && t.Crash.Suspected })
-}
-
-// countSuspects counts the suspected tasks of the step that wait for a run.
-func (it *item) countSuspects() int {
-	count := 0
-	tasks := it.occurrence.Steps[it.step]
-	for i := range tasks {
-		if tasks[i].Waiting() && tasks[i].Crash.Suspected {
-			count++
-		}
-	}
-	return count
-}
-
-// placeSuspects starts the suspected tasks of a step on workers of their own.
-func (p *Pool) placeSuspects(at Moment, it *item, hosts []*host, o *offer) {
-	step := &it.entry.job.Spec.Steps[it.step]
-	tm := p.team(it.entry.job.Spec.Team)
-	tasks := it.occurrence.Steps[it.step]
-	for i := range tasks {
-		t := &tasks[i]
-		if !t.Waiting() || !t.Crash.Suspected || isHeld(step, t) {
-			continue
-		}
-		if !tm.admits(fullNeed(step)) {
-			return
-		}
-		h := p.hostForSuspect(at, it, step, hosts, o)
-		if h == nil {
-			it.entry.recordUnisolated(at)
-			return
-		}
-		p.place(at, it.entry, t, h)
-	}
-	it.entry.suspectSince = 0
-}
-
-// recordUnisolated records that a suspected task of a job has found no worker.
-func (e *entry) recordUnisolated(at Moment) {
-	if e.suspectSince == 0 {
-		e.suspectSince = at.Steady
-	}
-}
-
-// hostForSuspect returns a worker for a suspected task, or nil if it has to wait: an empty or quarantined one, or after
-// isolationTimeout any of those that are kept free for suspected tasks, on which other runs, such as long-running ones, may
-// not have ended yet.
-func (p *Pool) hostForSuspect(at Moment, it *item, step *job.Step, hosts []*host, o *offer) *host {
-	since := it.entry.suspectSince
-	expired := since > 0 && at.Steady-since > isolationTimeout
-	need := needOf(step)
-	var best *host
-	for _, h := range hosts {
-		if !h.free().Covers(need) || !h.info.Has(step.Label) || !h.allowsAnother(it, step) {
-			continue
-		}
-		if !h.isQuarantine(it.entry) && (!expired || !o.isolated[h] || h.onProbation > 0) {
-			continue
-		}
-		if h.onProbation > 0 {
-			return h // with suspected tasks of the same job
-		}
-		if best == nil || p.compareForSuspect(at, it.entry, h, best) < 0 {
-			best = h
-		}
-	}
-	lasts := expired && step.LongRunning // its users are without it, and a probation may take maxProbation
-	if best != nil && !lasts && o.countOnProbation(it.entry) >= max(1, len(o.hosts)/probationFraction) {
-		return nil
-	}
-	return best
-}
-
-// countOnProbation counts the workers that run suspected tasks of jobs other than the given one alone.
-func (o *offer) countOnProbation(except *entry) int {
-	count := 0
-	for _, h := range o.hosts {
-		for _, r := range h.runs {
-			if r.onProbation && r.job != except {
-				count++
-				break
-			}
-		}
-	}
-	return count
-}
-
-// isQuarantine reports whether a worker has no runs but those of the given job, and of tasks that were suspected and have
-// outlived their probation.
-func (h *host) isQuarantine(e *entry) bool {
-	for _, r := range h.runs {
-		if r.job != e && (r.onProbation || !r.cleared) {
-			return false
-		}
-	}
-	return true
-}
+// isolationFraction: at most one of so many workers is kept free for suspected tasks.
+const isolationFraction = 8
 
 // compareForSuspect orders workers for a suspected task of a job, or of any job if that is nil: first those that run nothing of other jobs, then those whose
 // crash could be put down to nothing else, on instances that have not crashed lately, then those whose crash would cost
@@ -185,6 +74,7 @@
 	if len(steps) == 0 {
 		return
 	}
+	o.idle = isIdle(items, o.hosts)
 	safest := slices.Clone(o.hosts)
 	slices.SortStableFunc(safest, func(a, b *host) int { return p.compareForSuspect(at, nil, a, b) })
 	limit := max(1, len(o.hosts)/isolationFraction)
--- a/internal/jobs/pool/offer.go
+++ b/internal/jobs/pool/offer.go
@@ -13,6 +13,7 @@
 	hosts         []*host        // fullest first
 	reserved      map[*host]bool // kept free for long-running tasks that could not be placed yet
 	isolated      map[*host]bool // kept free for suspected tasks
+	idle          bool           // the work that is not suspected needs under half of the workers; false if none is suspected
 	unplacedNeeds []catalog.Resources
 }
 
