pool: Allow for clocks that are off when an ended job is taken over

Cause: the end of a job is stored with one owner's time of day, and a successor took the job's age from its own; both may be off, by max_skew_ms, in opposite directions.

Change: the age counts as twice that less; the platform's settings say how much it is.

--- a/internal/jobs/pool/restore.go
+++ b/internal/jobs/pool/restore.go
@@ -38,8 +38,11 @@
 	}
 }
 
+// restoreEnded takes over an ended job for what is certainly left of its retention time: the end has the time of day of the
+// owner that saw it, and both times of day may be off, in opposite directions.
 func (p *Pool) restoreEnded(at Moment, j *job.Job) {
-	left := p.config.Retention - min(max(0, at.Wall.Sub(j.Ended)), p.config.Retention)
+	age := at.Wall.Sub(j.Ended) - 2*p.config.MaxSkew
+	left := p.config.Retention - min(max(0, age), p.config.Retention)
 	e := &entry{job: j, stored: j.State, arrived: at.Steady, rescues: map[job.Name]int{}, dropAt: at.Steady + left}
 	p.jobs[j.Spec.ID] = e
 	p.restoreRuns(at, e)
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -40,6 +40,7 @@
 	Lease             time.Duration // how long a worker keeps running tasks without a renewal
 	MaxLease          time.Duration // longest lease that a worker grants, 0 if unknown
 	Retention         time.Duration
+	MaxSkew           time.Duration // how far a time of day may be from the true one, 0 if unknown
 	CancelTimeout     time.Duration // time after the acknowledgement of a cancellation after which no task of the job starts, 0 if unknown
 	EvacuationTimeout time.Duration // time after an evacuation after which no task starts in the data centre, 0 if unknown
 	RemoteSlowdown    float64       // factor by which a task takes longer away from its data
@@ -193,6 +194,7 @@
 		Name: s.config.Pool, Fence: s.claim.Epoch(), Lease: s.config.Settings.Lease, MaxLease: s.config.Settings.MaxLease,
 		InheritedWait:  s.inheritedWait(),
 		Retention:      s.config.Settings.Retention,
+		MaxSkew:        s.config.Settings.MaxSkew,
 		RemoteSlowdown: s.config.Settings.RemoteSlowdown,
 		Observer:       s.config.Observer,
 	})
