shard, pool, instance: Wait once for unseen runs across handovers

Cause: an owner that took a pool over by a handover waited a whole lease for runs that its predecessor had never seen, as if that one had granted leases everywhere; and a pool was handed over to balance the load while its owner still waited.

Change: a stopping owner stores on which workers with runs it has granted no lease; runs there are waited for only for what is left.

--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -36,6 +36,7 @@
 	clockAt     time.Duration
 	newestClock time.Duration // highest reading of its clock in an answer of this incarnation
 	leaseEnd    time.Duration // when all its runs have certainly expired unless renewed
+	leased      bool          // this owner may have granted it a lease
 	lastEnd     int64         // number of the newest applied end; numbering restarts with each incarnation
 	storedEnd   int64         // ends up to this number are stored
 	ackedEnd    int64         // ends up to this number were acknowledged to the worker
@@ -78,6 +79,20 @@
 func (h *host) extendLease(now, lease time.Duration) {
 	drift := time.Duration(ClockDrift * float64(lease) * 1.1)
 	h.leaseEnd = max(h.leaseEnd, now+lease+drift+leaseSlack)
+	h.leased = true
+}
+
+// Unleased returns the workers on which this owner knows runs and to which it has granted no lease: their runs were all ordered
+// by earlier owners.
+func (p *Pool) Unleased() []string {
+	var names []string
+	for name, h := range p.workers {
+		if len(h.runs) > 0 && !h.leased {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
 }
 
 func (h *host) free() catalog.Resources { return h.info.Capacity.Sub(h.used) }
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -22,6 +22,8 @@
 	Lease          time.Duration // how long a worker keeps its runs without a renewal
 	MaxLease       time.Duration // longest lease that a worker accepts, 0 if unknown
 	InheritedWait  time.Duration // after a change of owner, how long an unseen run may continue
+	Unleased       []string      // workers to which the previous owner had granted no lease
+	UnleasedWait   time.Duration // how long an unseen run on one of these may continue
 	Retention      time.Duration // how long an ended job can be queried
 	MaxSkew        time.Duration // how far a time of day may be from the true one, 0 if unknown
 	RemoteSlowdown float64       // factor by which a task takes longer away from its data, 0 if unknown
--- a/internal/jobs/pool/restore.go
+++ b/internal/jobs/pool/restore.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"slices"
+
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
@@ -84,7 +86,11 @@
 	r := p.attach(e, t, h)
 	r.phase = indeterminate
 	r.began = inheritedStart
-	h.leaseEnd = max(h.leaseEnd, at.Steady+p.config.InheritedWait)
+	wait := p.config.InheritedWait
+	if slices.Contains(p.config.Unleased, t.Worker) {
+		wait = p.config.UnleasedWait
+	}
+	h.leaseEnd = max(h.leaseEnd, at.Steady+wait)
 }
 
 // inheritedHost returns a worker that an earlier owner knew.
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -90,6 +91,7 @@
 
 	previousTerm    *term          // term of the previous owner, nil if there was none
 	inheritedUntil  time.Duration  // steady time until which unreported runs of earlier owners may still run; 0 once it has passed
+	settled         atomic.Bool    // whether inheritedUntil has passed
 	termStored      bool           // whether this owner's term is stored
 	inFlight        sync.WaitGroup // orders and batches in flight
 	writer          stream.Writer
@@ -193,6 +195,8 @@
 	s.pool = pool.New(pool.Config{
 		Name: s.config.Pool, Fence: s.claim.Epoch(), Lease: s.config.Settings.Lease, MaxLease: s.config.Settings.MaxLease,
 		InheritedWait:  s.inheritedWait(),
+		Unleased:       s.previousTerm.unleased(),
+		UnleasedWait:   s.previousTerm.unleasedWait(),
 		Retention:      s.config.Settings.Retention,
 		MaxSkew:        s.config.Settings.MaxSkew,
 		RemoteSlowdown: s.config.Settings.RemoteSlowdown,
--- a/internal/jobs/shard/term.go
+++ b/internal/jobs/shard/term.go
@@ -24,6 +24,26 @@
 	Holder        string        `cbor:"1,keyasint"`
 	InheritedWait time.Duration `cbor:"2,keyasint,omitempty"` // how long unreported runs of earlier owners may still run, from the time of the record
 	Stopped       bool          `cbor:"3,keyasint,omitempty"` // whether the owner has stopped sending orders
+	Unleased      []string      `cbor:"4,keyasint,omitempty"` // of a stopped owner, workers with runs to which it had granted no lease
+}
+
+// maxUnleased is the most workers that a term names, so that its record does not get too long.
+const maxUnleased = 1000
+
+// unleased returns the workers to which a stopped owner had granted no lease, or nil if there was none.
+func (t *term) unleased() []string {
+	if t == nil || !t.Stopped {
+		return nil
+	}
+	return t.Unleased
+}
+
+// unleasedWait returns how long unreported runs on the workers that unleased returns may still run.
+func (t *term) unleasedWait() time.Duration {
+	if t == nil {
+		return 0
+	}
+	return t.InheritedWait
 }
 
 func (t term) record() (stream.Record, error) {
@@ -47,7 +67,8 @@
 // inheritedWait returns how long an unreported run of an earlier owner may still run: the last lease that the owner
 // granted, after the ownerTimeout for which it may send orders unaware of this claim. The ownerTimeout does not apply when
 // the previous owner has stopped or was an earlier process of this instance; the wait then lasts at least as long as the
-// wait that this owner has recorded for the owners before it.
+// wait that this owner has recorded for the owners before it. A run on a worker to which the previous owner had granted no
+// lease may run for the latter only.
 func (s *Shard) inheritedWait() time.Duration {
 	lease := time.Duration(float64(s.config.Settings.Lease)*(1+2*pool.ClockDrift)) + inheritedSlack
 	if t := s.previousTerm; t != nil && (t.Stopped || t.Holder == s.config.Holder) {
@@ -71,17 +92,25 @@
 		return nil
 	}
 	s.inheritedUntil = 0
+	s.settled.Store(true)
 	r, err := term{Holder: s.config.Holder}.record()
 	s.pendingRecords = append(s.pendingRecords, r)
 	return err
 }
 
+// IsSettled reports whether this owner knows all runs of the pool: none that it has not seen can still be running. A
+// handover before that makes the next owner wait for them in its turn.
+func (s *Shard) IsSettled() bool { return s.settled.Load() }
+
 // close stores that this owner has stopped. Without that record a successor waits longer.
 func (s *Shard) close(ctx context.Context) {
 	s.inFlight.Wait()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer cancel()
 	t := term{Holder: s.config.Holder, Stopped: true}
+	if unleased := s.pool.Unleased(); len(unleased) <= maxUnleased {
+		t.Unleased = unleased
+	}
 	if s.inheritedUntil > 0 {
 		t.InheritedWait = max(0, s.inheritedUntil-s.config.Clock.Moment().Steady)
 	}
--- a/internal/jobs/shard/term_test.go
+++ b/internal/jobs/shard/term_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
 
 // TestInheritedWait checks how long a new owner waits for unreported runs, depending on whether the earlier owners have
@@ -103,3 +106,57 @@
 		}
 	})
 }
+
+// TestHandoversDoNotLengthenTheWait guards against review/8 (LOST): each owner that took over a pool by a handover waited a
+// whole lease for runs that its predecessor had never seen either, so tasks of lost workers started again later and later.
+func TestHandoversDoNotLengthenTheWait(t *testing.T) {
+	const whole, slack = 8660 * time.Millisecond, 1500 * time.Millisecond // slack for the handovers and the start
+	tests := []struct {
+		name  string
+		lasts []time.Duration // terms of the owners that hand the pool over
+	}{
+		{"no handover", nil},
+		{"a handover soon after the takeover", []time.Duration{time.Second}},
+		{"a handover shortly before the end of the wait", []time.Duration{6 * time.Second}},
+		{"handovers in a row", []time.Duration{2 * time.Second, 2 * time.Second, 3 * time.Second}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer time.Sleep(time.Second) // until all goroutines have ended
+				defer cancel()
+				log, p := newFakeLog(), newFakeCluster("far", "near")
+				first := newOwnerNetwork(log, p, "far")
+				o := start(ctx, first.shard("a"))
+				if err := o.shard.Submit(ctx, longJob()); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(2200 * time.Millisecond)
+				p.mu.Lock()
+				p.workers["far"].gone = true
+				p.mu.Unlock()
+				first.kill()
+				takenOver := time.Since(p.startedAt)
+				for i, lasts := range test.lasts {
+					during, stop := context.WithCancel(ctx)
+					o = start(during, newOwnerNetwork(log, p, "near").shard(string(rune('b'+i))))
+					time.Sleep(lasts)
+					stop()
+					t.Log(<-o.err)
+				}
+				start(ctx, newOwnerNetwork(log, p, "near").shard("z"))
+				time.Sleep(20 * time.Second)
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				again, started := p.starts[worker.Run{Task: job.Name{Job: longJob().ID}, Number: 2}]
+				if waited := again - takenOver; !started || waited < whole || waited > whole+slack {
+					t.Errorf("the task of the lost worker starts %v after the first takeover, want %v to %v", waited, whole, whole+slack)
+				}
+				for _, what := range p.duplicates {
+					t.Error(what)
+				}
+			})
+		})
+	}
+}
