shard, instance, stream: Keep a record that the log never takes out of batches

A DELETE with an ID of 300 letters stopped its pool: later jobs were answered 200 and never ran.

Cause: the key of the cancellation is longer than the log takes, so the append was refused before it was sent, and the owner repeated the batch with all else in it for ever.

Change: an ID that no job may have is answered 410 at once; an owner refuses such a record from a caller, and leaves it out of a batch with a line in the log.

--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -58,6 +58,9 @@
 
 // State returns the state of a job.
 func (n *Instance) State(ctx context.Context, q catalog.Queue, name job.ID) (job.State, error) {
+	if !name.IsValid() {
+		return 0, NoJobError{Job: name}
+	}
 	state, _, err := n.locate(ctx, q, name)
 	return state, err
 }
--- a/internal/jobs/instance/cancel.go
+++ b/internal/jobs/instance/cancel.go
@@ -21,6 +21,9 @@
 // Cancel cancels a job. After a NoJobError no pool has it, and it is cancelled if it comes later; after any other error some
 // pools may keep the cancellation.
 func (n *Instance) Cancel(ctx context.Context, q catalog.Queue, name job.ID) error {
+	if !name.IsValid() {
+		return NoJobError{Job: name}
+	}
 	c := &cancellation{instance: n, queue: q, job: name}
 	err := c.run(ctx)
 	c.report(err)
--- a/internal/jobs/job/spec.go
+++ b/internal/jobs/job/spec.go
@@ -84,7 +84,7 @@
 // Check returns a SpecError when the job's ID is malformed, a value is negative or exceeds a limit, or a step depends
 // on itself or a later step.
 func (s *Spec) Check() error {
-	if !validID(s.ID) {
+	if !s.ID.IsValid() {
 		return SpecError{Field: "id", Reason: "is not 16 hexadecimal digits"}
 	}
 	if len(s.Payload) > maxPayloadBytes {
@@ -144,7 +144,8 @@
 	return nil
 }
 
-func validID(id ID) bool {
+// IsValid reports whether callers may have chosen an ID: 16 hexadecimal digits.
+func (id ID) IsValid() bool {
 	if len(id) != idDigits {
 		return false
 	}
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -154,18 +155,31 @@
 		s.fail(fatal, err)
 		return
 	}
-	if len(records)+len(s.pendingRecords) == 0 {
+	records = s.storable(append(s.pendingRecords, records...))
+	if len(records) == 0 {
+		s.pendingRecords = nil
 		s.pool.MarkEndsStored(batch)
 		return
 	}
 	s.writing, s.writeStarted = true, s.config.Clock.Moment().Steady
-	calls := s.splitCalls(append(s.pendingRecords, records...))
+	calls := s.splitCalls(records)
 	w := &write{shard: s, batch: batch, calls: calls, callers: s.callers, writer: s.writer, queuedAt: s.writeStarted}
 	s.pendingRecords, s.callers = nil, nil
 	s.writer.Sequence += int64(len(calls))
 	s.inFlight.Go(func() { w.run(ctx, fatal) })
 }
 
+// storable leaves out the records that the log never takes: repeated for ever, they would hold up all others.
+func (s *Shard) storable(records []stream.Record) []stream.Record {
+	return slices.DeleteFunc(records, func(r stream.Record) bool {
+		err := r.Check(s.recordLimit() + recordReserve)
+		if err != nil {
+			s.config.Logger.Error("left out a record that the log never takes", zap.String("pool", s.config.Pool), zap.Error(err))
+		}
+		return err != nil
+	})
+}
+
 func (s *Shard) records(batch *pool.Batch) ([]stream.Record, error) {
 	var records []stream.Record
 	for _, stored := range batch.Jobs {
--- a/internal/jobs/shard/part_test.go
+++ b/internal/jobs/shard/part_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,7 +28,7 @@
 	sum := 0
 	for _, r := range records {
 		size := recordHeader + len(r.Key) + len(r.Value)
-		if sum += size; size > l.recordBytes || sum > l.callBytes {
+		if sum += size; size > l.recordBytes || sum > l.callBytes || len(r.Key) > stream.MaxKeyBytes {
 			l.mu.Lock()
 			l.refused++
 			l.mu.Unlock()
@@ -66,6 +68,43 @@
 	}
 }
 
+// TestRecordThatTheLogNeverTakesHoldsNothingUp guards against a pool that stood still for good (found in the second review): a
+// cancellation with an ID of 300 letters was sent to the log again and again, and nothing else of the pool was stored.
+func TestRecordThatTheLogNeverTakesHoldsNothingUp(t *testing.T) {
+	long := job.ID(strings.Repeat("5", 300))
+	tests := []struct {
+		name string
+		send func(ctx context.Context, t *testing.T, log *limitedLog, s *Shard)
+	}{
+		{"from a caller", func(ctx context.Context, t *testing.T, _ *limitedLog, s *Shard) {
+			if _, err := s.Cancel(ctx, long); !errors.As(err, new(RejectedError)) {
+				t.Errorf("the cancellation is answered %v, want a RejectedError", err)
+			}
+		}},
+		{"in the intake", func(ctx context.Context, t *testing.T, log *limitedLog, _ *Shard) {
+			if _, err := log.fakeLog.Append(ctx, IntakeTable("p"), []stream.Record{CancelRecord(long)}, nil); err != nil {
+				t.Fatal(err)
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			log := &limitedLog{fakeLog: newFakeLog(), recordBytes: defaultRecordBytes, callBytes: defaultCallBytes}
+			s := newShard(log.fakeLog, &fakeWorkers{starts: map[worker.Run]int{}, log: log.fakeLog}, "a")
+			s.config.Log = log
+			start(ctx, s)
+			test.send(ctx, t, log, s)
+			time.Sleep(100 * time.Millisecond)
+			if err := s.Submit(ctx, someJob(1)); err != nil {
+				t.Fatal(err)
+			}
+			awaitCompleted(t, s, someJob(1).ID)
+		})
+	}
+}
+
 // TestProgressInPartsIsRestored checks that progress of any size is read as it was stored, also after it has become shorter.
 func TestProgressInPartsIsRestored(t *testing.T) {
 	const limit = 1000
--- a/internal/jobs/shard/submit.go
+++ b/internal/jobs/shard/submit.go
@@ -66,6 +66,9 @@
 // storeRecord runs handle on the control thread and waits until the record is stored. The record is not stored when handle
 // returns an error, and handle does not run while the log has not answered for logTimeout.
 func (s *Shard) storeRecord(ctx context.Context, r stream.Record, handle func(at pool.Moment) error) error {
+	if err := r.Check(s.recordLimit()); err != nil {
+		return RejectedError{Reason: err.Error()}
+	}
 	if err := s.awaitStarted(ctx); err != nil {
 		return RejectedError{Reason: err.Error()}
 	}
--- a/internal/jobs/stream/stream.go
+++ b/internal/jobs/stream/stream.go
@@ -15,12 +15,6 @@
 // String returns the name and the partition.
 func (t Table) String() string { return fmt.Sprintf("%s/%d", t.Name, t.Part) }
 
-// Record is one keyed record. A record without a value removes the key.
-type Record struct {
-	Key   string
-	Value []byte
-}
-
 // StoredRecord is a stored record with its offset.
 type StoredRecord struct {
 	Record
