--- a/internal/jobs/machines/presence_test.go
+++ b/internal/jobs/machines/presence_test.go
@@ -50,14 +50,8 @@
 	return nil
 }
 
-func (w *waveWorld) leave(name string) {
-	for i := range w.instances {
-		if w.instances[i].Name == name {
-			w.instances = append(w.instances[:i], w.instances[i+1:]...)
-			return
-		}
-	}
-}
+// removeNewest removes the instance that joined last.
+func (w *waveWorld) removeNewest() { w.instances = w.instances[:len(w.instances)-1] }
 
 // announce announces a wave, which the planner reads before the next list.
 func (w *waveWorld) announce(cap int, names ...string) {
@@ -195,14 +189,14 @@
 		{"it leaves before the wave", func(w *waveWorld) {
 			w.join("m6")
 			w.play(3)
-			w.leave("m6")
+			w.removeNewest()
 			w.announce(2, "m0", "m6")
 		}},
 		{"it leaves while it drains", func(w *waveWorld) {
 			w.join("m6")
 			w.announce(2, "m0", "m6")
 			w.play(1)
-			w.leave("m6")
+			w.removeNewest()
 		}},
 		{"it leaves while the service is down", func(w *waveWorld) {
 			w.join("m6")
@@ -210,7 +204,7 @@
 			w.isDown = true
 			w.announce(2, "m0", "m6")
 			w.play(10)
-			w.leave("m6")
+			w.removeNewest()
 			w.isDown = false
 		}},
 		{"it leaves during its maintenance", func(w *waveWorld) {
@@ -219,7 +213,7 @@
 			for !w.maintained["m6"] {
 				w.play(1)
 			}
-			w.leave("m6")
+			w.removeNewest()
 		}},
 	}
 	for _, test := range tests {
--- a/internal/jobs/machines/wave.go
+++ b/internal/jobs/machines/wave.go
@@ -26,7 +26,10 @@
 	if _, known := p.waves[w.Number]; known {
 		return
 	}
-	p.waves[w.Number] = &wave{Wave: w, instances: id.NewSet(w.Instances...), began: now, done: id.NewSet(done...), left: id.Set[string]{}, down: map[string]time.Duration{}, firstWorkers: map[string]string{}, waitReasons: map[string]string{}}
+	p.waves[w.Number] = &wave{
+		Wave: w, instances: id.NewSet(w.Instances...), began: now, done: id.NewSet(done...), left: id.Set[string]{},
+		down: map[string]time.Duration{}, firstWorkers: map[string]string{}, waitReasons: map[string]string{},
+	}
 }
 
 // DropWave removes a wave that was withdrawn.
@@ -137,7 +140,8 @@
 	}
 }
 
-func (r *round) planWave(w *wave) {
+// settleDown drops the instances of a wave that are up again or have left.
+func (r *round) settleDown(w *wave) {
 	for name, since := range w.down {
 		m := r.byName[name]
 		isUp := m != nil && m.State == catalog.Up && r.Listed > since+minDown
@@ -145,14 +149,29 @@
 			delete(w.down, name)
 		}
 	}
+}
+
+// settleLeft records which pending instances of a wave are known to have left, and whether one that stays is listed.
+func (r *round) settleLeft(w *wave) {
+	w.left = id.Set[string]{}
+	for _, name := range w.pending() {
+		if r.hasLeft(name, w.began) {
+			w.left.Add(name)
+		}
+	}
+	w.returned = r.listsPending(w)
+}
+
+func (r *round) planWave(w *wave) {
+	r.settleDown(w)
+	r.settleLeft(w)
 	down := r.countDown(w)
 	free := max(1, w.AtOnce) - down
 	draining := 0
-	w.waitReasons, w.left = map[string]string{}, id.Set[string]{}
+	w.waitReasons = map[string]string{}
 	var waiting []*catalog.Instance
 	for _, name := range w.pending() {
-		if r.hasLeft(name, w.began) {
-			w.left.Add(name)
+		if w.left.Has(name) {
 			continue
 		}
 		g, leaves := r.draining[name]
@@ -180,7 +199,6 @@
 		}
 		waiting = append(waiting, m)
 	}
-	w.returned = r.listsPending(w)
 	r.drainNext(w, waiting, max(1, w.AtOnce)-down-draining)
 }
 
--- a/internal/jobs/pool/open_loss_test.go
+++ b/internal/jobs/pool/open_loss_test.go
@@ -19,16 +19,16 @@
 	t.Helper()
 	w := &openLossWorld{simulation: newSimulation(1, 4), task: job.Name{Job: "0000000000000001"}}
 	w.takeOver()
-	w.simulation.run(time.Second)
+	w.run(time.Second)
 	spec := shortJob(1)
 	spec.Steps[0].Estimate = 20 * time.Second
 	w.submit(string(w.task.Job), spec)
 	w.work[w.task] = 10 * time.Minute
-	w.simulation.run(2 * time.Second)
+	w.run(2 * time.Second)
 	w.lost = w.workers[w.workerOf[w.task]]
 	w.lost.disconnected = true
 	w.after(testLease, func() { w.lost.unlisted = true })
-	w.simulation.run(10 * time.Second)
+	w.run(10 * time.Second)
 	if c := w.record(); c.Total() != 1 || c.Crashes != 0 {
 		t.Fatalf("%d crashes, %d of them certain, want one that is presumed", c.Total(), c.Crashes)
 	}
@@ -63,7 +63,7 @@
 			w.owners[len(w.owners)-1].askInstances(300 * time.Millisecond)
 		}, 1, 1},
 		{"the instance is moved", retires, 0, 0},
-		{"the time to learn the cause is over", func(w *openLossWorld) { w.simulation.run(w.now + openLossTTL) }, 0, 0},
+		{"the time to learn the cause is over", func(w *openLossWorld) { w.run(w.now + openLossTTL) }, 0, 0},
 		{"the instance was moved shortly before a takeover", func(w *openLossWorld) {
 			o := w.owners[len(w.owners)-1]
 			next := New(o.pool.config)
@@ -79,10 +79,10 @@
 				w := newOpenLossWorld(t)
 				for range successors {
 					w.takeOver()
-					w.simulation.run(w.now + 200*time.Millisecond)
+					w.run(w.now + 200*time.Millisecond)
 				}
 				test.script(w)
-				w.simulation.run(w.now + 5*time.Second)
+				w.run(w.now + 5*time.Second)
 				if c := w.record(); c.Total() != test.total || c.Crashes != test.certain {
 					t.Errorf("after %d takeovers %d crashes, %d of them certain, want %d and %d", successors, c.Total(), c.Crashes, test.total, test.certain)
 				}
@@ -100,10 +100,10 @@
 	cut := map[string]bool{w.lost.id: true}
 	for len(cut) < crashLimit {
 		w.addWorker(fmt.Sprintf("x%d", len(cut)))
-		w.simulation.run(w.now + time.Second)
+		w.run(w.now + time.Second)
 		f := w.workers[w.workerOf[w.task]]
 		f.disconnected, f.unlisted, cut[f.id] = true, true, true
-		w.simulation.run(w.now + testLease + 2*time.Second)
+		w.run(w.now + testLease + 2*time.Second)
 	}
 	if c := w.record(); c.Total() != crashLimit || c.Crashes > 0 || observer.givenUp > 0 || w.activeRuns[w.task] > 0 {
 		t.Errorf("%d crashes, %d of them certain, %d tasks given up, %d runs", c.Total(), c.Crashes, observer.givenUp, w.activeRuns[w.task])
@@ -111,7 +111,7 @@
 	for id := range cut {
 		w.workers[id].disconnected, w.workers[id].unlisted = false, false
 	}
-	w.simulation.run(w.now + 2*time.Second)
+	w.run(w.now + 2*time.Second)
 	if c := w.record(); c.Total() > 0 || observer.givenUp > 0 || w.activeRuns[w.task] != 1 {
 		t.Errorf("once the workers answer: %d crashes, %d tasks given up, %d runs", c.Total(), observer.givenUp, w.activeRuns[w.task])
 	}
