--- a/internal/jobs/instance/shard.go
+++ b/internal/jobs/instance/shard.go
@@ -28,7 +28,11 @@
 	return shard.New(shard.Config{
 		Pool: shardName, Holder: set.Name, Log: n.proxiedLog, Workers: n.config.Workers, Advisor: n.config.Advisor,
 		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(shardName, n.config.Logger), TimingObserver: n.config.Metrics.TimingObserver(shardName),
-		Settings:      shard.Settings{Lease: set.Lease(), MaxLease: set.MaxLease, Retention: set.Retention, MaxSkew: set.MaxSkew, CancelTimeout: set.CancelTimeout, EvacuationTimeout: set.EvacuationTimeout, RemoteSlowdown: set.RemoteSlowdown, RecordBytes: set.RecordBytes, CallBytes: set.CallBytes},
+		Settings: shard.Settings{
+			Lease: set.Lease(), MaxLease: set.MaxLease, Retention: set.Retention, MaxSkew: set.MaxSkew,
+			CancelTimeout: set.CancelTimeout, EvacuationTimeout: set.EvacuationTimeout, RemoteSlowdown: set.RemoteSlowdown,
+			RecordBytes: set.RecordBytes, CallBytes: set.CallBytes,
+		},
 		View:          func() shard.View { return n.view(shardName) },
 		OperatorsSeen: n.operatorsSeen,
 		Forward:       n.forward,
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -1,12 +1,9 @@
 package pool
 
 import (
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
@@ -109,36 +106,6 @@
 	}
 }
 
-// send orders the start of a stored run, or drops the run if its job has ended or its worker must not get it any more.
-func (p *Pool) send(at Moment, r *run) {
-	if !p.isUnsent(r) {
-		return
-	}
-	if r.job.job.State.Ended() || !p.mayStillStart(r) {
-		p.release(r)
-		p.touch(r.job)
-		return
-	}
-	h := r.host
-	h.extendLease(at.Steady, p.config.Lease)
-	r.phase = sending
-	r.ordered, r.revoked = at.Steady, &atomic.Bool{}
-	p.actions = append(p.actions, StartAction{To: h.target(), Decided: at.Steady, revoked: r.revoked, Start: worker.Start{
-		Run: r.id, Payload: r.job.job.Spec.Payload, Until: h.leaseUntil(at.Steady, p.config.Lease),
-		Fence: p.config.Fence, Checkpoint: r.task.Checkpoint, Ticket: p.ticketOf(r),
-	}})
-}
-
-// isUnsent reports whether a run exists and no order was sent for it.
-func (p *Pool) isUnsent(r *run) bool { return r.phase == storing && p.find(r.host.info.ID, r.id) == r }
-
-// mayStillStart reports whether what has become known of a worker since a run was placed there allows its start.
-func (p *Pool) mayStillStart(r *run) bool {
-	h := r.host
-	return !h.ended && !h.retired && !h.cordoned && !h.unresponsive && !h.info.Draining && !p.evacuated.Has(h.info.DataCentre) &&
-		h.info.Capacity.Covers(h.used)
-}
-
 // find returns a run in a worker's run table, or nil.
 func (p *Pool) find(name string, id worker.Run) *run {
 	h, ok := p.workers[name]
@@ -148,165 +115,6 @@
 	return h.runs[id]
 }
 
-// RecordStart handles the outcome of a StartAction.
-func (p *Pool) RecordStart(at Moment, a StartAction, reply worker.Reply, err error) {
-	r := p.find(a.To.ID, a.Start.Run)
-	if r == nil {
-		return
-	}
-	h := r.host
-	var refused worker.RefusedError
-	var other worker.IncarnationEndedError
-	var notSent worker.NotSentError
-	switch {
-	case err == nil:
-		if p.updateClock(at, h, reply) {
-			p.recordShown(r)
-		}
-		h.unresponsive = false
-		p.confirm(at, r)
-	case errors.As(err, &refused):
-		p.updateClock(at, h, refused.Reply)
-		p.handleRefusal(at, r, refused.Reason)
-	case errors.As(err, &notSent):
-		p.handleNotSent(at, r)
-	case errors.As(err, &other):
-		p.handleOtherIncarnation(at, h, a.To)
-		if p.find(a.To.ID, a.Start.Run) == r {
-			p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost}, Absent)
-		}
-	default:
-		h.unresponsive = true
-		p.recordUnanswered(at, h, r.ordered+answerTime)
-		r.settled = at.Steady
-		if r.phase == sending {
-			r.phase = indeterminate
-		}
-		h.nextPoll = at.Steady
-	}
-}
-
-// confirm records that a worker has the run.
-func (p *Pool) confirm(at Moment, r *run) {
-	if r.phase == sending || r.phase == indeterminate {
-		r.phase = running
-		r.settled = at.Steady
-		r.began = at.Steady
-		r.job.job.Begun = true
-		if r.id.Number == 1 && r.ordered > 0 {
-			p.recordFirstStart(at, r)
-		}
-		if r.task.Leaving {
-			p.stop(at, r) // an earlier owner may have ordered the stop already
-		}
-	}
-}
-
-// refusalBackoff is how long a worker gets no new work after it refused a start.
-const refusalBackoff = 400 * time.Millisecond
-
-// handleRefusal ends a run that a worker refused to start.
-func (p *Pool) handleRefusal(at Moment, r *run, reason worker.Reason) {
-	h := r.host
-	if reason == worker.Fenced {
-		// Another owner sends orders to this worker. If this owner has been replaced, its next write to the log will
-		// fail.
-		p.config.Observer.WorkerChanged(h.info.ID, "refused an order below its fence")
-	}
-	if reason != worker.Superseded {
-		h.avoidUntil = at.Steady + refusalBackoff
-		h.nextPoll = at.Steady
-	}
-	if reason == worker.NoTicket {
-		p.dropTicket(r)
-		h.avoidUntil = at.Steady
-	}
-	if reason == worker.Invalid {
-		r.job.job.Fail(r.task, at.Wall)
-	}
-	p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost, Checkpoint: r.task.Checkpoint}, Refused)
-}
-
-// handleNotSent ends a run whose start was not sent. The other members of a gang are stopped, since they would wait for it.
-func (p *Pool) handleNotSent(at Moment, r *run) {
-	p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost, Checkpoint: r.task.Checkpoint}, NotSent)
-	if r.step.Gang {
-		p.stopGang(at, r)
-	}
-}
-
-// stopGang stops all members of the gang of a run.
-func (p *Pool) stopGang(at Moment, r *run) {
-	for _, o := range r.job.job.Occurrences {
-		if o.Number != r.id.Task.Occurrence {
-			continue
-		}
-		tasks := o.Steps[r.id.Task.Step]
-		for i := range tasks {
-			p.stopTask(at, &tasks[i])
-		}
-	}
-}
-
-// stop ends a run that may exist.
-func (p *Pool) stop(at Moment, r *run) {
-	if r.revoked != nil {
-		r.revoked.Store(true)
-	}
-	switch r.phase {
-	case storing:
-		p.dropUnsent(r)
-		p.release(r)
-		p.touch(r.job)
-	case sending, running, indeterminate:
-		r.phase = stopping
-		p.sendStop(r)
-		r.host.nextPoll = min(r.host.nextPoll, at.Steady)
-	case stopping, stopped:
-	}
-}
-
-// dropUnsent removes a run from those that wait until they are stored or sent.
-func (p *Pool) dropUnsent(r *run) {
-	isRun := func(other *run) bool { return other == r }
-	p.unstored = slices.DeleteFunc(p.unstored, isRun)
-	p.unsent = slices.DeleteFunc(p.unsent, isRun)
-}
-
-func (p *Pool) sendStop(r *run) {
-	if r.stopSent {
-		return
-	}
-	r.stopSent = true
-	p.actions = append(p.actions, StopAction{To: r.host.target(), Run: r.id, Fence: p.config.Fence})
-}
-
-// RecordStop handles the outcome of a StopAction.
-func (p *Pool) RecordStop(at Moment, a StopAction, reply worker.Reply, err error) {
-	r := p.find(a.To.ID, a.Run)
-	if r == nil {
-		return
-	}
-	r.stopSent = false
-	var refused worker.RefusedError
-	var other worker.IncarnationEndedError
-	switch {
-	case err == nil:
-		if !p.updateClock(at, r.host, reply) {
-			return // the newest incarnation may still start the run
-		}
-		r.phase = stopped
-		r.settled = at.Steady
-		r.host.nextPoll = min(r.host.nextPoll, at.Steady)
-	case errors.As(err, &other):
-		p.handleOtherIncarnation(at, r.host, a.To)
-	case errors.As(err, &refused):
-		p.updateClock(at, r.host, refused.Reply)
-	default:
-		r.host.unresponsive = true
-	}
-}
-
 // ended applies the end of a run.
 func (p *Pool) ended(at Moment, r *run, end worker.End, cause Cause) {
 	t, e := r.task, r.job
