instance, owners, shard: Balance the load also while an owner waits for unseen runs

Cause: held back pools whose owners still wait for runs of earlier ones from balancing, and so pools that an owner is still reading.

A handover lengthens no wait any more, so it is not needed.

--- a/internal/jobs/instance/assign.go
+++ b/internal/jobs/instance/assign.go
@@ -65,12 +65,6 @@
 	}
 }
 
-// isUnsettledLocked reports whether a shard still waits for runs of its earlier owners. The caller holds the lock.
-func (n *Instance) isUnsettledLocked(shardName string) bool {
-	o, running := n.shards[shardName]
-	return running && o.shard != nil && !o.shard.IsSettled()
-}
-
 // balance hands over a shard if owners.SurplusOffer finds another instance with much less load. The caller holds the
 // lock.
 func (m *membership) balance(ctx context.Context, now time.Duration, shardNames []string) {
@@ -81,7 +75,7 @@
 	if now > m.confirmedAt+defaultTTL {
 		return // the store is unreachable: the list of live members may be stale, and a change could not be written
 	}
-	offer, ok := owners.SurplusOffer(n.self(), shardNames, n.alive, n.owners, n.isUnsettledLocked)
+	offer, ok := owners.SurplusOffer(n.self(), shardNames, n.alive, n.owners)
 	if !ok {
 		return
 	}
--- a/internal/jobs/owners/owners.go
+++ b/internal/jobs/owners/owners.go
@@ -103,22 +103,18 @@
 }
 
 // SurplusOffer returns a shard that member self should hand over to even out the load, or false. It offers a shard only
-// if, relative to weight, self owns at least as many shards as the receiver would own with two more, and only one that is
-// not held back.
-func SurplusOffer(self Member, shards []string, alive []Member, table Table, isHeldBack func(shard string) bool) (Offer, bool) {
+// if, relative to weight, self owns at least as many shards as the receiver would own with two more.
+func SurplusOffer(self Member, shards []string, alive []Member, table Table) (Offer, bool) {
 	counts := count(shards, alive, table)
 	if counts[self.Address] < 2 {
 		return Offer{}, false
 	}
 	var own []string
 	for _, shard := range shards {
-		if table[shard] == self.Address && !isHeldBack(shard) {
+		if table[shard] == self.Address {
 			own = append(own, shard)
 		}
 	}
-	if len(own) == 0 {
-		return Offer{}, false
-	}
 	slices.Sort(own)
 	shard := own[len(own)-1]
 	to, ok := leastLoaded(shard, alive, counts)
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -91,7 +90,6 @@
 
 	previousTerm    *term          // term of the previous owner, nil if there was none
 	inheritedUntil  time.Duration  // steady time until which unreported runs of earlier owners may still run; 0 once it has passed
-	settled         atomic.Bool    // whether inheritedUntil has passed
 	termStored      bool           // whether this owner's term is stored
 	inFlight        sync.WaitGroup // orders and batches in flight
 	writer          stream.Writer
--- a/internal/jobs/shard/term.go
+++ b/internal/jobs/shard/term.go
@@ -92,16 +92,11 @@
 		return nil
 	}
 	s.inheritedUntil = 0
-	s.settled.Store(true)
 	r, err := term{Holder: s.config.Holder}.record()
 	s.pendingRecords = append(s.pendingRecords, r)
 	return err
 }
 
-// IsSettled reports whether this owner knows all runs of the pool: none that it has not seen can still be running. A
-// handover before that makes the next owner wait for them in its turn.
-func (s *Shard) IsSettled() bool { return s.settled.Load() }
-
 // close stores that this owner has stopped. Without that record a successor waits longer.
 func (s *Shard) close(ctx context.Context) {
 	s.inFlight.Wait()
