pool: Keep a run that has begun late

Cause: a run whose start got no answer, and that a poll does not show, is stopped, so that it can't begin late. If it has begun all the same, the stop was repeated and ended a run at work.

Change: such a run is kept once an answer shows it; one that is stopped for another reason is not.

--- a/internal/jobs/pool/poll.go
+++ b/internal/jobs/pool/poll.go
@@ -245,6 +245,7 @@
 			continue
 		}
 		p.recordShown(r)
+		r.adopt()
 		p.confirm(at, r)
 		r.percent = reported.Percent
 		if reported.Checkpoint != "" && !r.orphaned {
@@ -289,6 +290,7 @@
 				continue
 			}
 			p.stop(at, r)
+			r.isLate = true
 		case storing, sending, stopping:
 		}
 	}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -33,6 +33,7 @@
 	settled         time.Duration // polls sent at or after this steady time prove that the run is absent if they do not show it
 	began           time.Duration // steady time of its confirmation, or inheritedStart
 	stopSent        bool          // a stop order is outstanding
+	isLate          bool          // it is being stopped only since its start may still be carried out
 	revoked         *atomic.Bool  // set when it is stopped, for a start that is decided and not yet sent
 	orphaned        bool          // unexpected: its task has another run or is done
 	percent         int           // speed in percent, as last reported
--- a/internal/jobs/pool/stop.go
+++ b/internal/jobs/pool/stop.go
@@ -26,6 +26,7 @@
 	if r.revoked != nil {
 		r.revoked.Store(true)
 	}
+	r.isLate = false
 	switch r.phase {
 	case storing:
 		p.dropUnsent(r)
@@ -39,6 +40,15 @@
 	}
 }
 
+// adopt keeps a run that was to be stopped only since its start had not been carried out, and that has begun meanwhile: its task
+// has no other run, and to end it would cost its work.
+func (r *run) adopt() {
+	if r.isLate && r.phase == stopping {
+		r.isLate = false
+		r.phase = indeterminate
+	}
+}
+
 // dropUnsent removes a run from those that wait until they are stored or sent.
 func (p *Pool) dropUnsent(r *run) {
 	isRun := func(other *run) bool { return other == r }
