--- a/internal/jobs/pool/suspect.go
+++ b/internal/jobs/pool/suspect.go
@@ -129,8 +129,8 @@
 	return best
 }
 
-// suspicion rates how much speaks against a suspected task, from 0 for one that was among the last to start on one crashed
-// worker. From doubtfulStrikeLimit on it has to be alone, so that its next crash shows whether it is the culprit.
+// suspicion rates how much speaks against a suspected task: 1 or less after one crash, and 1 more for each further one. From
+// doubtfulStrikeLimit on it has to be alone, so that its next crash shows whether it is the culprit.
 func suspicion(t *job.Task) int { return max(t.Crash.Strikes, t.Crash.Total()-1) }
 
 // mayShare reports whether a suspected task that has waited for a time may start beside the suspected tasks on a worker. Any
