--- a/internal/jobs/instance/metrics.go
+++ b/internal/jobs/instance/metrics.go
@@ -142,6 +142,11 @@
 		zap.Duration("took", took), zap.Duration("allowed", spec.Objective()), zap.Duration("chain", spec.Chain()))
 }
 
+func (o *observer) JobDropped(spec *job.Spec, state job.State, age time.Duration) {
+	o.logger.Info("job dropped", zap.String("job", string(spec.ID)), zap.String("queue", spec.Queue), zap.String("state", state.String()),
+		zap.Duration("age", age))
+}
+
 func (o *observer) Unexpected(task *job.Task, run int, worker, what string) {
 	o.metrics.runs.WithLabelValues(o.pool, unexpectedRun).Inc()
 	name := task.Name
--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -137,6 +137,7 @@
 		if e.dropAt > 0 && at.Steady > e.dropAt {
 			delete(p.jobs, name)
 			p.dropped = append(p.dropped, name)
+			p.config.Observer.JobDropped(&e.job.Spec, e.job.State, at.Wall.Sub(e.job.Ended))
 		}
 	}
 }
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -37,6 +37,7 @@
 	Ended(spec *job.Spec, end RunEnd)
 	GivenUp(spec *job.Spec, task *job.Task) // the task crashes workers, so its job has failed
 	JobEnded(spec *job.Spec, state job.State, took time.Duration)
+	JobDropped(spec *job.Spec, state job.State, age time.Duration) // its retention time is over
 	WorkerChanged(worker, what string)
 	Unexpected(task *job.Task, run int, worker, what string)
 }
@@ -214,5 +215,6 @@
 func (noopObserver) Ended(*job.Spec, RunEnd)                                {}
 func (noopObserver) GivenUp(*job.Spec, *job.Task)                           {}
 func (noopObserver) JobEnded(*job.Spec, job.State, time.Duration)           {}
+func (noopObserver) JobDropped(*job.Spec, job.State, time.Duration)         {}
 func (noopObserver) WorkerChanged(string, string)                           {}
 func (noopObserver) Unexpected(*job.Task, int, string, string)              {}
--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
@@ -38,7 +40,12 @@
 	if err != nil || unread.submitted {
 		return job.Queued, unread.submitted, err
 	}
-	return 0, false, s.claim.Prove(ctx)
+	if err := s.claim.Prove(ctx); err != nil {
+		return 0, false, err
+	}
+	s.config.Logger.Info("job not found", zap.String("pool", s.config.Pool), zap.String("job", string(name)), zap.Int64("fence", s.claim.Epoch()),
+		zap.Int64("offset", tail))
+	return 0, false, nil
 }
 
 // intakeTail is what the records of the intake that are not handled yet say of a job.
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -217,11 +217,22 @@
 	for _, spec := range sealed {
 		s.forward(ctx, spec)
 	}
-	s.config.Logger.Info("took over a pool", zap.String("pool", s.config.Pool), zap.Int("jobs", len(stored)), zap.Int64("offset", next),
+	s.config.Logger.Info("took over a pool", zap.String("pool", s.config.Pool), zap.Int("jobs", len(stored)), zap.Int("ended", countEnded(stored)), zap.Int64("offset", next),
 		zap.Duration("unseen_runs_wait", s.inheritedWait()))
 	return s.storeTerm(at)
 }
 
+// countEnded returns how many of the jobs have ended.
+func countEnded(all []pool.StoredState) int {
+	count := 0
+	for _, s := range all {
+		if s.Progress != nil && s.Progress.State.Ended() {
+			count++
+		}
+	}
+	return count
+}
+
 // event is a function for the control thread, with the steady time at which it was queued.
 type event struct {
 	queuedAt time.Duration
