--- a/internal/jobs/instance/settings.go
+++ b/internal/jobs/instance/settings.go
@@ -28,7 +28,6 @@
 	CancelTimeout     time.Duration // time after the acknowledgement of a cancellation after which no task of the job starts, 0 if not known
 	EvacuationTimeout time.Duration // time after an evacuation after which no task starts in the data centre, 0 if not known
 	HolderCooldown    time.Duration // time without orders after which another holder may give orders to the same instance
-	MaxSkew           time.Duration // how far a time of day may be from the true one, 0 if not known
 	RecordBytes       int           // longest record that the store takes, 0 if not known
 	CallBytes         int           // bytes of records that the store takes in one call, 0 if not known
 	RemoteSlowdown    float64       // factor by which a task is slower away from its data, 0 when not known
--- a/internal/jobs/instance/shard.go
+++ b/internal/jobs/instance/shard.go
@@ -29,7 +29,7 @@
 		Pool: shardName, Holder: set.Name, Log: n.proxiedLog, Workers: n.config.Workers, Advisor: n.config.Advisor,
 		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(shardName, n.config.Logger), TimingObserver: n.config.Metrics.TimingObserver(shardName),
 		Settings: shard.Settings{
-			Lease: set.Lease(), MaxLease: set.MaxLease, Retention: set.Retention, MaxSkew: set.MaxSkew,
+			Lease: set.Lease(), MaxLease: set.MaxLease, Retention: set.Retention,
 			CancelTimeout: set.CancelTimeout, EvacuationTimeout: set.EvacuationTimeout, RemoteSlowdown: set.RemoteSlowdown,
 			RecordBytes: set.RecordBytes, CallBytes: set.CallBytes,
 		},
--- a/internal/jobs/job/job.go
+++ b/internal/jobs/job/job.go
@@ -53,8 +53,9 @@
 type Job struct {
 	Spec                Spec
 	State               State
-	Ended               time.Time
-	Begun               bool // a task has started
+	Ended               time.Time     // time of day, which only owners of earlier versions go by
+	EndedAt             time.Duration // uptime of the pool when the end was stored, 0 if unknown
+	Begun               bool          // a task has started
 	Occurrences         []*Occurrence
 	finishedOccurrences int // occurrences that are done
 	next                int // number of the next occurrence to become due
--- a/internal/jobs/job/progress.go
+++ b/internal/jobs/job/progress.go
@@ -10,6 +10,7 @@
 	Occurrences []occurrenceProgress `cbor:"4,keyasint,omitempty"`
 	Next        int                  `cbor:"5,keyasint,omitempty"` // number of the next occurrence to become due
 	Crashes     []crashProgress      `cbor:"6,keyasint,omitempty"`
+	EndedAt     time.Duration        `cbor:"7,keyasint,omitempty"`
 }
 
 // crashProgress describes a task that is not done and under which workers have crashed, or may have.
@@ -40,7 +41,7 @@
 
 // Progress returns the current progress of the job, to be stored.
 func (j *Job) Progress() Progress {
-	p := Progress{State: j.State, Ended: j.Ended, Begun: j.Begun, Next: j.next}
+	p := Progress{State: j.State, Ended: j.Ended, EndedAt: j.EndedAt, Begun: j.Begun, Next: j.next}
 	for _, o := range j.Occurrences {
 		if progress, changed := o.progress(); changed {
 			p.Occurrences = append(p.Occurrences, progress)
@@ -87,7 +88,7 @@
 
 // Restore applies stored progress to a new job.
 func (j *Job) Restore(p Progress) {
-	j.State, j.Ended, j.Begun = p.State, p.Ended, p.Begun
+	j.State, j.Ended, j.EndedAt, j.Begun = p.State, p.Ended, p.EndedAt, p.Begun
 	for number := j.next; number < p.Next; number++ {
 		j.open(number)
 	}
--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -45,6 +45,9 @@
 		delete(p.changed, name)
 		if e, ok := p.jobs[name]; ok {
 			included[name] = true
+			if e.job.State.Ended() && !e.stored.Ended() {
+				e.job.EndedAt = p.uptime
+			}
 			b.Jobs = append(b.Jobs, StoredJob{ID: name, Progress: e.job.Progress()})
 		}
 	}
@@ -79,7 +82,7 @@
 func (p *Pool) RecordStored(at Moment, b *Batch) {
 	for _, s := range b.Jobs {
 		if e, ok := p.jobs[s.ID]; ok {
-			e.stored = s.Progress.State
+			p.recordState(at, e, s.Progress.State)
 		}
 	}
 	for _, r := range b.runs {
@@ -95,6 +98,15 @@
 	p.MarkEndsStored(b)
 }
 
+// recordState records the stored state of a job. Its retention time begins once its end is stored, since no caller is told of it
+// before.
+func (p *Pool) recordState(at Moment, e *entry, stored job.State) {
+	if stored.Ended() && !e.stored.Ended() {
+		e.dropAt = at.Steady + p.config.Retention
+	}
+	e.stored = stored
+}
+
 // SendStarts orders the starts of all stored runs that may still start. The caller calls it only while what the pool knows
 // of cancellations is new enough.
 func (p *Pool) SendStarts(at Moment) {
@@ -137,7 +149,7 @@
 		if e.dropAt > 0 && at.Steady > e.dropAt {
 			delete(p.jobs, name)
 			p.dropped = append(p.dropped, name)
-			p.config.Observer.JobDropped(&e.job.Spec, e.job.State, at.Wall.Sub(e.job.Ended))
+			p.config.Observer.JobDropped(&e.job.Spec, e.job.State, p.age(e))
 		}
 	}
 }
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -25,7 +25,7 @@
 	Unleased       []string      // workers to which the previous owner had granted no lease
 	UnleasedWait   time.Duration // how long an unseen run on one of these may continue
 	Retention      time.Duration // how long an ended job can be queried
-	MaxSkew        time.Duration // how far a time of day may be from the true one, 0 if unknown
+	Uptime         time.Duration // uptime that earlier owners have stored
 	RemoteSlowdown float64       // factor by which a task takes longer away from its data, 0 if unknown
 	Observer       Observer      // optional
 }
@@ -49,7 +49,7 @@
 	arrived          time.Duration
 	due              time.Duration        // steady time after which the job is late
 	feasibility      feasibility          // result of the newest capacity plan
-	dropAt           time.Duration        // steady time after which it is dropped, 0 until it has ended
+	dropAt           time.Duration        // steady time after which it is dropped, 0 until its end is stored
 	advice           map[job.Name]*advice // by step, for advised queues
 	rescues          map[job.Name]int     // runs stopped because they took too long, by task
 	unplaceableSince time.Duration        // steady time since which a long-running task has found no worker, 0 if none
@@ -70,6 +70,8 @@
 	minAllocation    int           // thousandths of every team's limit that this pool may use without an allocation
 	allocationsUntil time.Duration // end of validity of the allocations, 0 for none
 	evacuated        id.Set[id.DataCentre]
+	uptime           time.Duration
+	uptimeCountedAt  time.Duration       // steady time up to which the uptime is counted
 	changed          map[job.ID]struct{} // jobs with progress to store
 	unstored         []*run              // runs to start once they are stored
 	unsent           []*run              // stored runs whose start is not ordered yet
@@ -146,10 +148,9 @@
 	p.endJob(at, e)
 }
 
-// endJob stops the remaining runs of an ended job and schedules its removal.
+// endJob stops the remaining runs of an ended job.
 func (p *Pool) endJob(at Moment, e *entry) {
 	p.touch(e)
-	e.dropAt = at.Steady + p.config.Retention
 	p.config.Observer.JobEnded(&e.job.Spec, e.job.State, at.Steady-e.arrived)
 	p.stopRuns(at, e)
 }
--- a/internal/jobs/pool/restore.go
+++ b/internal/jobs/pool/restore.go
@@ -21,13 +21,18 @@
 // Restore takes over the jobs of an earlier owner. Workers must be set first, so that known workers can be polled for
 // their runs at once; runs on other workers are resolved when no lease can still be valid.
 func (p *Pool) Restore(at Moment, all []StoredState) {
+	p.inheritUptime(at, all)
 	for _, s := range all {
 		j := job.New(s.Spec)
 		if s.Progress != nil {
 			j.Restore(*s.Progress)
 		}
 		if j.State.Ended() {
-			p.restoreEnded(at, j)
+			e := &entry{job: j, stored: j.State, arrived: at.Steady, rescues: map[job.Name]int{}}
+			p.jobs[j.Spec.ID] = e
+			p.restoreEnded(at, e)
+			p.restoreRuns(at, e)
+			p.stopRuns(at, e)
 			continue
 		}
 		e := p.add(at, j)
@@ -40,17 +45,6 @@
 	}
 }
 
-// restoreEnded takes over an ended job for what is certainly left of its retention time: the end has the time of day of the
-// owner that saw it, and both times of day may be off, in opposite directions.
-func (p *Pool) restoreEnded(at Moment, j *job.Job) {
-	age := at.Wall.Sub(j.Ended) - 2*p.config.MaxSkew
-	left := p.config.Retention - min(max(0, age), p.config.Retention)
-	e := &entry{job: j, stored: j.State, arrived: at.Steady, rescues: map[job.Name]int{}, dropAt: at.Steady + left}
-	p.jobs[j.Spec.ID] = e
-	p.restoreRuns(at, e)
-	p.stopRuns(at, e)
-}
-
 func (p *Pool) stopRuns(at Moment, e *entry) {
 	for _, o := range e.job.Occurrences {
 		for s := range o.Steps {
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -67,6 +67,7 @@
 // iterate runs one iteration: it updates the pool's decisions, stores what has changed and sends the orders.
 func (s *Shard) iterate(ctx context.Context, fatal chan error) {
 	at := s.config.Clock.Moment()
+	s.pool.CountUptime(at, s.logWait(at))
 	// The answer to a batch also proves ownership, so a separate proof is needed only without a batch or when the
 	// batch has waited too long.
 	if at.Steady-s.provenAt > proofInterval && !s.proving && (!s.writing || s.logWait(at) > proofInterval) {
@@ -146,6 +147,7 @@
 		return
 	}
 	batch := s.pool.Flush()
+	s.addUptime(batch)
 	if batch.Empty() && len(s.pendingRecords) == 0 {
 		s.pool.MarkEndsStored(batch)
 		return
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -40,7 +40,6 @@
 	Lease             time.Duration // how long a worker keeps running tasks without a renewal
 	MaxLease          time.Duration // longest lease that a worker grants, 0 if unknown
 	Retention         time.Duration
-	MaxSkew           time.Duration // how far a time of day may be from the true one, 0 if unknown
 	CancelTimeout     time.Duration // time after the acknowledgement of a cancellation after which no task of the job starts, 0 if unknown
 	EvacuationTimeout time.Duration // time after an evacuation after which no task starts in the data centre, 0 if unknown
 	RemoteSlowdown    float64       // factor by which a task takes longer away from its data
@@ -91,6 +90,7 @@
 	previousTerm    *term          // term of the previous owner, nil if there was none
 	inheritedUntil  time.Duration  // steady time until which unreported runs of earlier owners may still run; 0 once it has passed
 	termStored      bool           // whether this owner's term is stored
+	uptimeStored    time.Duration  // newest uptime of the pool that was loaded, or given to a batch
 	inFlight        sync.WaitGroup // orders and batches in flight
 	writer          stream.Writer
 	writing         bool
@@ -166,6 +166,7 @@
 	var cancelled []job.ID
 	if _, err := claim.ReadAll(ctx, s.config.Log, s.output, s.config.Logger, func(r stream.Record) {
 		s.loadTerm(r)
+		s.loadUptime(r)
 		s.loadSeal(r)
 		s.loadPart(parts, r)
 		s.loadProgress(jobs, parts, r)
@@ -196,7 +197,7 @@
 		Unleased:       s.previousTerm.unleased(),
 		UnleasedWait:   s.previousTerm.unleasedWait(),
 		Retention:      s.config.Settings.Retention,
-		MaxSkew:        s.config.Settings.MaxSkew,
+		Uptime:         s.uptimeStored,
 		RemoteSlowdown: s.config.Settings.RemoteSlowdown,
 		Observer:       s.config.Observer,
 	})
@@ -217,8 +218,8 @@
 	for _, spec := range sealed {
 		s.forward(ctx, spec)
 	}
-	s.config.Logger.Info("took over a pool", zap.String("pool", s.config.Pool), zap.Int("jobs", len(stored)), zap.Int("ended", countEnded(stored)), zap.Int64("offset", next),
-		zap.Duration("unseen_runs_wait", s.inheritedWait()))
+	s.config.Logger.Info("took over a pool", zap.String("pool", s.config.Pool), zap.Int("jobs", len(stored)), zap.Int("ended", countEnded(stored)), zap.Duration("uptime", s.pool.Uptime()),
+		zap.Int64("offset", next), zap.Duration("unseen_runs_wait", s.inheritedWait()))
 	return s.storeTerm(at)
 }
 
