--- a/internal/jobs/instance/cancel_world_test.go
+++ b/internal/jobs/instance/cancel_world_test.go
@@ -160,7 +160,7 @@
 
 func (w *cancelWorld) newInstance(peers netip.AddrPort) *Instance {
 	return New(Config{
-		Settings: Settings{Name: "i", Peers: peers, Retention: time.Minute}, Log: w.log, Clock: steady.Clock{}, Workers: w.runs,
+		Settings: Settings{Name: "i", Peers: peers, Retention: time.Minute}, Log: w.log, ConditionalLog: w.log, Clock: steady.Clock{}, Workers: w.runs,
 		Peers: relay.NewClient(http.DefaultTransport), Logger: zap.NewNop(), Metrics: NewMetrics(),
 	})
 }
--- a/internal/jobs/instance/shard.go
+++ b/internal/jobs/instance/shard.go
@@ -26,7 +26,7 @@
 func (n *Instance) shard(shardName string) *shard.Shard {
 	set := n.config.Settings
 	return shard.New(shard.Config{
-		Pool: shardName, Holder: set.Name, Log: n.proxiedLog, Workers: n.config.Workers, Advisor: n.config.Advisor,
+		Pool: shardName, Holder: set.Name, Log: n.proxiedLog, ConditionalLog: n.config.ConditionalLog, Workers: n.config.Workers, Advisor: n.config.Advisor,
 		Clock: n.config.Clock, Logger: n.config.Logger, Observer: n.config.Metrics.Observer(shardName, n.config.Logger), TimingObserver: n.config.Metrics.TimingObserver(shardName),
 		Settings: shard.Settings{
 			Lease: set.Lease(), MaxLease: set.MaxLease, Retention: set.Retention,
--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -10,6 +10,7 @@
 type Batch struct {
 	Jobs    []StoredJob
 	Dropped []job.ID // jobs that can be removed from the log
+	Expired []job.ID // cancellations that can be removed from the log; their jobs had not come
 
 	runs    []*run
 	leaving []*run
@@ -29,7 +30,7 @@
 }
 
 // Empty reports whether there is nothing to store.
-func (b *Batch) Empty() bool { return len(b.Jobs) == 0 && len(b.Dropped) == 0 }
+func (b *Batch) Empty() bool { return len(b.Jobs) == 0 && len(b.Dropped) == 0 && len(b.Expired) == 0 }
 
 // maxBatchJobs limits the jobs of one batch, which limits its size in bytes.
 const maxBatchJobs = 400
@@ -52,6 +53,7 @@
 		}
 	}
 	b.Dropped, p.dropped = p.dropped, nil
+	b.Expired, p.expired = p.expired, nil
 	b.runs, p.unstored = split(p.unstored, included)
 	b.leaving, p.leaving = split(p.leaving, included)
 	if len(p.changed) > 0 {
@@ -142,7 +144,7 @@
 		}
 		delete(p.cancelled, name)
 		if _, known := p.jobs[name]; !known {
-			p.dropped = append(p.dropped, name) // only its cancellation is stored
+			p.expired = append(p.expired, name)
 		}
 	}
 	for name, e := range p.jobs {
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -78,6 +78,7 @@
 	leaving          []*run              // runs to stop once it is stored that their tasks leave
 	actions          []Action
 	dropped          []job.ID // jobs to be removed from the log
+	expired          []job.ID // cancellations to be removed from the log, whose jobs had not come
 	cordonedUntil    time.Duration
 	ordered          id.Set[string]           // instances that had been given orders shortly before the takeover
 	silences         int64                    // silences of workers so far
--- a/internal/jobs/shard/fakelog_test.go
+++ b/internal/jobs/shard/fakelog_test.go
@@ -107,6 +107,20 @@
 	return offset, nil
 }
 
+func (l *fakeLog) AppendAt(_ context.Context, t stream.Table, records []stream.Record, end int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return stream.NotDoneError{Reason: "down"}
+	}
+	table := l.table(t)
+	if at := int64(len(table.records)); at != end {
+		return stream.ChangedError{End: at}
+	}
+	table.records = append(table.records, records...)
+	return nil
+}
+
 func (l *fakeLog) Fence(_ context.Context, t stream.Table, epoch int64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -101,6 +101,7 @@
 	}
 	s.store(ctx, fatal)
 	s.cleanIntake(ctx)
+	s.cleanCancellations(ctx, at)
 	s.sendOrders(ctx)
 }
 
@@ -201,7 +202,7 @@
 		}
 		records = append(records, s.dropRecords(name)...)
 	}
-	return records, nil
+	return append(records, s.dropCancellations(batch.Expired)...), nil
 }
 
 func (s *Shard) fail(fatal chan error, err error) {
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -53,6 +53,7 @@
 	Holder         string // name of this instance
 	Settings       Settings
 	Log            stream.Log
+	ConditionalLog stream.ConditionalLog // the same store
 	Workers        worker.Client
 	Advisor        worker.Advisor
 	Clock          claim.Clock
@@ -115,6 +116,7 @@
 	intakeJobs      sync.Map        // IDs of the jobs in the intake
 	expiredJobs     []job.ID        // expired jobs to be removed from the intake
 	cleaning        bool
+	cancellations   cancellationCleanup
 	seals           map[catalog.Route]seal
 	partCounts      map[job.ID]int           // parts of stored progress, of jobs that have had any
 	forwarding      map[job.ID]catalog.Route // jobs of the intake that are on their way to another pool
--- a/internal/jobs/shard/shard_test.go
+++ b/internal/jobs/shard/shard_test.go
@@ -84,7 +84,7 @@
 func newShard(log *fakeLog, workers *fakeWorkers, holder string) *Shard {
 	return New(Config{
 		OperatorsSeen: alwaysSeen,
-		Pool:          "p", Holder: holder, Log: log, Workers: workers, Clock: steady.Clock{}, Logger: zap.NewNop(),
+		Pool:          "p", Holder: holder, Log: log, ConditionalLog: log, Workers: workers, Clock: steady.Clock{}, Logger: zap.NewNop(),
 		Settings: Settings{Lease: 4 * time.Second, Retention: time.Minute},
 		View: func() View {
 			return View{Workers: []catalog.Worker{{
