--- a/internal/jobs/instance/call.go
+++ b/internal/jobs/instance/call.go
@@ -61,28 +61,36 @@
 	if !name.IsValid() {
 		return 0, NoJobError{Job: name}
 	}
-	state, _, err := n.locate(ctx, q, name)
-	return state, err
+	return n.locate(ctx, q, name)
 }
 
-// locate finds a job in the pool of its queue, or in another pool that the queue had in an earlier configuration.
-func (n *Instance) locate(ctx context.Context, q catalog.Queue, name job.ID) (job.State, string, error) {
+// locate finds a job in the pool of its queue, or in another pool that the queue had in an earlier configuration. After a
+// NoJobError none of the pools has it that are recorded by now, whatever this instance knew before.
+func (n *Instance) locate(ctx context.Context, q catalog.Queue, name job.ID) (job.State, error) {
 	// A job goes from one holder of its route to another once at most. One that does so between two questions is found when the
 	// holders are asked again.
 	pools := n.poolsFrom(q.Pool)
 	if others := n.otherPools(q.Route(), q.Pool); len(others) > 0 {
 		pools = append(append(pools, q.Pool), others...)
 	}
-	for _, shardName := range pools {
-		state, known, err := n.queryStateWithRetry(ctx, shardName, name)
-		if err != nil {
-			return 0, shardName, NotReadyError{Reason: err.Error(), Retry: retryAfter}
+	var asked []string
+	for len(pools) > 0 {
+		for _, shardName := range pools {
+			state, known, err := n.queryStateWithRetry(ctx, shardName, name)
+			if err != nil {
+				return 0, NotReadyError{Reason: err.Error(), Retry: retryAfter}
+			}
+			if known {
+				return state, nil
+			}
 		}
-		if known {
-			return state, shardName, nil
+		if err := n.readHolders(ctx); err != nil {
+			return 0, err
 		}
+		asked = append(asked, pools...)
+		pools = n.otherPools(q.Route(), asked...)
 	}
-	return 0, "", NoJobError{Job: name}
+	return 0, NoJobError{Job: name}
 }
 
 // poolsFrom returns all pools that have owners, the given one first.
--- a/internal/jobs/instance/route_test.go
+++ b/internal/jobs/instance/route_test.go
@@ -66,6 +66,7 @@
 	accepted map[string][]job.ID // by pool
 	silent   string              // pool whose owner does not answer
 	seals    map[string]int64    // by pool
+	onState  func(pool string)   // called for each question for the state of a job, may be nil
 }
 
 func (o *poolOwner) HandleSeal(_ context.Context, r relay.SealRequest) (relay.PresenceReply, error) {
@@ -78,6 +79,18 @@
 	return relay.PresenceReply{}, nil
 }
 
+func (o *poolOwner) HandleState(_ context.Context, r relay.JobRequest) (relay.JobReply, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.onState != nil {
+		o.onState(r.Pool)
+	}
+	if slices.Contains(o.accepted[r.Pool], r.Job) {
+		return relay.JobReply{State: job.Running, Known: true}, nil
+	}
+	return relay.JobReply{}, nil
+}
+
 func (o *poolOwner) HandleCancel(_ context.Context, r relay.JobRequest) (relay.PresenceReply, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
