--- a/internal/jobs/machines/autoscaler.go
+++ b/internal/jobs/machines/autoscaler.go
@@ -150,6 +150,7 @@
 	for _, w := range view.Waves {
 		a.addWave(ctx, now, w)
 	}
+	a.withdrawWaves(view.Waves)
 	if now-a.lastProofAt() > proofTTL || len(a.instances) == 0 {
 		return nil
 	}
--- a/internal/jobs/machines/record.go
+++ b/internal/jobs/machines/record.go
@@ -119,7 +119,7 @@
 // addWave adds a wave to the planner and publishes that the wave is running, unless its end is published. A wave that has
 // ended without some of its instances goes on if one of them is back.
 func (a *Autoscaler) addWave(ctx context.Context, now time.Duration, w catalog.Wave) {
-	if _, known := a.planner.waves[w.Number]; known {
+	if a.planner.HasWave(w.Number) {
 		return
 	}
 	a.planner.AddWave(now, w, a.stored[w.Number])
@@ -157,7 +157,7 @@
 		if err := a.store(ctx, waveRecord{Number: number, Done: progress.Done, Finished: a.finished[number]}); err != nil {
 			return err
 		}
-		a.done[number] = len(progress.Done)
+		a.done[number], a.stored[number] = len(progress.Done), progress.Done
 	}
 	return nil
 }
--- a/internal/jobs/machines/wave.go
+++ b/internal/jobs/machines/wave.go
@@ -19,27 +19,31 @@
 	down         map[string]time.Duration // instances taken down, with the time of the order
 	firstWorkers map[string]string        // worker whose incarnation the first order for the instance was to end
 	waitReasons  map[string]string        // what each pending instance waits for
+	withdrawn    bool                     // the operators have withdrawn the wave; it only waits for its orders and instances
 }
 
-// AddWave adds a wave; done names its instances that are already maintained.
+// AddWave adds a wave, which may have been withdrawn before; done names its instances that are already maintained.
 func (p *Planner) AddWave(now time.Duration, w catalog.Wave, done []string) {
-	if _, known := p.waves[w.Number]; known {
+	if p.HasWave(w.Number) {
 		return
 	}
-	p.waves[w.Number] = &wave{
+	added := &wave{
 		Wave: w, instances: id.NewSet(w.Instances...), began: now, done: id.NewSet(done...), left: id.Set[string]{},
 		down: map[string]time.Duration{}, firstWorkers: map[string]string{}, waitReasons: map[string]string{},
 	}
+	if withdrawn, ok := p.waves[w.Number]; ok {
+		added.done, added.down, added.firstWorkers = withdrawn.done, withdrawn.down, withdrawn.firstWorkers
+	}
+	p.waves[w.Number] = added
 }
 
-// DropWave removes a wave that was withdrawn.
-func (p *Planner) DropWave(number int) { delete(p.waves, number) }
-
-// Waves returns the sorted numbers of all waves.
+// Waves returns the sorted numbers of all waves that are not withdrawn.
 func (p *Planner) Waves() []int {
 	var numbers []int
-	for n := range p.waves {
-		numbers = append(numbers, n)
+	for n, w := range p.waves {
+		if !w.withdrawn {
+			numbers = append(numbers, n)
+		}
 	}
 	slices.Sort(numbers)
 	return numbers
@@ -123,7 +127,7 @@
 // awaitsMaintenance reports whether an instance is still to be maintained by a wave.
 func (p *Planner) awaitsMaintenance(name string) bool {
 	for _, w := range p.waves {
-		if w.instances.Has(name) && !w.done.Has(name) {
+		if !w.withdrawn && w.instances.Has(name) && !w.done.Has(name) {
 			return true
 		}
 	}
@@ -135,6 +139,7 @@
 
 // planWaves drains the next instances of each wave and takes down those that are empty.
 func (r *round) planWaves() {
+	r.dropWithdrawn()
 	for _, number := range r.Waves() {
 		r.planWave(r.waves[number])
 	}
