--- a/internal/jobs/instance/feed.go
+++ b/internal/jobs/instance/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/juju/errors"
@@ -150,14 +151,21 @@
 }
 
 func (n *Instance) replaceOperators(all []stream.Record) {
-	out := id.Set[id.DataCentre]{}
+	out, waves := id.Set[id.DataCentre]{}, id.Set[int]{}
 	for _, r := range all {
-		if e, ok := n.decodeOperator(r).(catalog.EvacuationChange); ok && e.Evacuated {
-			out.Add(e.DataCentre)
+		switch change := n.decodeOperator(r).(type) {
+		case catalog.EvacuationChange:
+			if change.Evacuated {
+				out.Add(change.DataCentre)
+			}
+		case catalog.WaveChange:
+			waves.Add(change.Wave.Number)
+		case catalog.ConfigChange, catalog.WorkerChange, nil:
 		}
 	}
 	n.mu.Lock()
 	n.evacuated = out
+	maps.DeleteFunc(n.waves, func(number int, _ announcedWave) bool { return !waves.Has(number) })
 	n.mu.Unlock()
 	for _, r := range all {
 		n.applyOperator(r)
