--- a/internal/jobs/pool/crash_test.go
+++ b/internal/jobs/pool/crash_test.go
@@ -42,6 +42,13 @@
 			}
 		}},
 		{"while answers are lost", 10 * time.Millisecond, false, func(w *simulation) { w.faults = faults{lostAfter: 0.1} }},
+		{"before any answer shows a run", time.Millisecond, false, func(w *simulation) { w.unseenDeaths = true }},
+		{"before any answer shows a run, while owners change", time.Millisecond, false, func(w *simulation) {
+			w.unseenDeaths = true
+			for i := range 6 {
+				w.after(time.Duration(3+4*i)*time.Second, func() { w.takeOver() })
+			}
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -58,6 +65,22 @@
 	}
 }
 
+// TestCrashesUnderOneIDCountWhileOwnersChange asks for the same while workers are back under their ids: a crash that a change of owner
+// hides has to count, too.
+func TestCrashesUnderOneIDCountWhileOwnersChange(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newSimulation(seed, 8)
+		w.sameID = true
+		w.takeOver()
+		deadly := deadlyDay(w, 10*time.Millisecond)
+		for i := range 6 {
+			w.after(time.Duration(3+4*i)*time.Second, func() { w.takeOver() })
+		}
+		w.run(60 * time.Second)
+		checkDeadlyDay(t, w, seed, deadly)
+	}
+}
+
 func checkDeadlyDay(t *testing.T, w *simulation, seed uint64, deadly []job.ID) {
 	t.Helper()
 	for _, v := range w.violations {
--- a/internal/jobs/pool/probation.go
+++ b/internal/jobs/pool/probation.go
@@ -19,9 +19,11 @@
 	accompaniedStrikeLimit = 4 // if runs of other jobs that no probation had cleared were on the worker
 	longRunningStrikeLimit = 5
 	crashLimit             = 5 // crashes at any age after which a task that is not long-running is given up
+	unseenCrashLimit       = 4 // crashes before an answer shows the run, after which a task is given up
 )
 
-// certainCrashes is the number of workers that have certainly crashed under a task that is given up.
+// certainCrashes is the number of workers that have certainly crashed under a task that is given up, unless it never gets old enough
+// to be seen.
 const certainCrashes = 2
 
 const (
@@ -76,7 +78,7 @@
 func (r *run) showsCulprit() bool {
 	c := &r.task.Crash
 	if c.Certain < certainCrashes {
-		return false
+		return r.showsUnseenCulprit()
 	}
 	if !r.step.LongRunning && c.Total() >= crashLimit {
 		return true
@@ -84,6 +86,17 @@
 	return r.loss.onProbation && r.loss.youngest && c.Strikes >= r.strikeLimit()
 }
 
+// showsUnseenCulprit reports whether a task crashes its workers before any answer shows its runs: several have crashed right after
+// its start was sent, or at ages that are not known, and all but the first had no other task.
+func (r *run) showsUnseenCulprit() bool {
+	c := &r.task.Crash
+	if !r.loss.onProbation || r.loss.accompanied {
+		return false
+	}
+	prompt := r.loss.youngest && c.Prompt() && c.Strikes >= doubtfulStrikeLimit
+	return prompt && c.Total() >= unseenCrashLimit || c.Crashes >= crashLimit && c.Strikes >= strikeLimit
+}
+
 func (r *run) strikeLimit() int {
 	switch {
 	case r.step.LongRunning:
--- a/internal/jobs/pool/simulated_owner_test.go
+++ b/internal/jobs/pool/simulated_owner_test.go
@@ -144,11 +144,18 @@
 
 var errLost = errors.New("no answer")
 
+// answerTimeout is how long an owner waits for an answer that is lost.
+const answerTimeout = 700 * time.Millisecond
+
 func (o *fakeOwner) send() {
 	for _, a := range o.pool.Actions() {
 		switch a := a.(type) {
 		case StartAction:
 			o.order(a.To.ID, func(f *fakeWorker) (any, error) { return f.start(a.Start) }, func(answer any, err error) {
+				if _, deadly := o.w.deadly[a.Start.Task]; deadly && o.w.unseenDeaths {
+					o.w.after(answerTimeout, func() { o.runOnControlThread(func() { o.pool.RecordStart(o.w.moment(), a, worker.Reply{}, errLost) }) })
+					return
+				}
 				got, _ := answer.(worker.Reply)
 				o.pool.RecordStart(o.w.moment(), a, got, err)
 			})
@@ -195,7 +202,7 @@
 func (o *fakeOwner) order(to string, do func(f *fakeWorker) (any, error), answer func(any, error)) {
 	w := o.w
 	lost := func() {
-		w.after(700*time.Millisecond, func() { o.runOnControlThread(func() { answer(nil, errLost) }) })
+		w.after(answerTimeout, func() { o.runOnControlThread(func() { answer(nil, errLost) }) })
 	}
 	latency := time.Duration(200+w.random.IntN(3000)) * time.Microsecond
 	chance := w.random.Float64()
