--- a/internal/jobs/pool/retention_test.go
+++ b/internal/jobs/pool/retention_test.go
@@ -7,15 +7,17 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
 )
 
+// retention is the retention time in these tests.
+const retention = 2 * time.Minute
+
 // endedJobRun plays the owners of a pool with one job that ends, in steps of time as an owner's control loop takes them.
 type endedJobRun struct {
-	retention time.Duration
-	now       time.Duration // steady time of all hosts
-	clockOff  time.Duration // what the time of day of the present owner's host is off
-	pool      *Pool
-	spec      job.Spec
-	progress  *job.Progress // in the log
-	uptime    time.Duration // in the log
+	now      time.Duration // steady time of all hosts
+	clockOff time.Duration // what the time of day of the present owner's host is off
+	pool     *Pool
+	spec     job.Spec
+	progress *job.Progress // in the log
+	uptime   time.Duration // in the log
 }
 
 const (
@@ -24,9 +26,9 @@
 	paused   = 0
 )
 
-func newEndedJobRun(retention, clockOff time.Duration) *endedJobRun {
+func newEndedJobRun(clockOff time.Duration) *endedJobRun {
 	spec := job.Spec{ID: "0000000000000001", Steps: []job.Step{{Count: 1}}}
-	r := &endedJobRun{retention: retention, now: time.Hour, clockOff: clockOff, spec: spec}
+	r := &endedJobRun{now: time.Hour, clockOff: clockOff, spec: spec}
 	r.pool = New(Config{Name: "p", Retention: retention})
 	r.pool.Restore(r.at(), nil)
 	r.pool.Submit(r.at(), spec)
@@ -78,7 +80,7 @@
 func (r *endedJobRun) takeOver(downtime, clockOff time.Duration) {
 	r.now += downtime
 	r.clockOff = clockOff
-	r.pool = New(Config{Name: "p", Retention: r.retention, Uptime: r.uptime})
+	r.pool = New(Config{Name: "p", Retention: retention, Uptime: r.uptime})
 	r.pool.Restore(r.at(), []StoredState{{Spec: r.spec, Progress: r.progress}})
 }
 
@@ -90,7 +92,7 @@
 // checkKept checks that the job is known until its retention time is over, counted from a time, and not for much longer.
 func (r *endedJobRun) checkKept(t *testing.T, since, longer time.Duration) {
 	t.Helper()
-	r.pass(since+r.retention-r.now, loopStep, 0)
+	r.pass(since+retention-r.now, loopStep, 0)
 	if !r.knows() {
 		t.Error("the job is forgotten before its retention time is over")
 	}
@@ -103,7 +105,6 @@
 // TestEndedJobIsKeptWhateverTheTimeOfDay guards against review/7 (LOST): the age of an ended job was taken from two owners' times of
 // day, so a job whose first owner's clock was behind was forgotten before its retention time was over.
 func TestEndedJobIsKeptWhateverTheTimeOfDay(t *testing.T) {
-	const retention = 2 * time.Minute
 	tests := []struct {
 		name          string
 		first, second time.Duration   // what the owners' times of day are off
@@ -121,7 +122,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			r := newEndedJobRun(retention, test.first)
+			r := newEndedJobRun(test.first)
 			r.pass(10*time.Second, loopStep, 0)
 			r.end(10*time.Millisecond, loopStep)
 			shown := r.now
@@ -138,7 +139,6 @@
 // TestEndedJobIsKeptFromWhenItsEndIsShown checks that a job is known for its retention time after a caller could first be told of its
 // end, which waits until the end is stored.
 func TestEndedJobIsKeptFromWhenItsEndIsShown(t *testing.T) {
-	const retention = 2 * time.Minute
 	tests := []struct {
 		name       string
 		wait, step time.Duration
@@ -151,7 +151,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			r := newEndedJobRun(retention, 0)
+			r := newEndedJobRun(0)
 			r.pass(10*time.Second, loopStep, 0)
 			r.end(test.wait, test.step)
 			shown := r.now
@@ -168,8 +168,8 @@
 // TestUncountedTimeKeepsEndedJobsLonger checks that time that an owner has not stored, and time without an owner, does not shorten
 // the retention time, and lengthens it by no more than itself.
 func TestUncountedTimeKeepsEndedJobsLonger(t *testing.T) {
-	const retention, uncounted, downtime = 2 * time.Minute, 9 * time.Second, 20 * time.Second
-	r := newEndedJobRun(retention, 0)
+	const uncounted, downtime = 9 * time.Second, 20 * time.Second
+	r := newEndedJobRun(0)
 	r.pass(10*time.Second, loopStep, 0)
 	r.end(10*time.Millisecond, loopStep)
 	shown := r.now
@@ -182,8 +182,7 @@
 // TestEndStoredByAnEarlierVersionIsKept checks that a job whose end was stored with a time of day only is kept for its whole retention
 // time by the next owner, and no longer by those that follow.
 func TestEndStoredByAnEarlierVersionIsKept(t *testing.T) {
-	const retention = 2 * time.Minute
-	r := newEndedJobRun(retention, 0)
+	r := newEndedJobRun(0)
 	r.pass(10*time.Second, loopStep, 0)
 	r.end(10*time.Millisecond, loopStep)
 	r.progress.EndedAt = 0
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -116,7 +116,7 @@
 	intakeJobs      sync.Map        // IDs of the jobs in the intake
 	expiredJobs     []job.ID        // expired jobs to be removed from the intake
 	cleaning        bool
-	cancellations   cancellationCleanup
+	cancellations   cancellationCleanup // the same for expired cancellations
 	seals           map[catalog.Route]seal
 	partCounts      map[job.ID]int           // parts of stored progress, of jobs that have had any
 	forwarding      map[job.ID]catalog.Route // jobs of the intake that are on their way to another pool
@@ -220,8 +220,8 @@
 	for _, spec := range sealed {
 		s.forward(ctx, spec)
 	}
-	s.config.Logger.Info("took over a pool", zap.String("pool", s.config.Pool), zap.Int("jobs", len(stored)), zap.Int("ended", countEnded(stored)), zap.Duration("uptime", s.pool.Uptime()),
-		zap.Int64("offset", next), zap.Duration("unseen_runs_wait", s.inheritedWait()))
+	s.config.Logger.Info("took over a pool", zap.String("pool", s.config.Pool), zap.Int("jobs", len(stored)), zap.Int("ended", countEnded(stored)),
+		zap.Duration("uptime", s.pool.Uptime()), zap.Int64("offset", next), zap.Duration("unseen_runs_wait", s.inheritedWait()))
 	return s.storeTerm(at)
 }
 
