--- a/internal/jobs/pool/crash_test.go
+++ b/internal/jobs/pool/crash_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// TestLongRunningTaskThatCrashesWorkersAtOnceIsGivenUp checks the same of a long-running task, which meets many crashes.
+func TestLongRunningTaskThatCrashesWorkersAtOnceIsGivenUp(t *testing.T) {
+	const name = job.ID("00000000000000aa")
+	for seed := range uint64(10) {
+		w := newSimulation(seed, 8)
+		w.unseenDeaths = true
+		o := w.takeOver()
+		w.deadly[job.Name{Job: name}] = time.Millisecond
+		w.submit(string(name), longRunningJob())
+		w.run(60 * time.Second)
+		if state, _ := o.pool.State(name); state != job.Failed || len(w.violations) > 0 {
+			t.Errorf("seed %d: the job is %v after %d crashes; %v", seed, state, len(w.crashed), w.violations)
+		}
+	}
+}
+
 // TestCrashesUnderOneIDCountWhileOwnersChange asks for the same while workers are back under their ids: a crash that a change of owner
 // hides has to count, too.
 func TestCrashesUnderOneIDCountWhileOwnersChange(t *testing.T) {
--- a/internal/jobs/pool/probation.go
+++ b/internal/jobs/pool/probation.go
@@ -90,11 +90,16 @@
 // its start was sent, or at ages that are not known, and all but the first had no other task.
 func (r *run) showsUnseenCulprit() bool {
 	c := &r.task.Crash
-	if !r.loss.onProbation || r.loss.accompanied {
+	prompt := r.loss.youngest && c.Prompt()
+	switch {
+	case !r.loss.onProbation || r.loss.accompanied:
 		return false
+	case r.step.LongRunning:
+		return prompt && c.Crashes >= longRunningStrikeLimit && c.Strikes >= longRunningStrikeLimit-1
+	case prompt && c.Total() >= unseenCrashLimit && c.Strikes >= doubtfulStrikeLimit:
+		return true
 	}
-	prompt := r.loss.youngest && c.Prompt() && c.Strikes >= doubtfulStrikeLimit
-	return prompt && c.Total() >= unseenCrashLimit || c.Crashes >= crashLimit && c.Strikes >= strikeLimit
+	return c.Crashes >= crashLimit && c.Strikes >= strikeLimit
 }
 
 func (r *run) strikeLimit() int {
