--- a/internal/jobs/shard/deaf_test.go
+++ b/internal/jobs/shard/deaf_test.go
@@ -65,6 +65,16 @@
 	return copied
 }
 
+// playDeafOwner starts an owner in a bubble of its own time, and ends it after the play.
+func playDeafOwner(t *testing.T, play func(ctx context.Context, t *testing.T, d *deafOwner)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(5 * time.Second) // until all goroutines have ended
+		defer cancel()
+		play(ctx, t, startDeafOwner(ctx))
+	})
+}
+
 // submit hands a job to the owner and waits until the owner has handled it.
 func (d *deafOwner) submit(t *testing.T, spec job.Spec) {
 	t.Helper()
@@ -92,11 +102,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer time.Sleep(time.Second) // until all goroutines have ended
-				defer cancel()
-				d := startDeafOwner(ctx)
+			playDeafOwner(t, func(ctx context.Context, t *testing.T, d *deafOwner) {
 				test.before(d)
 				spec := test.spec()
 				d.submit(t, spec)
@@ -124,11 +130,7 @@
 // TestStartWaitsForNewProof guards against starts on a proof of ownership that is older than the time in which a
 // cancellation has to be in force: a successor may have acknowledged one.
 func TestStartWaitsForNewProof(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer time.Sleep(5 * time.Second) // until all goroutines have ended
-		defer cancel()
-		d := startDeafOwner(ctx)
+	playDeafOwner(t, func(_ context.Context, t *testing.T, d *deafOwner) {
 		d.showWorker(false)
 		d.submit(t, longJob())
 		time.Sleep(time.Second)
@@ -149,11 +151,7 @@
 // TestOwnerDeafToOperatorsStartsNothing guards against starts in a data centre whose evacuation an owner has not learned of,
 // since its reads of the operators' table stood still.
 func TestOwnerDeafToOperatorsStartsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer time.Sleep(time.Second) // until all goroutines have ended
-		defer cancel()
-		d := startDeafOwner(ctx)
+	playDeafOwner(t, func(ctx context.Context, t *testing.T, d *deafOwner) {
 		var seenAt atomic.Int64
 		now := func() int64 { return int64(d.shard.config.Clock.Moment().Steady) }
 		d.submit(t, longJob())
@@ -182,11 +180,7 @@
 // TestSeenEvacuationIsAppliedBeforeStarts guards against a start in an evacuated data centre: the operators' table had been read
 // again, so the start was no longer held back, but the evacuation was not yet applied.
 func TestSeenEvacuationIsAppliedBeforeStarts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer time.Sleep(time.Second) // until all goroutines have ended
-		defer cancel()
-		d := startDeafOwner(ctx)
+	playDeafOwner(t, func(ctx context.Context, t *testing.T, d *deafOwner) {
 		var seenAt atomic.Int64
 		var evacuated atomic.Bool
 		now := func() int64 { return int64(d.shard.config.Clock.Moment().Steady) }
@@ -222,11 +216,7 @@
 // TestSlowLongPollDoesNotStopStarts checks that an owner whose long polls of the intake are not answered reads it without
 // waiting, and only while a start waits for that.
 func TestSlowLongPollDoesNotStopStarts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer time.Sleep(time.Second) // until all goroutines have ended
-		defer cancel()
-		d := startDeafOwner(ctx)
+	playDeafOwner(t, func(_ context.Context, t *testing.T, d *deafOwner) {
 		d.submit(t, longJob())
 		intake := IntakeTable("p")
 		d.log.holdReads(intake, intakeWait)
@@ -254,11 +244,7 @@
 // TestStartsReadNoMore checks that an owner whose store answers in time reads the intake once a second, however many tasks
 // it starts.
 func TestStartsReadNoMore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer time.Sleep(time.Second) // until all goroutines have ended
-		defer cancel()
-		d := startDeafOwner(ctx)
+	playDeafOwner(t, func(_ context.Context, t *testing.T, d *deafOwner) {
 		const seconds = 20
 		for i := range 4 * seconds {
 			spec := longJob()
