--- a/internal/jobs/shard/deaf_test.go
+++ b/internal/jobs/shard/deaf_test.go
@@ -5,7 +5,6 @@
 	"math"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"marigoldshed.example/marigoldshed/common/id"
@@ -67,12 +66,7 @@
 
 // playDeafOwner starts an owner in a bubble of its own time, and ends it after the play.
 func playDeafOwner(t *testing.T, play func(ctx context.Context, t *testing.T, d *deafOwner)) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer time.Sleep(5 * time.Second) // until all goroutines have ended
-		defer cancel()
-		play(ctx, t, startDeafOwner(ctx))
-	})
+	playBubble(t, func(ctx context.Context, t *testing.T) { play(ctx, t, startDeafOwner(ctx)) })
 }
 
 // submit hands a job to the owner and waits until the owner has handled it.
--- a/internal/jobs/shard/late_start_test.go
+++ b/internal/jobs/shard/late_start_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
@@ -26,10 +25,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer time.Sleep(time.Second) // until all goroutines have ended
-				defer cancel()
+			playBubble(t, func(ctx context.Context, t *testing.T) {
 				log, frozen := newFakeLog(), &atomic.Int64{}
 				network := newOwnerNetwork(log, newFakeCluster("w"), "w")
 				s := network.shard("a")
@@ -76,10 +72,7 @@
 // iteration waited for the placements of the same one, and came too late to be sent.
 func TestSlowOwnerStartsTasks(t *testing.T) {
 	for _, jobs := range []int{1, 2, 4} {
-		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			defer time.Sleep(5 * time.Second) // until all goroutines have ended
-			defer cancel()
+		playBubble(t, func(ctx context.Context, t *testing.T) {
 			network := newOwnerNetwork(newFakeLog(), newFakeCluster("w"), "w")
 			s := network.shard("a")
 			s.config.Observer = slowPool{}
--- a/internal/jobs/shard/repeat_test.go
+++ b/internal/jobs/shard/repeat_test.go
@@ -98,10 +98,7 @@
 // TestOwnerProvesItsClaimWhileABatchWaits makes appends fail while the log answers proofs, and checks that a running
 // task continues.
 func TestOwnerProvesItsClaimWhileABatchWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer time.Sleep(time.Second) // until all goroutines have ended
-		defer cancel()
+	playBubble(t, func(ctx context.Context, t *testing.T) {
 		p := newFakeCluster("w")
 		s := newOwnerNetwork(newFakeLog(), p, "w")
 		o := start(ctx, s.shard("a"))
--- a/internal/jobs/shard/slow_takeover_test.go
+++ b/internal/jobs/shard/slow_takeover_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
@@ -35,10 +34,7 @@
 // TestSlowTakeOverStartsNoCancelledJob guards against the start of a job whose cancellation was acknowledged while a new owner
 // was taking the pool over: the owner had read the intake before, and started tasks before it read on.
 func TestSlowTakeOverStartsNoCancelledJob(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer time.Sleep(5 * time.Second) // until all goroutines have ended
-		defer cancel()
+	playBubble(t, func(ctx context.Context, t *testing.T) {
 		former := startDeafOwner(ctx)
 		former.showWorker(false)
 		former.submit(t, longJob())
--- a/internal/jobs/shard/term_test.go
+++ b/internal/jobs/shard/term_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
@@ -41,10 +40,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer time.Sleep(time.Second) // until all goroutines have ended
-				defer cancel()
+			playBubble(t, func(ctx context.Context, t *testing.T) {
 				log, p := newFakeLog(), newFakeCluster("w")
 				for _, r := range test.before {
 					s := newOwnerNetwork(log, p, "w")
@@ -83,10 +79,7 @@
 // TestNoOrdersBeforeTermIsStored delays the batch with an owner's term and checks that no worker receives an order from
 // the owner before the batch is stored.
 func TestNoOrdersBeforeTermIsStored(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer time.Sleep(time.Second) // until all goroutines have ended
-		defer cancel()
+	playBubble(t, func(ctx context.Context, t *testing.T) {
 		p := newFakeCluster("w")
 		s := newOwnerNetwork(newFakeLog(), p, "w")
 		next := s.shard("a")
@@ -122,10 +115,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer time.Sleep(time.Second) // until all goroutines have ended
-				defer cancel()
+			playBubble(t, func(ctx context.Context, t *testing.T) {
 				log, p := newFakeLog(), newFakeCluster("far", "near")
 				first := newOwnerNetwork(log, p, "far")
 				o := start(ctx, first.shard("a"))
