--- a/internal/jobs/pool/crash_test.go
+++ b/internal/jobs/pool/crash_test.go
@@ -65,7 +65,8 @@
 	}
 }
 
-// TestLongRunningTaskThatCrashesWorkersAtOnceIsGivenUp checks the same of a long-running task, which meets many crashes.
+// TestLongRunningTaskThatCrashesWorkersAtOnceIsGivenUp checks the same of a long-running task. Polls show its runs here; those that no
+// answer shows are in TestCulpritThatNoAnswerShows.
 func TestLongRunningTaskThatCrashesWorkersAtOnceIsGivenUp(t *testing.T) {
 	const name = job.ID("00000000000000aa")
 	for seed := range uint64(10) {
