untrusted: Share the crowd and the process, and page the stand-in's newest records

Cause: the crowd, the process and the ordinary request could be used for one kind of body only, and the stand-in answered /log-newest with one page of any length. With more than 16 MB in a pool's intake its owner read that page in vain for ever ("the response is longer than bytes") and never took the pool over, so that accepted jobs were not measured.

Change: crowd, program and call are types of their own; a page has 500 records or 1 MB, as the platform's pages say. The eight cases send what they sent: clients, bodies, bounds and times are unchanged. A second team is in the configuration.

--- a/untrusted/process_test.go
+++ b/untrusted/process_test.go
@@ -29,6 +29,7 @@
 const (
 	host           = "h.example"
 	apiKey         = "key-1"
+	otherKey       = "key-2" // of another team
 	pathPrefix     = "/one/"
 	instanceIP     = "127.0.9.1"
 	frontPort      = 8340
@@ -39,8 +40,41 @@
 	requestTimeout = 4 * time.Second
 )
 
+// call is a request that every client may make, with the status of its answer.
+type call struct {
+	method, url, host, authorization, contentType, body string
+
+	status int
+}
+
+// smallJob is a job of one task.
+const smallJob = `{"spec":"x","phases":[{"count":1,"cpu":100,"mem_mb":10,"est_ms":100}]}`
+
+// submission returns the call that submits a job of one task with a key.
+func submission(id uint64, key string) call {
+	return call{
+		method: http.MethodPost, url: fmt.Sprintf("http://%s:%d%s%016x", instanceIP, frontPort, pathPrefix, id), host: host,
+		authorization: "Token " + key, body: smallJob, status: http.StatusOK,
+	}
+}
+
+// question returns the call that asks for the state of a job, which only the owner of its pool can answer.
+func question(id uint64, key string) call {
+	c := submission(id, key)
+	c.method, c.body = http.MethodGet, ""
+	return c
+}
+
+// program is what a process runs, and a request that it has to answer.
+type program struct {
+	binary   string
+	args     []string
+	ordinary call
+}
+
 // process is one running instance and the largest use of resources that has been seen.
 type process struct {
+	program
 	command *exec.Cmd
 	log     string
 	exited  chan struct{}
@@ -67,6 +101,11 @@
 // startProcess starts an instance with a store of its own and waits until it accepts jobs.
 func startProcess(t *testing.T, binary string, l limits) *process {
 	t.Helper()
+	return startInstance(t, binary, newJobStore(), l)
+}
+
+// newJobStore returns a store with a configuration of two teams.
+func newJobStore() *store {
 	s := newStore()
 	s.put("op", "config", map[string]any{
 		"version": 1,
@@ -75,12 +114,19 @@
 		}},
 		"backends": []any{map[string]any{"name": "p1"}},
 		"limits":   map[string]any{"max_body_bytes": bodyBytes},
-		"tenants":  []any{map[string]any{"name": "t1", "api_keys": []string{apiKey}, "weight": 10}},
+		"tenants": []any{
+			map[string]any{"name": "t1", "api_keys": []string{apiKey}, "weight": 10},
+			map[string]any{"name": "t2", "api_keys": []string{otherKey}, "weight": 10},
+		},
 	})
+	return s
+}
+
+// startInstance starts an instance and waits until it accepts jobs.
+func startInstance(t *testing.T, binary string, s *store, l limits) *process {
+	t.Helper()
 	server := httptest.NewServer(s)
 	t.Cleanup(server.CloseClientConnections)
-	dir := t.TempDir()
-	settings := filepath.Join(dir, "settings.json")
 	data, err := json.Marshal(map[string]any{
 		"node": "front-1", "role": "entry", "class": "front", "ip": instanceIP, "zone": "z1", "region": "r", "heartbeat_ms": 300,
 		"listen":              map[string]string{"front": fmt.Sprintf("%s:%d", instanceIP, frontPort), "ready": fmt.Sprintf("%s:%d", instanceIP, readyPort)},
@@ -93,27 +139,47 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(settings, data, 0o600); err != nil {
+	return startProgram(t, program{
+		binary: binary, args: []string{"run", "--settings", writeSettings(t, data)}, ordinary: submission(1, apiKey),
+	})
+}
+
+func writeSettings(t *testing.T, data []byte) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	return path
+}
+
+// startProgram starts a process and waits until it answers its ordinary request.
+func startProgram(t *testing.T, runs program) *process {
+	t.Helper()
 	p := &process{
-		log: filepath.Join(dir, "log"), exited: make(chan struct{}),
+		program: runs, log: filepath.Join(t.TempDir(), "log"), exited: make(chan struct{}),
 		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	started := make(chan error)
-	go p.run(binary, settings, started)
+	go p.run(started)
 	if err := <-started; err != nil {
 		t.Fatalf("starting the process: %v", err)
 	}
-	t.Cleanup(func() { _ = p.command.Process.Kill(); <-p.exited })
+	t.Cleanup(p.kill)
 	p.awaitOrdinaryRequest(t, "before the load")
 	go p.sample(t.Context())
 	return p
 }
 
+// kill ends the process at once.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.exited
+}
+
 // run runs the process. It locks its OS thread because Pdeathsig kills the process when the thread that started it ends,
 // which also ends the process when the test is killed.
-func (p *process) run(binary, settings string, started chan<- error) {
+func (p *process) run(started chan<- error) {
 	runtime.LockOSThread()
 	defer close(p.exited)
 	log, err := os.Create(p.log)
@@ -122,10 +188,10 @@
 		return
 	}
 	defer func() { _ = log.Close() }()
-	p.command = exec.Command(binary, "run", "--settings", settings)
+	p.command = exec.Command(p.binary, p.args...)
 	p.command.Stdout, p.command.Stderr = log, log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + filepath.Dir(settings)}
+	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + filepath.Dir(p.log)}
 	err = p.command.Start()
 	started <- err
 	if err == nil {
@@ -187,26 +253,36 @@
 	return sum
 }
 
-// awaitOrdinaryRequest submits a small job until it is accepted.
+// awaitOrdinaryRequest makes the ordinary request until it is answered.
 func (p *process) awaitOrdinaryRequest(t *testing.T, when string) {
+	t.Helper()
+	p.await(t, p.ordinary, when)
+}
+
+// await makes a call until it is answered with its status.
+func (p *process) await(t *testing.T, c call, when string) {
 	t.Helper()
 	last := "no attempt"
 	for until := time.Now().Add(patience); time.Now().Before(until) && p.alive(); time.Sleep(100 * time.Millisecond) {
-		body := `{"spec":"x","phases":[{"count":1,"cpu":100,"mem_mb":10,"est_ms":100}]}`
-		url := fmt.Sprintf("http://%s:%d%s%016x", instanceIP, frontPort, pathPrefix, 1)
-		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
+		request, err := http.NewRequestWithContext(t.Context(), c.method, c.url, strings.NewReader(c.body))
 		if err != nil {
 			t.Fatal(err)
 		}
-		request.Host = host
-		request.Header.Set("Authorization", "Token "+apiKey)
+		if c.host != "" {
+			request.Host = c.host
+		}
+		for name, value := range map[string]string{"Authorization": c.authorization, "Content-Type": c.contentType} {
+			if value != "" {
+				request.Header.Set(name, value)
+			}
+		}
 		response, err := p.client.Do(request)
 		if err != nil {
 			last = err.Error()
 			continue
 		}
 		_ = response.Body.Close()
-		if response.StatusCode == http.StatusOK {
+		if response.StatusCode == c.status {
 			return
 		}
 		last = response.Status
--- a/untrusted/store_test.go
+++ b/untrusted/store_test.go
@@ -74,7 +74,7 @@
 		wait, _ := strconv.Atoi(q.Get("wait_ms"))
 		_, _ = w.Write(s.read(r, from, time.Duration(wait)*time.Millisecond))
 	case "/log-newest":
-		s.newest(w, q.Get("topic"), q.Get("part"))
+		s.newest(w, q.Get("topic"), q.Get("part"), q.Get("after"))
 	case "/log-join", "/log-leave":
 		s.joinOrLeave(w, r.URL.Path, body)
 	case "/log-owners":
@@ -145,7 +145,14 @@
 	}
 }
 
-func (s *store) newest(w http.ResponseWriter, topic, part string) {
+// Bounds on one page of the newest records.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
+
+// newest answers with one page of the newest records of the keys after the given one.
+func (s *store) newest(w http.ResponseWriter, topic, part, after string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(topic, part)
@@ -158,14 +165,21 @@
 	}
 	var keys []string
 	for key := range last {
-		keys = append(keys, key)
+		if key > after {
+			keys = append(keys, key)
+		}
 	}
 	sort.Strings(keys)
-	items := []map[string]any{}
+	items, size := []map[string]any{}, 0
 	for _, key := range keys {
-		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString(p.records[last[key]].value), "offset": last[key]})
+		value := p.records[last[key]].value
+		if len(items) == pageItems || len(items) > 0 && size+len(value) > pageBytes {
+			break
+		}
+		size += len(value)
+		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString(value), "offset": last[key]})
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "end": len(p.records)})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": len(items) < len(keys), "end": len(p.records)})
 }
 
 func (s *store) joinOrLeave(w http.ResponseWriter, path string, body []byte) {
--- a/untrusted/untrusted_test.go
+++ b/untrusted/untrusted_test.go
@@ -77,9 +77,25 @@
 	}
 }
 
+// crowd is many clients that connect and send the same. Most of them stop just short of the end of the message and stay connected.
+type crowd struct {
+	address string
+	header  func(n int) string // of one client, sent in one write; may be nil
+	message string
+	write   int // largest number of bytes in one write
+	missing int // bytes of the message that all clients but one in completeShare keep back
+}
+
 // load connects all clients, sends their bodies and returns the connections, which stay open.
 func load(l listener, f form) []net.Conn {
-	message := encode(f)
+	return crowd{
+		address: fmt.Sprintf("%s:%d", instanceIP, l.port), header: func(n int) string { return header(l, f, n) },
+		message: f.encode(bodyBytes), write: f.write, missing: missing,
+	}.connect()
+}
+
+// connect connects all clients, has them send and returns the connections, which stay open.
+func (c crowd) connect() []net.Conn {
 	var mu sync.Mutex
 	var connections []net.Conn
 	var wait sync.WaitGroup
@@ -88,24 +104,24 @@
 		wait.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", instanceIP, l.port), requestTimeout)
+			client, err := net.DialTimeout("tcp", c.address, requestTimeout)
 			if err != nil {
 				return // rejected
 			}
 			mu.Lock()
-			connections = append(connections, c)
+			connections = append(connections, client)
 			mu.Unlock()
-			send(c, l, f, n, message)
+			c.send(client, n)
 		})
 	}
 	wait.Wait()
 	return connections
 }
 
-// encode returns a body of legal size as it is sent, a JSON object that is no job.
-func encode(f form) string {
+// encode returns a body of a size as it is sent, a JSON object that is no job.
+func (f form) encode(size int) string {
 	const start, end = `{"phases":[],"spec":"`, `"}`
-	body := start + strings.Repeat("x", bodyBytes-len(start)-len(end)) + end
+	body := start + strings.Repeat("x", size-len(start)-len(end)) + end
 	if f.chunk == 0 {
 		return body
 	}
@@ -118,9 +134,8 @@
 	return b.String()
 }
 
-// send sends one client's request. It stops at the first error, since the process may reject a body and close its connection.
-func send(c net.Conn, l listener, f form, n int, message string) {
-	_ = c.SetDeadline(time.Now().Add(patience))
+// header returns the header of one client's request.
+func header(l listener, f form, n int) string {
 	path := l.path
 	if l.port == frontPort {
 		path += fmt.Sprintf("%016x", 1000+n)
@@ -129,17 +144,25 @@
 	if f.chunk > 0 {
 		length = "Transfer-Encoding: chunked"
 	}
-	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nContent-Type: %s\r\nMarigoldshed-Deadline-Ms: 120000\r\n%s\r\n\r\n",
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nContent-Type: %s\r\nMarigoldshed-Deadline-Ms: 120000\r\n%s\r\n\r\n",
 		path, host, apiKey, l.contentType, length)
-	if _, err := c.Write([]byte(header)); err != nil {
-		return
+}
+
+// send sends one client's request. It stops at the first error, since the process may reject a body and close its connection.
+func (c crowd) send(client net.Conn, n int) {
+	_ = client.SetDeadline(time.Now().Add(patience))
+	if c.header != nil {
+		if _, err := client.Write([]byte(c.header(n))); err != nil {
+			return
+		}
 	}
+	message := c.message
 	if n%completeShare != 0 {
-		message = message[:len(message)-missing]
+		message = message[:len(message)-c.missing]
 	}
 	for message != "" {
-		part := message[:min(len(message), f.write)]
-		if _, err := c.Write([]byte(part)); err != nil {
+		part := message[:min(len(message), c.write)]
+		if _, err := client.Write([]byte(part)); err != nil {
 			return
 		}
 		message = message[len(part):]
