--- /dev/null
+++ b/untrusted/jobs_test.go
@@ -0,0 +1,123 @@
+package untrusted
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// jobForm is a crowd of clients of which each makes many whole, legal calls one after the other on its connection.
+type jobForm struct {
+	name    string
+	clients int
+	calls   int                             // of each client
+	request func(id uint64) []clientRequest // what one call sends; the ID is fresh
+	early   bool                            // the clients do not wait until the pool has an owner
+}
+
+// clientRequest is one request of a client.
+type clientRequest struct{ method, body string }
+
+// Sizes of the jobs.
+const (
+	longMethod    = 4_000
+	otherTeamJobs = 1 << 32 // IDs of the other team's jobs begin here
+)
+
+var jobForms = []jobForm{
+	{name: "methods that do not exist", clients: 100, calls: 200, request: func(id uint64) []clientRequest {
+		return []clientRequest{{fmt.Sprintf("%s%016X", strings.Repeat("M", longMethod), id), ""}}
+	}},
+}
+
+// TestAcceptedJobs guards against clients that exhaust the memory of an instance by whole, legal calls: by what it keeps of the jobs
+// that it accepts, and of each call that it has answered. There are no workers, so no job ends by itself. The jobs of other teams are
+// still accepted, and so are jobs at an instance that takes over.
+func TestAcceptedJobs(t *testing.T) {
+	if !*enabled {
+		t.Skip("runs with -untrusted")
+	}
+	binary := buildBinary(t)
+	for _, f := range jobForms {
+		t.Run(f.name, func(t *testing.T) {
+			s := newJobStore()
+			p := startInstance(t, binary, s, limits{memoryMB: memoryMB, descriptors: maxDescriptors})
+			if !f.early {
+				p.await(t, question(1, apiKey), "before the load")
+			}
+			connections, answers := submitAll(f)
+			t.Logf("answers by status: %v", answers)
+			time.Sleep(holdTime)
+			p.await(t, submission(otherTeamJobs, otherKey), "beside the open connections")
+			p.check(t)
+			for _, c := range connections {
+				_ = c.Close()
+			}
+			p.await(t, submission(otherTeamJobs+1, otherKey), "after the load")
+			p.check(t)
+			p.kill()
+			successor := startInstance(t, binary, s, limits{memoryMB: memoryMB, descriptors: maxDescriptors})
+			successor.await(t, question(1, apiKey), "at the successor")
+			successor.await(t, submission(otherTeamJobs+2, otherKey), "at the successor")
+			time.Sleep(holdTime)
+			successor.check(t)
+		})
+	}
+}
+
+// submitAll has all clients make their calls and returns their connections, which stay open, and the number of answers by status.
+func submitAll(f jobForm) ([]net.Conn, map[int]int) {
+	var mu sync.Mutex
+	var connections []net.Conn
+	answers := map[int]int{}
+	var wait sync.WaitGroup
+	for n := range f.clients {
+		wait.Go(func() {
+			c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", instanceIP, frontPort), requestTimeout)
+			if err != nil {
+				return // rejected
+			}
+			statuses := submitJobs(c, f, uint64(1000+n*f.calls))
+			mu.Lock()
+			defer mu.Unlock()
+			connections = append(connections, c)
+			for _, status := range statuses {
+				answers[status]++
+			}
+		})
+	}
+	wait.Wait()
+	return connections, answers
+}
+
+// submitJobs makes one client's calls and returns the statuses of the answers. It stops at the first error, since the process may
+// close its connection.
+func submitJobs(c net.Conn, f jobForm, firstID uint64) []int {
+	_ = c.SetDeadline(time.Now().Add(patience))
+	reader := bufio.NewReader(c)
+	var statuses []int
+	for n := range f.calls {
+		id := firstID + uint64(n)
+		for _, r := range f.request(id) {
+			header := fmt.Sprintf("%s %s%016x HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nMarigoldshed-Deadline-Ms: 20000\r\nContent-Length: %d\r\n\r\n",
+				r.method, pathPrefix, id, host, apiKey, len(r.body))
+			if _, err := c.Write([]byte(header + r.body)); err != nil {
+				return statuses
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return statuses
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			statuses = append(statuses, response.StatusCode)
+		}
+	}
+	return statuses
+}
