stdout: Bound the bytes of lines that wait for a slow reader

What callers saw: nothing. By reading: 4,096 lines are buffered, however long they are, and a client makes lines of 16 KB by its path (the job, the error and the queue name it), 64 MB on a machine of 160 while nobody reads the output. Cause: the buffer was bounded by lines only. Why it works: a line beyond 4 MB is dropped and counted, as one beyond 4,096 lines. Ordinary lines have some 250 bytes, so the bound on lines is met first.

--- a/internal/observe/stdout/writer.go
+++ b/internal/observe/stdout/writer.go
@@ -10,12 +10,16 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// bufferLines is the number of lines that are buffered for a slow reader.
-const bufferLines = 4096
+// What is buffered for a slow reader.
+const (
+	bufferLines = 4096
+	bufferBytes = 4 << 20
+)
 
 // Writer passes lines to a goroutine that writes them. It implements zapcore.WriteSyncer.
 type Writer struct {
 	lines   chan []byte
+	queued  atomic.Int64 // bytes of lines
 	dropped atomic.Int64
 	out     io.Writer
 }
@@ -29,14 +33,25 @@
 
 // Write queues a copy of a line, or drops the line when the buffer is full. It never fails.
 func (w *Writer) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.queued.Add(size) > bufferBytes {
+		w.drop(size)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- bytes.Clone(line):
 	default:
-		w.dropped.Add(1)
+		w.drop(size)
 	}
 	return len(line), nil
 }
 
+// drop counts a line of a size that was not queued.
+func (w *Writer) drop(size int64) {
+	w.queued.Add(-size)
+	w.dropped.Add(1)
+}
+
 // Sync does nothing: waiting for a reader could block the program.
 func (w *Writer) Sync() error { return nil }
 
@@ -48,6 +63,7 @@
 		if _, err := w.out.Write(line); err != nil {
 			w.dropped.Add(1)
 		}
+		w.queued.Add(-int64(len(line)))
 	}
 }
 
--- a/internal/observe/stdout/writer_test.go
+++ b/internal/observe/stdout/writer_test.go
@@ -47,3 +47,25 @@
 		t.Errorf("%d lines of %d are kept, want the first ones and a sample of the others", kept, 3*sampleFirst)
 	}
 }
+
+// TestLongLinesAreBounded guards against lines that clients make long and that exhaust the memory while nobody reads the output.
+func TestLongLinesAreBounded(t *testing.T) {
+	block := make(chan struct{})
+	w := NewWriter(blockedWriter{block: block})
+	line := make([]byte, 16<<10)
+	for range bufferLines {
+		_, _ = w.Write(line)
+	}
+	if queued := w.queued.Load(); queued > bufferBytes {
+		t.Errorf("%d bytes are queued, want %d at most", queued, bufferBytes)
+	}
+	if w.Dropped() == 0 {
+		t.Error("no line was dropped")
+	}
+	close(block)
+	for until := time.Now().Add(5 * time.Second); w.queued.Load() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%d bytes count as queued after all were written", w.queued.Load())
+		}
+	}
+}
