pool: Bound the memory of the jobs that an owner keeps

What callers saw: an instance that ran out of memory by whole, legal jobs, all answered 200, and then each successor that read them from the log. Cause: nothing bounded what the owner of a pool keeps. A job of 4,000 bytes with 60 steps needs some 35 KB, one of 20,000 tasks 6 MB for a body of 80 bytes; ended jobs kept all that for status_s, and so did cancellations of jobs that nobody has. Without an owner the instances stored as much in the intake, whose reader rejects nothing. Change: Pool.Admit counts the memory of jobs, of any kind, and rejects with 429 and a Retry-After of 1 to 3 s what does not fit; a team may hold twice what is free. An ended job's tasks and payload are freed once its end is stored and no run of it can exist, and a successor does not build them. Cancellations of unknown jobs and what an instance stores for owners that do not answer have bounds of their own. A rejected cancellation travels as resource exhausted. Why it works: what is counted is what is held, so the bound holds whatever the jobs look like; all pools together may take half of the memory, so a successor of equal size holds what any owner accepted.

--- a/internal/jobs/admission/admission.go
+++ b/internal/jobs/admission/admission.go
@@ -58,6 +58,7 @@
 	TeamOverShare        // the team's own work fills what the team may use
 	PoolFull             // the work of all teams fills the pool, and the team uses no more than its share
 	Early                // the job was told to come back later
+	MemoryFull           // the pool keeps as many jobs as the memory of its owner allows
 )
 
 // String returns the name of the reason in logs and metrics.
@@ -71,6 +72,8 @@
 		return "pool full"
 	case Early:
 		return "before its time"
+	case MemoryFull:
+		return "memory full"
 	}
 	return "unknown"
 }
--- a/internal/jobs/claim/claim.go
+++ b/internal/jobs/claim/claim.go
@@ -97,10 +97,18 @@
 	}
 }
 
+// KeyRange is a range of the keys of a table: those after After and, unless Last is empty, up to Last.
+type KeyRange struct{ After, Last string }
+
 // ReadAll passes the newest record of every key of a table to handle and returns the offset from which to continue
 // reading.
 func ReadAll(ctx context.Context, log stream.Log, t stream.Table, logger *zap.Logger, handle func(stream.Record)) (int64, error) {
-	after, next := "", int64(-1)
+	return ReadKeys(ctx, log, t, KeyRange{}, logger, handle)
+}
+
+// ReadKeys does what ReadAll does for a range of keys.
+func ReadKeys(ctx context.Context, log stream.Log, t stream.Table, keys KeyRange, logger *zap.Logger, handle func(stream.Record)) (int64, error) {
+	after, next := keys.After, int64(-1)
 	for {
 		page, err := log.Newest(ctx, t, after)
 		if err != nil {
@@ -113,6 +121,9 @@
 			next = page.End
 		}
 		for _, item := range page.Items {
+			if keys.Last != "" && item.Key > keys.Last {
+				return next, nil
+			}
 			handle(item.Record)
 			after = item.Key
 		}
--- a/internal/jobs/instance/cancel.go
+++ b/internal/jobs/instance/cancel.go
@@ -8,11 +8,14 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"marigoldshed.example/marigoldshed/internal/jobs/admission"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/peer"
 )
 
 // A cancellation has to reach the job wherever it is or comes later. So each holder of its route keeps it, whether or not it
@@ -137,11 +140,23 @@
 	p.presence, p.silence = p.instance.cancelAtOwner(ctx, p.pool, p.job)
 	if p.silence != nil {
 		p.table = shard.IntakeTable(p.pool)
-		p.offset, p.err = p.instance.store(ctx, p.table, shard.CancelRecord(p.job), true)
+		p.offset, p.err = p.store(ctx)
 	}
 	answered <- p
 }
 
+// store stores the cancellation in the pool's intake, unless the owner has rejected it.
+func (p *poolCancellation) store(ctx context.Context) (int64, error) {
+	var overloaded OverloadedError
+	if errors.As(p.silence, &overloaded) {
+		return 0, overloaded
+	}
+	if !p.instance.mayStore(cancellationBytes) {
+		return 0, storeBudgetError(true)
+	}
+	return p.instance.store(ctx, p.table, shard.CancelRecord(p.job), true)
+}
+
 func (p *poolCancellation) mayHaveJob() bool { return p.silence != nil || p.presence.Known() }
 
 // silentAnswer stands for a pool whose owner gave no answer.
@@ -169,7 +184,8 @@
 	return nil
 }
 
-// cancelAtOwner asks the owner of a pool to cancel a job and tells whether the pool has it.
+// cancelAtOwner asks the owner of a pool to cancel a job and tells whether the pool has it. After an OverloadedError the owner has rejected
+// the cancellation of a job that it does not have.
 func (n *Instance) cancelAtOwner(ctx context.Context, shardName string, name job.ID) (job.Presence, error) {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
@@ -177,9 +193,18 @@
 	if err != nil {
 		return job.Absent, err
 	}
+	var full pool.OverloadedError
+	var peerFull peer.OverloadedError
 	if here != nil {
-		return here.Cancel(ctx, name)
+		presence, err := here.Cancel(ctx, name)
+		if errors.As(err, &full) {
+			err = OverloadedError{Retry: full.Wait, Reason: full.Reason}
+		}
+		return presence, err
 	}
 	answer, err := n.config.Peers.Cancel(ctx, owner, relay.JobRequest{Pool: shardName, Job: name})
+	if errors.As(err, &peerFull) {
+		err = OverloadedError{Retry: retryAfter, Reason: admission.MemoryFull}
+	}
 	return answer.Answer(), err
 }
--- a/internal/jobs/instance/error.go
+++ b/internal/jobs/instance/error.go
@@ -55,7 +55,10 @@
 
 // Error returns the reason and the delay.
 func (e OverloadedError) Error() string {
-	if e.Reason == admission.TeamOverShare {
+	switch e.Reason {
+	case admission.MemoryFull:
+		return "not run: the pool keeps as many jobs as its memory allows"
+	case admission.TeamOverShare:
 		return fmt.Sprintf("not run: the team's other jobs use its share of the pool for %v", e.Retry)
 	}
 	return fmt.Sprintf("not run: the pool has work for %v before this job", e.Retry)
--- a/internal/jobs/instance/instance.go
+++ b/internal/jobs/instance/instance.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
@@ -48,6 +49,7 @@
 	proxiedLog *proxiedLog
 
 	holderWrites singleflight.Group // records of holders that are being written
+	storeBudget  *rate.Limiter      // of the bytes that this instance stores in intakes
 
 	mu              sync.RWMutex // guards everything below
 	catalog         *snapshot
@@ -95,6 +97,7 @@
 		holders: map[catalog.Route][]holder{}, shards: map[string]*owned{}, owners: owners.Table{}, ownedSince: map[string]time.Duration{}, ownersChanged: make(chan struct{}, 1), stop: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	n.proxiedLog = &proxiedLog{Log: c.Log, instance: n}
+	n.storeBudget = newStoreBudget(c.Settings)
 	return n
 }
 
--- a/internal/jobs/instance/serve.go
+++ b/internal/jobs/instance/serve.go
@@ -14,6 +14,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/relay"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
+	"marigoldshed.example/marigoldshed/peer"
 )
 
 // localShard returns the shard of a pool that this instance owns.
@@ -79,6 +80,10 @@
 		return relay.PresenceReply{}, err
 	}
 	presence, err := s.Cancel(ctx, q.Job)
+	var overloaded pool.OverloadedError
+	if errors.As(err, &overloaded) {
+		return relay.PresenceReply{}, peer.OverloadedError{Reason: overloaded.Error()}
+	}
 	return relay.NewPresenceReply(presence), err
 }
 
--- a/internal/jobs/instance/settings.go
+++ b/internal/jobs/instance/settings.go
@@ -35,6 +35,7 @@
 	CallBytes         int              // bytes of records that the store takes in one call, 0 if not known
 	RemoteSlowdown    float64          // factor by which a task is slower away from its data, 0 when not known
 	Admission         pool.AdmissionPolicy
+	JobMemory         int64 // bytes that the jobs of one pool may take, 0 for the default by Memory
 }
 
 // defaultLease is the length of a lease, which bounds the time until the tasks of a silent worker count as lost.
--- a/internal/jobs/instance/shard.go
+++ b/internal/jobs/instance/shard.go
@@ -32,7 +32,7 @@
 		Settings: shard.Settings{
 			Lease: set.Lease(), MaxLease: set.MaxLease, Retention: set.Retention,
 			CancelTimeout: set.CancelTimeout, EvacuationTimeout: set.EvacuationTimeout, RemoteSlowdown: set.RemoteSlowdown,
-			RecordBytes: set.RecordBytes, CallBytes: set.CallBytes, Admission: set.Admission,
+			RecordBytes: set.RecordBytes, CallBytes: set.CallBytes, Admission: set.Admission, Memory: set.Memory, JobMemory: set.JobMemory,
 		},
 		View:          func() shard.View { return n.view(shardName) },
 		OperatorsSeen: n.operatorsSeen,
--- a/internal/jobs/instance/submit.go
+++ b/internal/jobs/instance/submit.go
@@ -85,6 +85,9 @@
 	if !mayBeStored && n.isStoreSilent() {
 		return NotReadyError{Reason: "the store does not answer", Retry: retryAfter}
 	}
+	if !n.mayStore(spec.MemoryBytes()) {
+		return storeBudgetError(mayBeStored)
+	}
 	record, err := shard.SpecRecord(&spec)
 	if err != nil {
 		return err
--- a/internal/jobs/pool/admit.go
+++ b/internal/jobs/pool/admit.go
@@ -46,11 +46,15 @@
 
 // Admit rejects a job that can no longer be on time, as package admission decides, so that its caller can go elsewhere in
 // time. Where teams have no weights or the job has no objective, only a job that would end too late to be of any use is
-// rejected. A job that the pool already has, a scheduled or long-running job, and any job while the capacity is unknown are accepted.
+// rejected. A job that the pool already has is accepted, and so are a scheduled or long-running job, and any job while the capacity is
+// unknown, if the memory of the pool suffices for them.
 func (p *Pool) Admit(at Moment, spec *job.Spec) error {
-	if _, known := p.jobs[spec.ID]; known || !spec.Once() {
+	if _, known := p.jobs[spec.ID]; known {
 		return nil
 	}
+	if err := p.admitMemory(spec); err != nil || !spec.Once() {
+		return err
+	}
 	if at.Steady > p.obtainableUntil {
 		return nil // the capacity that the pool can get is unknown
 	}
--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -152,7 +152,9 @@
 		}
 	}
 	for name, e := range p.jobs {
+		p.releaseTasks(e)
 		if e.dropAt > 0 && at.Steady > e.dropAt {
+			p.discharge(e)
 			delete(p.jobs, name)
 			p.dropped = append(p.dropped, name)
 			p.config.Observer.JobDropped(&e.job.Spec, e.job.State, p.age(e))
--- /dev/null
+++ b/internal/jobs/pool/memory.go
@@ -0,0 +1,128 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldshed.example/marigoldshed/internal/jobs/admission"
+	"marigoldshed.example/marigoldshed/internal/jobs/job"
+)
+
+// Shares of the memory of an instance that jobs may take.
+const (
+	memoryShareOfPools = 2 // one part in so many for all pools, which one instance may own
+	memoryShareOfPool  = 6 // one part in so many for one pool
+)
+
+// Kept cancellations of jobs that have not come.
+const (
+	cancellationBytes = 250 // memory of one
+	cancellationShare = 4   // one part in so many of the pool's limit for all of them
+)
+
+// maxMemoryRetry is the longest delay, in whole seconds, of a caller whose job found no memory.
+const maxMemoryRetry = 3
+
+// freeMultiple is how many times the free memory of a pool one team may hold. A team that takes all it can get leaves a third of the limit
+// to the others.
+const freeMultiple = 2
+
+// MemoryLimit returns the memory that the jobs of one pool may take, in bytes, where an instance has the given memory and there are so many
+// pools.
+func MemoryLimit(memory int64, pools int) int64 {
+	return min(memory/memoryShareOfPool, memory/memoryShareOfPools/int64(max(1, pools)))
+}
+
+// memoryBudget counts the memory of a pool's jobs against a limit.
+type memoryBudget struct {
+	limit int64 // bytes, 0 for no limit
+	used  int64
+	teams map[string]int64
+}
+
+// fits reports whether a job of a team may be accepted. Any job fits an empty pool.
+func (b *memoryBudget) fits(team string, bytes int64) bool {
+	if b.limit <= 0 || b.used == 0 {
+		return true
+	}
+	return b.used+bytes <= b.limit && b.teams[team]+bytes <= freeMultiple*(b.limit-b.used)
+}
+
+// add changes the memory of a team's jobs.
+func (b *memoryBudget) add(team string, bytes int64) {
+	b.used += bytes
+	if b.teams[team] += bytes; b.teams[team] == 0 {
+		delete(b.teams, team)
+	}
+}
+
+// SetMemoryLimit sets the memory that the jobs of the pool may take, in bytes; 0 means no limit.
+func (p *Pool) SetMemoryLimit(bytes int64) { p.memory.limit = bytes }
+
+// MemoryBytes returns the estimated memory of the pool's jobs, in bytes.
+func (p *Pool) MemoryBytes() int64 { return p.memory.used }
+
+// admitMemory returns an OverloadedError for a job that the memory of the pool does not suffice for.
+func (p *Pool) admitMemory(spec *job.Spec) error {
+	bytes := spec.MemoryBytes()
+	if p.memory.fits(spec.Team, bytes) {
+		return nil
+	}
+	retry := memoryRetry(spec.ID)
+	p.config.Observer.Rejected(spec, admission.Decision{Reason: admission.MemoryFull, Retry: retry})
+	return OverloadedError{Wait: retry, Reason: admission.MemoryFull}
+}
+
+// AdmitCancellation returns an OverloadedError for the cancellation of a job that the pool does not have, if the pool keeps as many of
+// these as its memory allows.
+func (p *Pool) AdmitCancellation(name job.ID) error {
+	_, known := p.jobs[name]
+	if known || p.IsCancelled(name) || p.memory.limit <= 0 {
+		return nil
+	}
+	if int64(len(p.cancelled))*cancellationBytes < p.memory.limit/cancellationShare {
+		return nil
+	}
+	return OverloadedError{Wait: memoryRetry(name), Reason: admission.MemoryFull}
+}
+
+// memoryRetry spreads the callers that come back over some seconds.
+func memoryRetry(name job.ID) time.Duration {
+	return time.Duration(1+xxhash.Sum64String(string(name))%maxMemoryRetry) * time.Second
+}
+
+// charge counts the memory of a job, by what the pool keeps of it now.
+func (p *Pool) charge(e *entry) {
+	bytes := e.job.Spec.MemoryBytes()
+	if e.released {
+		bytes = e.job.Spec.ReleasedBytes()
+	}
+	p.memory.add(e.job.Spec.Team, bytes-e.bytes)
+	e.bytes = bytes
+}
+
+// discharge stops counting the memory of a job that the pool drops.
+func (p *Pool) discharge(e *entry) {
+	p.memory.add(e.job.Spec.Team, -e.bytes)
+	e.bytes = 0
+}
+
+// releaseTasks frees the tasks of an ended job once its end is stored and no run of it can exist.
+func (p *Pool) releaseTasks(e *entry) {
+	if e.released || e.dropAt == 0 || e.job.HasRuns() {
+		return
+	}
+	e.released = true
+	e.job.Release()
+	e.advice, e.rescues, e.stepTimes, e.lengths = nil, map[job.Name]int{}, nil, nil
+	p.charge(e)
+}
+
+// taskOf returns a task of the job, or one in its place if the tasks are freed; nil if the job has no such task.
+func (e *entry) taskOf(name job.Name) *job.Task {
+	if e.released && e.job.Spec.HasTask(name) {
+		return &job.Task{Name: name, Done: e.job.State == job.Completed}
+	}
+	return e.job.Task(name)
+}
--- a/internal/jobs/pool/poll.go
+++ b/internal/jobs/pool/poll.go
@@ -268,7 +268,7 @@
 	e, known := p.jobs[id.Task.Job]
 	var t *job.Task
 	if known {
-		t = e.job.Task(id.Task)
+		t = e.taskOf(id.Task)
 	}
 	if t == nil {
 		h.orphans.Add(id)
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -65,6 +65,8 @@
 	ready            time.Duration        // steady time since which its newest ready step can start
 	stepTimes        map[[2]int]stepTimes // by occurrence and step
 	lengths          []stepLength         // newest predictions, by step
+	bytes            int64                // memory that is counted for it
+	released         bool                 // it has ended, and its tasks are freed
 }
 
 // Pool holds the jobs and workers of one pool.
@@ -108,6 +110,7 @@
 	runTimes         *runtimes.Model
 	admission        admissionCache
 	retries          *retries
+	memory           memoryBudget
 }
 
 // New returns an empty pool.
@@ -118,6 +121,7 @@
 	return &Pool{
 		config: c, fence: c.Fence, jobs: map[job.ID]*entry{}, cancelled: map[job.ID]time.Duration{}, workers: map[string]*host{},
 		teams: map[string]*team{}, changed: map[job.ID]struct{}{}, instanceCrashes: map[string]time.Duration{}, runTimes: runtimes.New(runtimes.Config{}), retries: newRetries(),
+		memory: memoryBudget{teams: map[string]int64{}},
 	}
 }
 
@@ -158,6 +162,7 @@
 	e.due = e.arrived + j.Spec.Objective()
 	p.jobs[j.Spec.ID] = e
 	p.active = append(p.active, e)
+	p.charge(e)
 	return e
 }
 
--- a/internal/jobs/pool/restore.go
+++ b/internal/jobs/pool/restore.go
@@ -26,6 +26,10 @@
 	p.tickedAt = at.Steady
 	p.runTimes.Restore(at.Steady, p.config.RunTimes)
 	for _, s := range all {
+		if s.Progress != nil && s.Progress.IsReleasable() {
+			p.restoreReleased(at, s)
+			continue
+		}
 		j := job.New(s.Spec)
 		if s.Progress != nil {
 			j.Restore(*s.Progress)
@@ -33,6 +37,7 @@
 		if j.State.Ended() {
 			e := &entry{job: j, stored: j.State, arrived: at.Steady, rescues: map[job.Name]int{}}
 			p.jobs[j.Spec.ID] = e
+			p.charge(e)
 			p.restoreEnded(at, e)
 			p.restoreRuns(at, e)
 			p.stopRuns(at, e)
@@ -49,6 +54,16 @@
 	p.inheritLosses(at)
 }
 
+// restoreReleased takes over an ended job of which no run can exist, without its tasks.
+func (p *Pool) restoreReleased(at Moment, s StoredState) {
+	e := &entry{
+		job: job.NewReleased(s.Spec, *s.Progress), stored: s.Progress.State, arrived: at.Steady, rescues: map[job.Name]int{}, released: true,
+	}
+	p.jobs[s.Spec.ID] = e
+	p.charge(e)
+	p.restoreEnded(at, e)
+}
+
 // inheritLosses records the losses of runs that were ordered for earlier incarnations of their workers, which have started again while
 // the owner changed. It ends no run: a later incarnation may have carried out the start.
 func (p *Pool) inheritLosses(at Moment) {
--- a/internal/jobs/shard/record.go
+++ b/internal/jobs/shard/record.go
@@ -66,9 +66,15 @@
 		*cancelled = append(*cancelled, job.ID(name))
 		return
 	}
-	if spec, ok := s.decodeSpec(r); ok {
-		jobEntry(jobs, spec.ID).Spec = spec
+	spec, ok := s.decodeSpec(r)
+	if !ok {
+		return
+	}
+	stored := jobEntry(jobs, spec.ID)
+	if stored.Progress != nil && stored.Progress.IsReleasable() {
+		spec.Payload = ""
 	}
+	stored.Spec = spec
 }
 
 func (s *Shard) decodeSpec(r stream.Record) (job.Spec, bool) {
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -48,6 +48,16 @@
 	RecordBytes       int           // longest record that the store takes, 0 if unknown
 	CallBytes         int           // bytes of records that the store takes in one call, 0 if unknown
 	Admission         pool.AdmissionPolicy
+	Memory            int64 // bytes that the instance may use, 0 if unknown
+	JobMemory         int64 // bytes that the jobs of the pool may take, 0 for the default by Memory
+}
+
+// jobMemory returns the memory that the jobs of one of so many pools may take, 0 for no limit.
+func (s *Settings) jobMemory(pools int) int64 {
+	if s.JobMemory > 0 {
+		return s.JobMemory
+	}
+	return pool.MemoryLimit(s.Memory, pools)
 }
 
 // Config holds what a Shard needs.
@@ -171,20 +181,26 @@
 	return errors.Trace(err)
 }
 
+// outputKeys are the ranges of keys in which the output table is read. The progress of jobs comes before the jobs, so that of those
+// that have ended only a part is kept.
+var outputKeys = []claim.KeyRange{{After: partPrefix}, {Last: partPrefix}}
+
 // load reads the pool's stored state from the log.
 func (s *Shard) load(ctx context.Context) error {
 	jobs, parts := map[job.ID]*pool.StoredState{}, map[string][]byte{}
 	var cancelled []job.ID
-	if _, err := claim.ReadAll(ctx, s.config.Log, s.output, s.config.Logger, func(r stream.Record) {
-		s.loadTerm(r)
-		s.loadUptime(r)
-		s.loadRunTimes(r)
-		s.loadSeal(r)
-		s.loadPart(parts, r)
-		s.loadProgress(jobs, parts, r)
-		s.loadIntake(jobs, &cancelled, r)
-	}); err != nil {
-		return err
+	for _, keys := range outputKeys {
+		if _, err := claim.ReadKeys(ctx, s.config.Log, s.output, keys, s.config.Logger, func(r stream.Record) {
+			s.loadTerm(r)
+			s.loadUptime(r)
+			s.loadRunTimes(r)
+			s.loadSeal(r)
+			s.loadPart(parts, r)
+			s.loadProgress(jobs, parts, r)
+			s.loadIntake(jobs, &cancelled, r)
+		}); err != nil {
+			return err
+		}
 	}
 	s.intakeSeenAt = s.config.Clock.Moment().Steady
 	next, err := claim.ReadAll(ctx, s.config.Log, s.intake, s.config.Logger, func(r stream.Record) {
@@ -311,5 +327,6 @@
 	s.pool.SetEvacuated(v.Evacuated)
 	s.pool.SetLimits(v.Limits, limit.MinAllocation(v.PoolCount))
 	s.pool.SetWeights(v.Weights)
+	s.pool.SetMemoryLimit(s.config.Settings.jobMemory(v.PoolCount))
 	s.placeRequested = true
 }
--- a/internal/jobs/shard/submit.go
+++ b/internal/jobs/shard/submit.go
@@ -36,13 +36,16 @@
 	return err
 }
 
-// Cancel stores the cancellation of a job, applies it, and tells whether the pool has the job. An Absent job is cancelled if it
+// Cancel stores the cancellation of a job, applies it, and tells whether the pool has the job. After a pool.OverloadedError it is not stored. An Absent job is cancelled if it
 // comes within the retention time; the pools to which a Forwarded one may go have to know of the cancellation, too.
 func (s *Shard) Cancel(ctx context.Context, name job.ID) (job.Presence, error) {
 	var presence job.Presence
 	var known bool
 	var tail int64
 	err := s.storeRecord(ctx, CancelRecord(name), func(at pool.Moment) error {
+		if err := s.pool.AdmitCancellation(name); err != nil && !s.has(name) {
+			return err
+		}
 		presence, known, tail = s.presence(name), s.has(name), s.intakeOffset
 		s.applyCancellation(at, name, fromCaller, noOffset)
 		return nil
--- a/peer/client.go
+++ b/peer/client.go
@@ -77,12 +77,16 @@
 	return errors.As(err, &opErr) && opErr.Op == "dial"
 }
 
-// Call sends a message to a procedure of a member and returns the reply.
+// Call sends a message to a procedure of a member and returns the reply. It fails with an OverloadedError if the member has rejected the
+// call.
 func Call[Q, A any](ctx context.Context, c *Client, to netip.AddrPort, path string, message *Q) (A, error) {
 	var zero A
 	request := connect.NewRequest(message)
 	request.Header().Set("Authorization", "Bearer "+c.secret)
 	response, err := client[Q, A](c, "http://"+to.String()+path).CallUnary(ctx, request)
+	if connect.CodeOf(err) == connect.CodeResourceExhausted {
+		err = OverloadedError{Reason: err.Error()}
+	}
 	if err != nil {
 		return zero, errors.Annotatef(err, "calling %s of %s", path, to)
 	}
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"connectrpc.com/connect"
+	"github.com/juju/errors"
 )
 
 // HandlerConfig configures a handler.
@@ -29,11 +30,22 @@
 	return requireSecret(c.Secret, mux)
 }
 
-// Handle registers the handler of one procedure; an error of handle is sent as the code unavailable.
+// OverloadedError reports that a member has rejected a call for lack of memory; the call had no effect.
+type OverloadedError struct{ Reason string }
+
+// Error returns the reason.
+func (e OverloadedError) Error() string { return "overloaded: " + e.Reason }
+
+// Handle registers the handler of one procedure; an OverloadedError is sent as the code resource exhausted, any other error of handle as
+// the code unavailable.
 func Handle[Q, A any](mux *http.ServeMux, path string, handle func(context.Context, *Q) (A, error)) {
 	serve := func(ctx context.Context, request *connect.Request[Q]) (*connect.Response[A], error) {
 		reply, err := handle(ctx, request.Msg)
-		if err != nil {
+		var overloaded OverloadedError
+		switch {
+		case errors.As(err, &overloaded):
+			return nil, connect.NewError(connect.CodeResourceExhausted, err)
+		case err != nil:
 			return nil, connect.NewError(connect.CodeUnavailable, err)
 		}
 		return connect.NewResponse(&reply), nil
--- a/untrusted/jobs_test.go
+++ b/untrusted/jobs_test.go
@@ -26,11 +26,37 @@
 
 // Sizes of the jobs.
 const (
+	manySteps     = 60
+	longPayload   = 4_000  // bytes, the most that a job may have
+	manyTasks     = 20_000 // the most that a job may have
+	longImage     = 100_000
+	manyPrevious  = 130_000 // a body of nearly legal size names an earlier step so often
 	longMethod    = 4_000
 	otherTeamJobs = 1 << 32 // IDs of the other team's jobs begin here
 )
 
+// wideJob is a job of many steps with a long payload.
+var wideJob = func() string {
+	step := `{"count":1,"cpu":100,"mem_mb":10,"est_ms":100}`
+	return fmt.Sprintf(`{"spec":"%s","phases":[%s]}`, strings.Repeat("x", longPayload), strings.Repeat(step+",", manySteps-1)+step)
+}()
+
+func post(body string) func(uint64) []clientRequest {
+	return func(uint64) []clientRequest { return []clientRequest{{http.MethodPost, body}} }
+}
+
 var jobForms = []jobForm{
+	{name: "many steps", clients: 100, calls: 50, request: post(wideJob)},
+	{name: "many steps before there is an owner", clients: 100, calls: 50, request: post(wideJob), early: true},
+	{name: "many tasks", clients: 20, calls: 10, request: post(
+		fmt.Sprintf(`{"spec":"x","phases":[{"count":%d,"cpu":100,"mem_mb":10,"est_ms":100}]}`, manyTasks))},
+	{name: "long images", clients: 100, calls: 10, request: post(
+		fmt.Sprintf(`{"spec":"x","phases":[{"count":1,"cpu":100,"mem_mb":10,"est_ms":100,"image":"%s"}]}`, strings.Repeat("x", longImage)))},
+	{name: "steps that wait for one step many times", clients: 100, calls: 10, request: post(
+		fmt.Sprintf(`{"spec":"x","phases":[{"count":1,"est_ms":100},{"count":1,"est_ms":100,"after":[%s0]}]}`, strings.Repeat("0,", manyPrevious-1)))},
+	{name: "jobs that are cancelled", clients: 100, calls: 50, request: func(uint64) []clientRequest {
+		return []clientRequest{{http.MethodPost, wideJob}, {http.MethodDelete, ""}}
+	}},
 	{name: "methods that do not exist", clients: 100, calls: 200, request: func(id uint64) []clientRequest {
 		return []clientRequest{{fmt.Sprintf("%s%016X", strings.Repeat("M", longMethod), id), ""}}
 	}},
