server: Bound what clients hold at every listener of an entry instance

What callers saw: an instance that grows with the bodies that clients begin, to 1.4 GB and more, and a listener of the operators that gives no answer while 100 connections are open, whoever has them. Cause: serve read up to 1 MiB of 10,000 connections (32 MiB of 1,000 of peers) before it looked at the key, without a bound on their sum or a time for the bodies of operators and peers. All listeners spoke HTTP/2 without TLS, where one connection carries any number of bodies. The bound on connections waited for one to close instead of choosing one. There was no setting for the memory. Change: a Gate for each listener, by [limits] memory and descriptors (half of the machine's memory and the system's limit by default). HTTP/2 for peers only; a Gate bounds its streams like connections and cuts off single ones. The key is checked before the body is read; a body that had to make room is a problem with 503, Retry-After and not run. The metrics of what clients hold moved to package intake, which both use. Why it works: as in run: what arrives is charged before it is kept, what has stalled for longest makes room, and a listener that is full closes a connection instead of waiting for one.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -16,6 +16,7 @@
 	"marigoldshed.example/marigoldshed/common/id"
 	"marigoldshed.example/marigoldshed/endpoint"
 	"marigoldshed.example/marigoldshed/entry"
+	"marigoldshed.example/marigoldshed/internal/transport/intake"
 	"marigoldshed.example/marigoldshed/peer"
 	"marigoldshed.example/marigoldshed/queue"
 	"marigoldshed.example/marigoldshed/task"
@@ -29,10 +30,13 @@
 	maxKeyLength    = 200 // bytes of an idempotency key
 
 	defaultBodyTimeout = 30 * time.Second
+	bodyRetry          = time.Second // after which a caller whose body had to make room may come back
 )
 
 // Server serves requests and tasks; entry.Control implements it.
 type Server interface {
+	// Check returns the error with which a request would be rejected for its queue or its key, whatever its body is.
+	Check(r entry.Request) error
 	Serve(ctx context.Context, r entry.Request) (endpoint.Answer, error)
 	Submit(ctx context.Context, r entry.Request) (task.Task, error)
 	Task(ctx context.Context, secret string, request peer.TaskRequest) (task.Task, error)
@@ -122,8 +126,17 @@
 	if request.Needs, ok = parseNeeds(r.Header); !ok {
 		return request, newProblem(http.StatusBadRequest, "a Needs- header is not a whole number")
 	}
+	if err := h.config.Server.Check(request); err != nil {
+		return request, problemFor(err)
+	}
 	body, err := h.readBody(w, r)
-	if err != nil {
+	var rejected intake.RejectedError
+	switch {
+	case errors.As(err, &rejected):
+		p := newProblem(http.StatusServiceUnavailable, rejected.Error())
+		p.RetryAfter = bodyRetry
+		return request, p
+	case err != nil:
 		return request, newProblem(http.StatusRequestEntityTooLarge, "the body did not arrive whole within 1 MiB and in time")
 	}
 	request.Body = body
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -8,10 +8,12 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"marigoldshed.example/marigoldshed/endpoint"
 	"marigoldshed.example/marigoldshed/entry"
+	"marigoldshed.example/marigoldshed/internal/transport/intake"
 	"marigoldshed.example/marigoldshed/peer"
 	"marigoldshed.example/marigoldshed/task"
 )
@@ -20,9 +22,12 @@
 type fakeServer struct {
 	answer  endpoint.Answer
 	err     error
+	check   error // for the queue and the key
 	request entry.Request
 }
 
+func (f *fakeServer) Check(entry.Request) error { return f.check }
+
 func (f *fakeServer) Serve(_ context.Context, r entry.Request) (endpoint.Answer, error) {
 	f.request = r
 	return f.answer, f.err
@@ -135,6 +140,34 @@
 	}
 }
 
+// unreadBody fails the test if it is read.
+type unreadBody struct{ t *testing.T }
+
+func (b unreadBody) Read([]byte) (int, error) {
+	b.t.Error("the body was read")
+	return 0, io.EOF
+}
+
+// TestBodyOfCallerWithoutRightIsNotRead guards against bodies that are held for callers without a key.
+func TestBodyOfCallerWithoutRightIsNotRead(t *testing.T) {
+	for _, path := range []string{"/v1/queues/q", "/v1/queues/q/tasks"} {
+		r := httptest.NewRequest(http.MethodPost, path, unreadBody{t})
+		w := serve(&fakeServer{check: entry.RefusedError{Status: http.StatusUnauthorized, Reason: "the queue needs a key"}}, r)
+		if w.Code != http.StatusUnauthorized || !strings.Contains(w.Body.String(), `"outcome":"not run"`) {
+			t.Errorf("%s answered %d %s, want 401 and not run", path, w.Code, w.Body)
+		}
+	}
+}
+
+// TestBodyThatHadToMakeRoom guards against a status in the problem that differs from that of the response.
+func TestBodyThatHadToMakeRoom(t *testing.T) {
+	body := io.MultiReader(strings.NewReader("x"), iotest.ErrReader(intake.RejectedError{Reason: intake.NoMemory}))
+	w := serve(&fakeServer{}, httptest.NewRequest(http.MethodPost, "/v1/queues/q", body))
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "1" || !strings.Contains(w.Body.String(), `"outcome":"not run"`) {
+		t.Errorf("answered %d, Retry-After %q, %s; want 503, 1 and not run", w.Code, w.Header().Get("Retry-After"), w.Body)
+	}
+}
+
 func TestUnknownTaskAnswerReportsUnknownOutcome(t *testing.T) {
 	r := httptest.NewRequest(http.MethodGet, "/v1/tasks/e@1.x/answer", nil)
 	r.Header.Set("Authorization", "Bearer secret")
--- a/commands/run.go
+++ b/commands/run.go
@@ -97,7 +97,7 @@
 		if err != nil {
 			return errors.Annotatef(err, "listening on %s", e.address)
 		}
-		gate := intake.NewGate(e.limits, p.metrics.IntakeObserver(e.name, p.logger))
+		gate := intake.NewGate(e.limits, p.metrics.Intake.Observer(e.name, p.logger))
 		s := p.server(e, gate)
 		servers = append(servers, s)
 		group.Go(func() error {
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -27,6 +28,7 @@
 		return errors.Annotate(err, "creating the logger")
 	}
 	defer func() { _ = logger.Sync() }()
+	debug.SetMemoryLimit(int64(memoryShare * float64(server.Resources(set).Memory)))
 	s, err := server.New(server.Config{Settings: set, Logger: logger})
 	if err != nil {
 		return errors.Trace(err)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -105,6 +105,12 @@
 	return c.serve(ctx, r, team, key, pool, started)
 }
 
+// Check returns the RefusedError of a request whose queue does not exist or whose key has no right to it.
+func (c *Control) Check(r Request) error {
+	_, _, _, err := c.authorize(r)
+	return err
+}
+
 // authorize returns the team that a request counts against, the hash of its key, and its pool.
 func (c *Control) authorize(r Request) (id.Team, string, id.Pool, error) {
 	v := c.view.Load()
--- a/internal/jobs/instance/metrics.go
+++ b/internal/jobs/instance/metrics.go
@@ -14,6 +14,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/runtimes"
 	"marigoldshed.example/marigoldshed/internal/jobs/shard"
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
+	"marigoldshed.example/marigoldshed/internal/transport/intake"
 )
 
 // Metrics holds the metrics of one instance.
@@ -31,8 +32,8 @@
 	runTimes   *prometheus.GaugeVec     // seconds that runs take, by pool, kind of task and quantile
 	runErrors  *prometheus.GaugeVec     // mean error of declared and predicted run times as a factor, by pool and kind of task
 	cancels    *prometheus.CounterVec   // pools asked to cancel a job, by answer
-	intake     intakeMetrics
-	rejections *prometheus.CounterVec // jobs rejected for lack of capacity, by pool, team and reason
+	Intake     *intake.Metrics          // what the clients of each listener hold
+	rejections *prometheus.CounterVec   // jobs rejected for lack of capacity, by pool, team and reason
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -72,9 +73,8 @@
 		rejections: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldshed_rejections_total", Help: "Jobs that were rejected since they could not end in time.",
 		}, []string{"pool", "team", "reason"}),
-		intake: newIntakeMetrics(),
 	}
-	m.intake.register(m.Registry)
+	m.Intake = intake.NewMetrics(m.Registry)
 	m.Registry.MustRegister(m.calls, m.startWait, m.taskWait, m.ownerSteps, m.jobs, m.runs, m.lostRuns, m.givenUp, m.changes, m.cancels, m.rejections, m.runTimes, m.runErrors)
 	return m
 }
--- a/internal/transport/intake/bodies.go
+++ b/internal/transport/intake/bodies.go
@@ -61,26 +61,40 @@
 	b.awaited += n
 	var evicted []bodyID
 	for b.releasing < b.awaited {
-		id, ok := b.longestStalled(waiting)
+		id, ok := b.longestStalled(func(id bodyID, s *bodyState) bool { return id != waiting && s.held > 0 })
 		if !ok {
 			break
 		}
-		s := b.states[id]
-		s.evicted = true
-		b.releasing += s.held
+		b.evict(id)
 		evicted = append(evicted, id)
 	}
 	return evicted
 }
 
+// evictLongestStalled evicts the body that has stalled for longest, whatever it holds, and reports whether there is one.
+func (b *bodies) evictLongestStalled() (bodyID, bool) {
+	id, ok := b.longestStalled(func(bodyID, *bodyState) bool { return true })
+	if ok {
+		b.evict(id)
+	}
+	return id, ok
+}
+
+func (b *bodies) evict(id bodyID) {
+	s := b.states[id]
+	s.evicted = true
+	b.releasing += s.held
+}
+
 // stopWaiting records that n bytes no longer wait for room.
 func (b *bodies) stopWaiting(n int64) { b.awaited -= n }
 
-func (b *bodies) longestStalled(except bodyID) (bodyID, bool) {
+// longestStalled returns the body that has stalled for longest of those that are neither complete nor evicted and that may be evicted.
+func (b *bodies) longestStalled(mayEvict func(bodyID, *bodyState) bool) (bodyID, bool) {
 	var found bodyID
 	var oldest *bodyState
 	for id, s := range b.states {
-		if id == except || s.complete || s.evicted || s.held == 0 {
+		if s.complete || s.evicted || !mayEvict(id, s) {
 			continue
 		}
 		if oldest == nil || s.progress < oldest.progress || s.progress == oldest.progress && id < found {
--- a/internal/transport/intake/gate.go
+++ b/internal/transport/intake/gate.go
@@ -15,6 +15,7 @@
 	limits   Limits
 	observer Observer
 	budget   *semaphore.Weighted // bytes of bodies
+	streams  *semaphore.Weighted // requests by streams of HTTP/2
 	started  time.Time
 
 	mu          sync.Mutex
@@ -27,7 +28,8 @@
 // NewGate returns a Gate with the given limits, which must be positive.
 func NewGate(limits Limits, observer Observer) *Gate {
 	return &Gate{
-		limits: limits, observer: observer, budget: semaphore.NewWeighted(limits.BodyBytes), started: time.Now(),
+		limits: limits, observer: observer, budget: semaphore.NewWeighted(limits.BodyBytes),
+		streams: semaphore.NewWeighted(int64(limits.Connections)), started: time.Now(),
 		bodies: newBodies(), inFlight: map[bodyID]*body{}, connections: map[connID]*conn{},
 	}
 }
@@ -47,6 +49,24 @@
 	return c
 }
 
+// acquireStream takes a place among the requests by streams of HTTP/2, of which there may be as many as connections. Where there is none,
+// it evicts the body that has stalled for longest and waits for a place.
+func (g *Gate) acquireStream(ctx context.Context) bool {
+	if g.streams.TryAcquire(1) {
+		return true
+	}
+	g.mu.Lock()
+	id, found := g.bodies.evictLongestStalled()
+	victim := g.inFlight[id]
+	g.mu.Unlock()
+	if found {
+		victim.reject()
+	}
+	ctx, cancel := context.WithTimeout(ctx, roomTimeout)
+	defer cancel()
+	return g.streams.Acquire(ctx, 1) == nil
+}
+
 // addBody adds the body of a call.
 func (g *Gate) addBody(b *body) {
 	g.mu.Lock()
--- a/internal/transport/intake/gate_test.go
+++ b/internal/transport/intake/gate_test.go
@@ -79,6 +79,12 @@
 }
 
 func newServer(t *testing.T, limits Limits, handler http.HandlerFunc) *server {
+	t.Helper()
+	return newServerWith(t, limits, handler, func(*http.Server) {})
+}
+
+// newServerWith returns a server whose settings are changed before it starts.
+func newServerWith(t *testing.T, limits Limits, handler http.HandlerFunc, change func(*http.Server)) *server {
 	t.Helper()
 	r := &recorder{rejected: map[Reason]int{}, closed: map[Reason]int{}}
 	l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), limits)
@@ -90,6 +96,7 @@
 		Handler: gate.Handler(handler, func(*http.Request) time.Duration { return patience }), ConnContext: gate.ConnContext,
 		ErrorLog: newDiscardLog(), ReadHeaderTimeout: patience,
 	}
+	change(s)
 	go func() { _ = s.Serve(gate.Listener(l)) }()
 	t.Cleanup(func() {
 		_ = s.Close()
--- a/internal/transport/intake/handler.go
+++ b/internal/transport/intake/handler.go
@@ -35,11 +35,18 @@
 // may take. A request whose body was not read to its end is answered 503 whatever next answers, and its connection is closed.
 func (g *Gate) Handler(next http.Handler, bodyTime func(*http.Request) time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor > 1 {
+			if !g.acquireStream(r.Context()) {
+				g.observer.BodyRejected(TooMany)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			defer g.streams.Release(1)
+		}
 		c := connOf(r)
 		if r.Body == nil || r.Body == http.NoBody {
-			c.setBusy(true)
-			defer c.setBusy(false)
-			next.ServeHTTP(w, r)
+			defer c.holdBusy()()
+			next.ServeHTTP(withoutBody(w, r, c), r)
 			return
 		}
 		g.serveBody(w, r, next, min(g.limits.BodyTimeout, bodyTime(r)))
@@ -47,19 +54,19 @@
 }
 
 func (g *Gate) serveBody(w http.ResponseWriter, r *http.Request, next http.Handler, timeout time.Duration) {
-	c := connOf(r)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	b := &body{source: r.Body, gate: g, conn: c, ctx: ctx, cancel: cancel, deadline: time.Now().Add(timeout)}
+	c := newExchange(w, r, connOf(r))
+	b := &body{source: r.Body, gate: g, exchange: c, ctx: ctx, cancel: cancel, deadline: time.Now().Add(timeout)}
 	g.addBody(b)
 	release := sync.OnceFunc(func() { g.removeBody(b) })
 	defer release()
-	defer c.setBusy(false)
+	defer b.leave()
 	// The deadline also holds while net/http drops a body that next does not read.
 	b.armDeadline()
 	request := r.WithContext(r.Context())
 	request.Body = b
-	response := &responseWriter{ResponseWriter: w, body: b}
+	response := &responseWriter{ResponseWriter: w, exchange: c, body: b}
 	panicked := true
 	defer func() {
 		// net/http reads the rest of a body before it closes or reuses the connection, and must not wait for one that was cut off.
@@ -72,7 +79,7 @@
 	// The bytes that others wait for are not held while the client of a rejected body takes its response.
 	release()
 	if b.wasCutOff() {
-		c.setBusy(false)
+		b.stopBusy()
 		if !response.wrote {
 			response.WriteHeader(http.StatusOK)
 		}
@@ -86,7 +93,7 @@
 type body struct {
 	source   io.ReadCloser
 	gate     *Gate
-	conn     *conn
+	exchange exchange
 	id       bodyID
 	ctx      context.Context // ends when the body is rejected or its call ends
 	cancel   context.CancelFunc
@@ -98,7 +105,9 @@
 	begun    bool
 	complete bool
 	evicted  bool
-	failure  error // what Read has returned instead of the end
+	left     bool   // its call has ended, after which its exchange may not be used
+	failure  error  // what Read has returned instead of the end
+	notBusy  func() // ends that its connection counts as busy; nil while it does not
 }
 
 // chargeUnit is the granularity of charges. It covers what a call needs besides its body.
@@ -130,7 +139,7 @@
 
 func (b *body) charge(n int64) bool {
 	if b.arrived += n; b.arrived >= longBody {
-		b.conn.growBuffer()
+		b.exchange.growBuffer()
 	}
 	b.credit -= n
 	if b.credit >= 0 {
@@ -166,15 +175,36 @@
 		at = b.deadline
 	}
 	// An error means that the connection is closed, which the next read reports.
-	_ = b.conn.SetReadDeadline(at)
+	_ = b.exchange.SetReadDeadline(at)
 }
 
 func (b *body) end() {
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.complete {
+		return
+	}
 	b.complete = true
-	b.mu.Unlock()
 	b.gate.recordEnd(b)
-	b.conn.setBusy(true)
+	b.notBusy = b.exchange.connection().holdBusy()
+}
+
+// stopBusy ends that the connection counts as busy with the body's call.
+func (b *body) stopBusy() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.notBusy != nil {
+		b.notBusy()
+		b.notBusy = nil
+	}
+}
+
+// leave records that the body's call has ended.
+func (b *body) leave() {
+	b.stopBusy()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left = true
 }
 
 // fail records and returns the error of a read; cause is nil if there is no room for the bytes.
@@ -203,12 +233,12 @@
 func (b *body) reject() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.complete || b.failure != nil {
+	if b.complete || b.left || b.failure != nil {
 		return
 	}
 	b.evicted = true
 	b.cancel()
-	b.conn.expireReads()
+	b.exchange.expireReads()
 }
 
 // failed returns the error that a read returned instead of the body's end.
@@ -224,34 +254,3 @@
 	defer b.mu.Unlock()
 	return b.begun && (!b.complete || b.failure != nil)
 }
-
-// responseWriter closes the connection after the response to a body that was not read to its end. If that was the Gate's decision, the
-// response is 503, whatever the handler makes of the error.
-type responseWriter struct {
-	http.ResponseWriter
-	body  *body
-	wrote bool
-}
-
-// WriteHeader writes the status.
-func (w *responseWriter) WriteHeader(status int) {
-	w.wrote = w.wrote || status >= http.StatusOK
-	if w.body.wasCutOff() {
-		w.Header().Set("Connection", "close")
-	}
-	if w.body.failed() != nil && status >= http.StatusOK {
-		status = http.StatusServiceUnavailable
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write writes a part of the response.
-func (w *responseWriter) Write(data []byte) (int, error) {
-	if !w.wrote {
-		w.WriteHeader(http.StatusOK)
-	}
-	return w.ResponseWriter.Write(data)
-}
-
-// Unwrap returns the wrapped writer, for http.ResponseController.
-func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/transport/intake/limits.go
+++ b/internal/transport/intake/limits.go
@@ -77,7 +77,7 @@
 	callers, peers := int(memory/callersConnBytes), int(memory/peersConnBytes)
 	ready, metrics := readyConnections, metricsConnections
 	if r.Descriptors > 0 {
-		free := max(1, r.Descriptors-fileDescriptors)
+		free := FreeDescriptors(r)
 		callers = min(callers, max(1, int(callersFDShare*float64(free))))
 		peers = min(peers, max(1, int(peersFDShare*float64(free))))
 		ready, metrics = min(ready, max(1, free/20)), min(metrics, max(1, free/20))
@@ -103,6 +103,9 @@
 	}
 }
 
+// FreeDescriptors returns the descriptors that are not kept for files, of a limit that is known.
+func FreeDescriptors(r Resources) int { return max(1, r.Descriptors-fileDescriptors) }
+
 // LimitError reports a limit that cannot be used. Listener is empty if the sum over all listeners is wrong.
 type LimitError struct{ Listener, Limit, Reason string }
 
--- a/internal/transport/intake/listener.go
+++ b/internal/transport/intake/listener.go
@@ -134,7 +134,7 @@
 // connStates yields the open connections; the caller holds the lock.
 func (g *Gate) connStates(yield func(connID, connState) bool) {
 	for id, c := range g.connections {
-		if !yield(id, connState{active: time.Duration(c.active.Load()), busy: c.busy.Load()}) {
+		if !yield(id, connState{active: time.Duration(c.active.Load()), busy: c.busy.Load() > 0}) {
 			return
 		}
 	}
@@ -146,7 +146,7 @@
 	gate   *Gate
 	id     connID
 	active atomic.Int64 // when bytes last arrived or a response was finished, by the Gate's clock
-	busy   atomic.Bool  // a request is being handled and waits for nothing from its client
+	busy   atomic.Int32 // requests that are being handled and wait for nothing from their client
 	closed sync.Once
 	grown  bool // has its receive buffer for long bodies; used by the reader of a body
 }
@@ -196,10 +196,15 @@
 	_ = c.Close()
 }
 
-// setBusy records whether a request of the connection is being handled and waits for nothing from its client.
-func (c *conn) setBusy(busy bool) {
+// holdBusy records that a request of the connection is being handled and waits for nothing from its client, until the returned function
+// is called.
+func (c *conn) holdBusy() (end func()) {
+	c.busy.Add(1)
 	c.active.Store(int64(c.gate.now()))
-	c.busy.Store(busy)
+	return func() {
+		c.active.Store(int64(c.gate.now()))
+		c.busy.Add(-1)
+	}
 }
 
 // expireReads ends a read that waits for the client, and lets later ones fail.
--- a/server/server.go
+++ b/server/server.go
@@ -10,13 +10,13 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"marigoldshed.example/marigoldshed/caller"
 	"marigoldshed.example/marigoldshed/endpoint"
 	"marigoldshed.example/marigoldshed/entry"
 	"marigoldshed.example/marigoldshed/internal/control/store"
+	"marigoldshed.example/marigoldshed/internal/transport/intake"
 	"marigoldshed.example/marigoldshed/operator"
 	"marigoldshed.example/marigoldshed/peer"
 	"marigoldshed.example/marigoldshed/queue"
@@ -28,14 +28,15 @@
 	headerTimeout   = 5 * time.Second
 	idleTimeout     = 2 * time.Minute
 	maxHeaderBytes  = 16 << 10
-	maxCallers      = 10_000 // connections
-	maxOperators    = 100    // connections
-	maxPeers        = 1_000  // connections
 	dialTimeout     = time.Second
 	idleConnTimeout = 30 * time.Second
 	connsPerHost    = 64 // connections to one endpoint; idle connections to one host of any kind
 	maxIdleConns    = 4_000
 	shutdownTimeout = 10 * time.Second
+
+	maxStreams         = 64       // requests at the same time by one connection of HTTP/2
+	connReceiveBytes   = 64 << 10 // unread bytes of one connection of HTTP/2
+	streamReceiveBytes = 32 << 10 // unread bytes of one of its streams
 )
 
 // Config holds what a Server needs.
@@ -62,37 +63,49 @@
 	uuid.EnableRandPool()
 	s := &Server{config: c, metrics: entry.NewMetrics()}
 	set := c.Settings
-	callers, err := s.listen(set.Callers, maxCallers)
-	if err != nil {
+	limits := newLimits(Resources(set))
+	if err := s.listen(set.Callers, limits.callers); err != nil {
 		return nil, err
 	}
-	operators, err := s.listen(set.Operators, maxOperators)
-	if err != nil {
+	if err := s.listen(set.Operators, limits.operators); err != nil {
 		return nil, err
 	}
-	peers, err := s.listen(set.Peers, maxPeers)
-	if err != nil {
+	if err := s.listen(set.Peers, limits.peers); err != nil {
 		return nil, err
 	}
-	s.control = entry.New(s.entryConfig(addressOf(peers)))
-	s.addServer(callers, caller.NewHandler(caller.Config{Server: s.control, Ready: s.control.Ready}))
-	s.addServer(operators, operator.NewHandler(operator.Config{Control: s.control, Metrics: s.metrics, Secret: set.OperatorSecret}))
-	s.addServer(peers, peer.NewHandler(peer.HandlerConfig{Secret: set.PeerSecret, Service: s.control}))
+	s.control = entry.New(s.entryConfig(s.Peers()))
+	s.addServers(limits)
 	return s, nil
 }
 
-// listen binds a listener that accepts a limited number of connections at a time. When it fails, it closes the
-// listeners that are already bound.
-func (s *Server) listen(address netip.AddrPort, maxConns int) (net.Listener, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address.String())
+// addServers adds the HTTP server of each listener. Only peers use HTTP/2, whose connections carry many requests at a time.
+func (s *Server) addServers(l limits) {
+	set := s.config.Settings
+	metrics := intake.NewMetrics(s.metrics.Registry)
+	gate := func(name string, limits intake.Limits) *intake.Gate {
+		return intake.NewGate(limits, metrics.Observer(name, s.logger()))
+	}
+	http1, anyHTTP := &http.Protocols{}, &http.Protocols{}
+	http1.SetHTTP1(true)
+	anyHTTP.SetHTTP1(true)
+	anyHTTP.SetUnencryptedHTTP2(true)
+	s.addServer(gate("callers", l.callers), http1, caller.NewHandler(caller.Config{Server: s.control, Ready: s.control.Ready}))
+	s.addServer(gate("operators", l.operators), http1,
+		operator.NewHandler(operator.Config{Control: s.control, Metrics: s.metrics, Secret: set.OperatorSecret}))
+	s.addServer(gate("peers", l.peers), anyHTTP, peer.NewHandler(peer.HandlerConfig{Secret: set.PeerSecret, Service: s.control}))
+}
+
+// listen binds a listener. When it fails, it closes the listeners that are already bound.
+func (s *Server) listen(address netip.AddrPort, l intake.Limits) error {
+	listener, err := intake.Listen(context.Background(), address, l)
 	if err != nil {
 		for _, bound := range s.listeners {
 			_ = bound.Close()
 		}
-		return nil, errors.Annotatef(err, "listening on %s", address)
+		return errors.Annotatef(err, "listening on %s", address)
 	}
 	s.listeners = append(s.listeners, listener)
-	return netutil.LimitListener(listener, maxConns), nil
+	return nil
 }
 
 func addressOf(listener net.Listener) netip.AddrPort {
@@ -141,14 +154,15 @@
 	return transport
 }
 
-// addServer adds the HTTP server of the next listener, and replaces that listener by its limited form.
-func (s *Server) addServer(listener net.Listener, handler http.Handler) {
-	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	s.listeners[len(s.servers)] = listener
+// addServer adds the HTTP server of the next listener, whose clients are subject to the gate's limits.
+func (s *Server) addServer(gate *intake.Gate, protocols *http.Protocols, handler http.Handler) {
+	s.listeners[len(s.servers)] = gate.Listener(s.listeners[len(s.servers)])
+	bodyTime := func(*http.Request) time.Duration { return bodyTimeout }
 	s.servers = append(s.servers, &http.Server{
-		Handler: handler, Protocols: protocols,
+		Handler: gate.Handler(handler, bodyTime), ConnContext: gate.ConnContext, Protocols: protocols,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: connReceiveBytes, MaxReceiveBufferPerStream: streamReceiveBytes,
+		},
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       zap.NewStdLog(s.logger()),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -30,6 +31,9 @@
 	Grace     time.Duration // how long callers are still accepted after the load balancer was told of a stop
 	StopLimit time.Duration // maximum duration of a graceful stop
 	Debug     bool
+
+	Memory      int64 // bytes that the process may use, 0 if the file does not say
+	Descriptors int   // file descriptors that the process may use, 0 if the file does not say
 }
 
 // KeyError is one error of a settings file.
@@ -66,6 +70,7 @@
 	{name: "operators", keys: []string{"secret"}},
 	{name: "stop", keys: []string{"grace", "limit"}},
 	{name: "log", keys: []string{"debug"}},
+	{name: "limits", keys: []string{"memory", "descriptors"}},
 }
 
 type section struct {
@@ -107,6 +112,8 @@
 		Grace:          r.duration("stop", "grace", 5*time.Second),
 		StopLimit:      r.duration("stop", "limit", 15*time.Minute),
 		Debug:          r.yesNo("log", "debug"),
+		Memory:         r.size("limits", "memory", minMemory),
+		Descriptors:    int(r.number("limits", "descriptors", minDescriptors)),
 	}
 	if len(r.errs) > 0 {
 		return Settings{}, r.errs
@@ -207,6 +214,45 @@
 	return d
 }
 
+// Smallest limits with which an instance can serve.
+const (
+	minMemory      = 64 << 20
+	minDescriptors = 300
+)
+
+// size returns a number of bytes such as 96MB or 2GB, or 0 if there is none.
+func (r *reader) size(section, key string, least int64) int64 {
+	value := r.value(section, key)
+	if value == "" {
+		return 0
+	}
+	unit := int64(1 << 20)
+	digits, isMB := strings.CutSuffix(value, "MB")
+	if !isMB {
+		unit = 1 << 30
+		digits = strings.TrimSuffix(value, "GB")
+	}
+	n, err := strconv.ParseInt(digits, 10, 32)
+	if err != nil || digits == value || n*unit < least {
+		r.addError(section, key, "want a size such as 96MB or 2GB, %dMB at least, got %q", least>>20, value)
+		return 0
+	}
+	return n * unit
+}
+
+// number returns a number, or 0 if there is none.
+func (r *reader) number(section, key string, least int64) int64 {
+	value := r.value(section, key)
+	if value == "" {
+		return 0
+	}
+	n, err := strconv.ParseInt(value, 10, 32)
+	if err != nil || n < least {
+		r.addError(section, key, "want a whole number, %d at least, got %q", least, value)
+	}
+	return n
+}
+
 func (r *reader) yesNo(section, key string) bool {
 	switch value := r.value(section, key); value {
 	case "", "no":
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -54,3 +54,36 @@
 		t.Errorf("%d errors, want %d", len(errs), len(wants))
 	}
 }
+
+// TestLimits guards against limits that are read with another unit, and against those with which an instance cannot serve.
+func TestLimits(t *testing.T) {
+	tests := []struct {
+		name        string
+		text        string
+		memory      int64
+		descriptors int
+		wrong       string
+	}{
+		{"none", "", 0, 0, ""},
+		{"megabytes", "memory = 96MB\ndescriptors = 500", 96 << 20, 500, ""},
+		{"gigabytes", "memory = 2GB", 2 << 30, 0, ""},
+		{"without a unit", "memory = 96", 0, 0, "[limits] memory: want a size"},
+		{"too little memory", "memory = 63MB", 0, 0, "64MB at least"},
+		{"negative", "memory = -1GB", 0, 0, "[limits] memory: want a size"},
+		{"too few descriptors", "descriptors = 299", 0, 0, "[limits] descriptors: want a whole number"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, err := Parse([]byte(validSettings + "[limits]\n" + test.text))
+			if test.wrong != "" {
+				if err == nil || !strings.Contains(err.Error(), test.wrong) {
+					t.Errorf("error %v, want %q", err, test.wrong)
+				}
+				return
+			}
+			if err != nil || s.Memory != test.memory || s.Descriptors != test.descriptors {
+				t.Errorf("%d bytes, %d descriptors, %v; want %d and %d", s.Memory, s.Descriptors, err, test.memory, test.descriptors)
+			}
+		})
+	}
+}
