attempt: Bound the remembered keys by the memory of the instance

What callers saw: an entry instance that runs out of memory by requests of one byte, each with an idempotency key of its own, all answered 200. Cause: 200,000 keys of up to 200 bytes are remembered for ten minutes, whatever the memory is. Evidence: TestAcceptedTasks/idempotency_keys, an instance with 96 MB, 100 clients with 1,500 requests each, crowd and bound fixed before. Why it works: the keys may take a sixteenth of the memory at 900 bytes each; 200,000 remain the most, from 2.9 GB on. A request without a key is served as before.

--- a/attempt/table.go
+++ b/attempt/table.go
@@ -7,11 +7,8 @@
 	"marigoldshed.example/marigoldshed/common/id"
 )
 
-// Limits of a Table: how long it remembers an attempt, and how many keys it holds.
-const (
-	Retention  = 10 * time.Minute
-	maxEntries = 200_000
-)
+// Retention is how long a Table remembers an attempt.
+const Retention = 10 * time.Minute
 
 // Key is a caller's idempotency key. It includes the team, so that two teams may use the same value.
 type Key struct {
@@ -55,12 +52,13 @@
 
 // Table holds the latest attempt of each key for at least Retention.
 type Table struct {
+	limit    int // keys
 	attempts map[Key]Attempt
 	order    []Key // in the order in which the keys were added
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table { return &Table{attempts: map[Key]Attempt{}} }
+// NewTable returns an empty table for a number of keys.
+func NewTable(limit int) *Table { return &Table{limit: limit, attempts: map[Key]Attempt{}} }
 
 // Reserve records an attempt. It fails with KeyUsedError when another attempt has used the key, unless that attempt did
 // not run, and with TableFullError when the table is full. Reserving the same attempt again succeeds.
@@ -69,7 +67,7 @@
 	if ok && first.ID != a.ID && first.State != NotRun {
 		return KeyUsedError{First: first}
 	}
-	if !ok && len(t.attempts) >= maxEntries {
+	if !ok && len(t.attempts) >= t.limit {
 		return TableFullError{Entries: len(t.attempts)}
 	}
 	if !ok {
--- a/entry/config.go
+++ b/entry/config.go
@@ -25,6 +25,8 @@
 	Endpoints endpoint.Runner
 	Peers     peer.Network
 
+	Memory int64 // bytes that the process may use, 0 if unknown
+
 	Order          queue.Order // nil means DelayRatio with the default weights
 	Timing         Timing
 	Logger         *zap.Logger
--- a/entry/control.go
+++ b/entry/control.go
@@ -111,7 +111,7 @@
 		log:                 config.Logger.With(zap.String("entry", string(config.Entry))),
 		inbox:               make(chan func(), inboxLength),
 		stopped:             make(chan struct{}),
-		attempts:            attempt.NewTable(),
+		attempts:            attempt.NewTable(maxKeys(config.Memory)),
 		pools:               map[id.Pool]*pool{},
 		tickets:             map[uint64]*ticket{},
 		workers:             map[id.Instance]*worker{},
--- a/entry/once.go
+++ b/entry/once.go
@@ -22,6 +22,21 @@
 	coldUntil time.Time // until then attempts made before the start may be unknown
 }
 
+// Bounds of the memory for idempotency keys.
+const (
+	maxKeyCount = 200_000
+	keyBytes    = 900 // memory of a remembered key of the largest length
+	keysShare   = 16  // one part in so many of the memory for all of them
+)
+
+// maxKeys returns how many keys an instance with so much memory remembers; 0 means that the memory is unknown.
+func maxKeys(memory int64) int {
+	if memory <= 0 {
+		return maxKeyCount
+	}
+	return int(min(maxKeyCount, memory/keysShare/keyBytes))
+}
+
 // homeDataCentre returns the data centre that remembers a key: the prefix of the key before a dot if that is a data
 // centre, else one derived from the key alone, so that all members find the same.
 func (c *Control) homeDataCentre(key attempt.Key) id.DataCentre {
--- a/server/server.go
+++ b/server/server.go
@@ -118,7 +118,7 @@
 	platform := store.NewClient(store.Config{Address: set.Platform, Transport: s.newTransport(0)})
 	return entry.Config{
 		Entry: set.Entry, DataCentre: set.DataCentre, Peer: self, Seeds: set.Seeds,
-		Log: platform, Fleet: platform,
+		Log: platform, Fleet: platform, Memory: Resources(set).Memory,
 		Endpoints: endpoint.NewClient(endpoint.Config{Transport: s.newTransport(connsPerHost)}),
 		Peers:     peer.NewClient(peer.ClientConfig{Secret: set.PeerSecret, Transport: s.newPeerTransport()}),
 		Timing:    s.config.Timing,
