entry: Bound the memory of accepted tasks

What callers saw: an entry instance that runs out of memory by tasks that it has accepted with 202. Evidence: TestAcceptedTasks/tasks_that_wait, an instance with 96 MB, 100 clients with 10 tasks of 200,000 bytes each for a pool without workers, crowd and bound fixed before. Why it works: what the table holds is counted; a new task is refused as not run beyond an eighth of the memory, answers may take as much again, and one append has a megabyte of tasks, or one.

--- a/entry/control.go
+++ b/entry/control.go
@@ -60,11 +60,12 @@
 	lastAllocation time.Time       // time of the last allocation
 	demandChanged  bool            // demand has changed since the last allocation
 
-	tasks          *task.Table
-	heldTasks      map[string]*heldTask // by task
-	openTasks      int                  // tasks that are being submitted or run here, until their records are written
-	adoptedMembers id.Set[id.Member]
-	journal        *journal
+	tasks           *task.Table
+	heldTasks       map[string]*heldTask // by task
+	openTasks       int                  // tasks that are being submitted or run here, until their records are written
+	submittingBytes int64                // memory of the tasks that are being submitted
+	adoptedMembers  id.Set[id.Member]
+	journal         *journal
 
 	remotes             map[id.Member]*remote
 	sentDemands         []queue.Demand // this instance's demands as of the last heartbeat sent
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -15,6 +15,7 @@
 const (
 	journalDelay = 20 * time.Millisecond // delay before an append, so that records are batched
 	journalBatch = 200                   // records in one append
+	journalBytes = 1 << 20               // memory of the tasks in one append, one task at least
 	journalQueue = 1024                  // records that wait for an append
 )
 
@@ -69,10 +70,12 @@
 // collectBatch returns the queued records that fit into one append.
 func (j *journal) collectBatch(first journalEntry) []journalEntry {
 	batch := []journalEntry{first}
-	for len(batch) < journalBatch {
+	bytes := first.record.Task.MemoryBytes()
+	for len(batch) < journalBatch && bytes < journalBytes {
 		select {
 		case e := <-j.entries:
 			batch = append(batch, e)
+			bytes += e.record.Task.MemoryBytes()
 		default:
 			return batch
 		}
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -23,6 +23,8 @@
 	maxTaskAnswer = 256 << 10 // bytes of an answer that is kept in the log; a larger one is dropped
 	submitTimeout = 5 * time.Second
 	maxTaskWait   = 30 * time.Second
+	tasksShare    = 4 // one part in so many of the memory for the bodies and the answers of all tasks
+	newTasksShare = 2 // one part in so many of that up to which new tasks are accepted; the rest is for answers
 )
 
 // heldTask is a task that this instance is responsible for.
@@ -56,8 +58,9 @@
 	var fenced error
 	err := c.do(ctx, func() {
 		t.ID = string(c.self) + "." + uuid.NewString()
-		if fenced = c.checkSubmit(time.Now()); fenced == nil {
+		if fenced = c.checkSubmit(time.Now(), t.MemoryBytes()); fenced == nil {
 			c.openTasks++
+			c.submittingBytes += t.MemoryBytes()
 		}
 	})
 	if err == nil {
@@ -66,7 +69,11 @@
 	if err != nil {
 		return t, RefusedError{Status: statusUnavailable, Reason: err.Error(), RetryAfter: time.Second}
 	}
-	defer c.post(func() { c.openTasks-- })
+	bytes := t.MemoryBytes()
+	defer c.post(func() {
+		c.openTasks--
+		c.submittingBytes -= bytes
+	})
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	if err := c.journal.write(ctx, task.Record{Task: t}); err != nil {
@@ -79,8 +86,8 @@
 	return t, nil
 }
 
-// checkSubmit returns an error while this instance must not accept tasks.
-func (c *Control) checkSubmit(now time.Time) error {
+// checkSubmit returns an error while this instance must not accept a task that takes so much memory.
+func (c *Control) checkSubmit(now time.Time, bytes int64) error {
 	switch {
 	case c.stage == stopping:
 		return FencedError{Reason: "it is stopping"}
@@ -88,6 +95,8 @@
 		return FencedError{Reason: "it has not joined"}
 	case c.tasks.Len() >= maxTasks:
 		return FencedError{Reason: "it holds too many tasks"}
+	case c.config.Memory > 0 && c.tasks.MemoryBytes()+c.submittingBytes+bytes > c.config.Memory/tasksShare/newTasksShare:
+		return FencedError{Reason: "it holds as many bytes of tasks as its memory allows"}
 	}
 	return c.checkStart(now)
 }
@@ -154,6 +163,10 @@
 func (r *taskRun) finish(answer endpoint.Answer, err error) {
 	c := r.control
 	ended := endedTask(r.ctx, r.task, answer, err)
+	if !c.mayKeep(int64(len(ended.Answer))) {
+		ended.Answer, ended.AnswerType = nil, ""
+		ended.Detail = "the memory did not suffice to keep the answer"
+	}
 	record := task.Record{Task: withoutPayload(ended), Patch: true}
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
@@ -169,6 +182,16 @@
 	})
 }
 
+// mayKeep reports whether the memory suffices to keep an answer.
+func (c *Control) mayKeep(bytes int64) bool {
+	if c.config.Memory <= 0 || bytes == 0 {
+		return true
+	}
+	keeps := true
+	err := c.do(context.Background(), func() { keeps = c.tasks.MemoryBytes()+bytes <= c.config.Memory/tasksShare })
+	return err != nil || keeps
+}
+
 // endedTask returns a task with its final state and answer.
 func endedTask(ctx context.Context, t task.Task, answer endpoint.Answer, err error) task.Task {
 	t.Ended = time.Now().UTC().Round(0)
--- a/task/task.go
+++ b/task/task.go
@@ -63,6 +63,7 @@
 
 // Table holds the tasks of one owner.
 type Table struct {
+	bytes int64 // of all tasks
 	tasks map[string]*Task
 	order []string // IDs in the order in which the tasks were added
 }
@@ -89,15 +90,34 @@
 		}
 		added := r.Task
 		t.tasks[added.ID] = &added
+		t.bytes += added.MemoryBytes()
 		t.order = append(t.order, added.ID)
 		return
 	}
 	if current.State.Ended() || !r.Patch {
 		return
 	}
-	current.patch(r.Task)
+	t.patch(current, r.Task)
 }
 
+// patch changes a task of the table.
+func (t *Table) patch(current *Task, changed Task) {
+	t.bytes -= current.MemoryBytes()
+	current.patch(changed)
+	t.bytes += current.MemoryBytes()
+}
+
+// taskBytes is the memory of a task beside its body, its answer and its texts, in bytes.
+const taskBytes = 1_000
+
+// MemoryBytes estimates the memory that a task takes, in bytes.
+func (t *Task) MemoryBytes() int64 {
+	return int64(taskBytes + len(t.Body) + len(t.Answer) + len(t.Type) + len(t.AnswerType) + len(t.Detail))
+}
+
+// MemoryBytes estimates the memory that the tasks of the table take, in bytes.
+func (t *Table) MemoryBytes() int64 { return t.bytes }
+
 // patch copies the state and the fields that change with the state, and drops the body once the task has ended.
 func (t *Task) patch(changed Task) {
 	t.State = changed.State
@@ -123,7 +143,7 @@
 			task.State = Waiting
 			continue
 		}
-		task.patch(Task{State: Unknown, Detail: "the instance that ran it has ended", Ended: now})
+		t.patch(task, Task{State: Unknown, Detail: "the instance that ran it has ended", Ended: now})
 	}
 }
 
@@ -133,6 +153,7 @@
 	for _, taskID := range t.order {
 		task := t.tasks[taskID]
 		if task.State.Ended() && now.Sub(task.Ended) > Retention {
+			t.bytes -= task.MemoryBytes()
 			delete(t.tasks, taskID)
 			continue
 		}
--- a/untrusted/tasks_test.go
+++ b/untrusted/tasks_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,9 @@
 
 // Crowds of whole, legal requests of an entry instance.
 const (
+	taskClients   = 100
+	tasksEach     = 10
+	taskBytes     = 200_000
 	keyClients    = 100
 	keysEach      = 1_500
 	longKey       = 200 // bytes, the longest idempotency key
@@ -29,6 +33,9 @@
 }
 
 var requestForms = []requestForm{
+	{name: "tasks that wait", clients: taskClients, requests: tasksEach, message: func(int, int) string {
+		return postMessage("/v1/queues/"+waitingQueue+"/tasks", strings.Repeat("x", taskBytes), "")
+	}},
 	{name: "idempotency keys", clients: keyClients, requests: keysEach, message: func(client, number int) string {
 		key := fmt.Sprintf("%0*d", longKey, client*keysEach+number)
 		return postMessage("/v1/queues/visitors", "x", "Idempotency-Key: "+key+"\r\n")
@@ -39,8 +46,8 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%sContent-Length: %d\r\n\r\n%s", path, host, header, len(body), body)
 }
 
-// TestAcceptedTasks guards against clients that exhaust the memory of an entry instance by whole, legal requests: by the
-// idempotency keys that it remembers.
+// TestAcceptedTasks guards against clients that exhaust the memory of an entry instance by whole, legal requests: by the tasks that it
+// accepts for a pool without workers, and by the idempotency keys that it remembers.
 func TestAcceptedTasks(t *testing.T) {
 	if !*enabled {
 		t.Skip("runs with -untrusted")
