relay: Bound the reads that an instance does for others

What callers saw: an instance that runs out of memory by clients of the peers' address that ask for pages of the store and take no response. Cause: each such reply holds a page of the store, decoded and encoded, until it is taken, and nothing bounded their number but the connections: 60 with 96 MB and 500 descriptors, 524 with 160 MB. Why it works: one read for 16 MB of memory is under way at a time, four at least. Others are answered 503 before the store is read; an instance that needs the page asks another one.

--- a/commands/run.go
+++ b/commands/run.go
@@ -134,7 +134,7 @@
 	return []endpoint{
 		{intake.CallersListener, set.Callers, limits.Callers, &platform.CallerHandler{Instance: p.instance, Metrics: p.metrics, Logger: p.logger}, platform.BodyTimeout},
 		{intake.ReadyListener, set.Ready, limits.Ready, p.ready(), anyTime},
-		{intake.PeersListener, set.Peers, limits.Peers, relay.NewHandler(p.instance), anyTime},
+		{intake.PeersListener, set.Peers, limits.Peers, p.peers(), anyTime},
 		{
 			intake.MetricsListener, set.Metrics, limits.Metrics,
 			promhttp.HandlerFor(p.metrics.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: runScrapes}), anyTime,
@@ -149,6 +149,11 @@
 	}
 }
 
+// peers returns the handler of other instances' requests.
+func (p *process) peers() http.Handler {
+	return relay.LimitReads(relay.NewHandler(p.instance), relay.MaxReads(p.settings.Memory))
+}
+
 func (p *process) ready() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !p.instance.Ready() {
--- a/untrusted/serve_test.go
+++ b/untrusted/serve_test.go
@@ -188,7 +188,7 @@
 				b.stalls = true
 			}
 			sent.Add(1)
-			go (&stream{listener: l, transport: transport, body: b}).run(ctx)
+			go (&streamRequest{listener: l, transport: transport, body: b}).run(ctx)
 		}
 	}
 	sent.Wait()
@@ -201,14 +201,14 @@
 // Close calls the function.
 func (f closerFunc) Close() error { f(); return nil }
 
-// stream is one request of a connection of HTTP/2.
-type stream struct {
+// streamRequest is one request of a connection of HTTP/2.
+type streamRequest struct {
 	listener  entryListener
 	transport *http.Transport
 	body      *stalledBody
 }
 
-func (s *stream) run(ctx context.Context) {
+func (s *streamRequest) run(ctx context.Context) {
 	defer s.body.sent()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.listener.address()+s.listener.path, s.body)
 	if err != nil {
