--- a/untrusted/jobs_test.go
+++ b/untrusted/jobs_test.go
@@ -1,13 +1,10 @@
 package untrusted
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
+	"iter"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 )
@@ -77,7 +74,7 @@
 			if !f.early {
 				p.await(t, question(1, apiKey), "before the load")
 			}
-			connections, answers := submitAll(f)
+			connections, answers := f.sequence().send()
 			t.Logf("answers by status: %v", answers)
 			time.Sleep(holdTime)
 			p.await(t, submission(otherTeamJobs, otherKey), "beside the open connections")
@@ -97,53 +94,23 @@
 	}
 }
 
-// submitAll has all clients make their calls and returns their connections, which stay open, and the number of answers by status.
-func submitAll(f jobForm) ([]net.Conn, map[int]int) {
-	var mu sync.Mutex
-	var connections []net.Conn
-	answers := map[int]int{}
-	var wait sync.WaitGroup
-	for n := range f.clients {
-		wait.Go(func() {
-			c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", instanceIP, frontPort), requestTimeout)
-			if err != nil {
-				return // rejected
-			}
-			statuses := submitJobs(c, f, uint64(1000+n*f.calls))
-			mu.Lock()
-			defer mu.Unlock()
-			connections = append(connections, c)
-			for _, status := range statuses {
-				answers[status]++
-			}
-		})
-	}
-	wait.Wait()
-	return connections, answers
+// sequence returns the crowd of the form.
+func (f jobForm) sequence() sequence {
+	return sequence{address: fmt.Sprintf("%s:%d", instanceIP, frontPort), clients: f.clients, messages: f.messages}
 }
 
-// submitJobs makes one client's calls and returns the statuses of the answers. It stops at the first error, since the process may
-// close its connection.
-func submitJobs(c net.Conn, f jobForm, firstID uint64) []int {
-	_ = c.SetDeadline(time.Now().Add(patience))
-	reader := bufio.NewReader(c)
-	var statuses []int
-	for n := range f.calls {
-		id := firstID + uint64(n)
-		for _, r := range f.request(id) {
-			header := fmt.Sprintf("%s %s%016x HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nMarigoldshed-Deadline-Ms: 20000\r\nContent-Length: %d\r\n\r\n",
-				r.method, pathPrefix, id, host, apiKey, len(r.body))
-			if _, err := c.Write([]byte(header + r.body)); err != nil {
-				return statuses
-			}
-			response, err := http.ReadResponse(reader, nil)
-			if err != nil {
-				return statuses
+// messages returns what one client sends.
+func (f jobForm) messages(client int) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for n := range f.calls {
+			id := uint64(1000 + client*f.calls + n)
+			for _, r := range f.request(id) {
+				header := fmt.Sprintf("%s %s%016x HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nMarigoldshed-Deadline-Ms: 20000\r\nContent-Length: %d\r\n\r\n",
+					r.method, pathPrefix, id, host, apiKey, len(r.body))
+				if !yield(header + r.body) {
+					return
+				}
 			}
-			_, _ = io.Copy(io.Discard, response.Body)
-			_ = response.Body.Close()
-			statuses = append(statuses, response.StatusCode)
 		}
 	}
-	return statuses
 }
--- a/untrusted/tasks_test.go
+++ b/untrusted/tasks_test.go
@@ -1,13 +1,9 @@
 package untrusted
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
+	"iter"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 )
@@ -56,7 +52,7 @@
 	for _, f := range requestForms {
 		t.Run(f.name, func(t *testing.T) {
 			p := startEntry(t, binary)
-			connections, answers := f.send()
+			connections, answers := f.sequence().send()
 			t.Logf("answers by status: %v", answers)
 			time.Sleep(holdTime)
 			p.awaitAll(t, "beside the open connections")
@@ -70,48 +66,18 @@
 	}
 }
 
-// send has all clients make their requests and returns their connections, which stay open, and the number of answers by status.
-func (f requestForm) send() ([]net.Conn, map[int]int) {
-	var mu sync.Mutex
-	var connections []net.Conn
-	answers := map[int]int{}
-	var wait sync.WaitGroup
-	for n := range f.clients {
-		wait.Go(func() {
-			c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", instanceIP, callersPort), requestTimeout)
-			if err != nil {
-				return // rejected
-			}
-			statuses := f.sendAll(c, n)
-			mu.Lock()
-			defer mu.Unlock()
-			connections = append(connections, c)
-			for _, status := range statuses {
-				answers[status]++
-			}
-		})
-	}
-	wait.Wait()
-	return connections, answers
+// sequence returns the crowd of the form.
+func (f requestForm) sequence() sequence {
+	return sequence{address: fmt.Sprintf("%s:%d", instanceIP, callersPort), clients: f.clients, messages: f.messages}
 }
 
-// sendAll makes one client's requests and returns the statuses of the answers. It stops at the first error, since the process may close
-// its connection.
-func (f requestForm) sendAll(c net.Conn, client int) []int {
-	_ = c.SetDeadline(time.Now().Add(patience))
-	reader := bufio.NewReader(c)
-	var statuses []int
-	for n := range f.requests {
-		if _, err := c.Write([]byte(f.message(client, n))); err != nil {
-			return statuses
-		}
-		response, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			return statuses
+// messages returns what one client sends.
+func (f requestForm) messages(client int) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for n := range f.requests {
+			if !yield(f.message(client, n)) {
+				return
+			}
 		}
-		_, _ = io.Copy(io.Discard, response.Body)
-		_ = response.Body.Close()
-		statuses = append(statuses, response.StatusCode)
 	}
-	return statuses
 }
