entry: Divide the memory for requests in flight among teams

Cause: only the number of waiting requests of a pool was bounded, 20,000, not their bytes, their connections or the part of one team. Evidence: TestRequestsThatWait, an instance with 96 MB and 500 descriptors, 600 clients that send requests of 200,000 bytes, or of 1, for a pool without workers, with a deadline of 24 h. Why it works: requests in flight hold three quarters of the budget at most, each counting for its connection, and a team twice what is free. The division is that of the memory for jobs, in a package that both use.

--- a/entry/config.go
+++ b/entry/config.go
@@ -25,7 +25,8 @@
 	Endpoints endpoint.Runner
 	Peers     peer.Network
 
-	Memory int64 // bytes that the process may use, 0 if unknown
+	Memory int64  // bytes that the process may use, 0 if unknown
+	Bodies Bodies // memory for the bodies of requests
 
 	Order          queue.Order // nil means DelayRatio with the default weights
 	Timing         Timing
--- a/entry/control.go
+++ b/entry/control.go
@@ -24,6 +24,8 @@
 // Control is one entry instance. Its tables belong to the goroutine that runs loop (the control thread). Other
 // goroutines access them through do and post.
 type Control struct {
+	inFlight *inFlight // requests of callers
+
 	config     Config
 	timing     Timing
 	log        *zap.Logger
@@ -113,6 +115,7 @@
 		inbox:               make(chan func(), inboxLength),
 		stopped:             make(chan struct{}),
 		attempts:            attempt.NewTable(maxKeys(config.Memory)),
+		inFlight:            newInFlight(config.Bodies),
 		pools:               map[id.Pool]*pool{},
 		tickets:             map[uint64]*ticket{},
 		workers:             map[id.Instance]*worker{},
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -99,6 +99,12 @@
 		c.config.Metrics.refused(r, err)
 		return endpoint.Answer{}, err
 	}
+	end, err := c.inFlight.begin(team, len(r.Body))
+	if err != nil {
+		c.config.Metrics.refused(r, err)
+		return endpoint.Answer{}, err
+	}
+	defer end()
 	if r.IdempotencyKey != "" {
 		return c.serveOnce(ctx, r, team, func() (endpoint.Answer, error) { return c.serve(ctx, r, team, key, pool, started) })
 	}
--- a/internal/jobs/pool/memory.go
+++ b/internal/jobs/pool/memory.go
@@ -24,49 +24,22 @@
 // maxMemoryRetry is the longest delay, in whole seconds, of a caller whose job found no memory.
 const maxMemoryRetry = 3
 
-// freeMultiple is how many times the free memory of a pool one team may hold. A team that takes all it can get leaves a third of the limit
-// to the others.
-const freeMultiple = 2
-
 // MemoryLimit returns the memory that the jobs of one pool may take, in bytes, where an instance has the given memory and there are so many
 // pools.
 func MemoryLimit(memory int64, pools int) int64 {
 	return min(memory/memoryShareOfPool, memory/memoryShareOfPools/int64(max(1, pools)))
 }
 
-// memoryBudget counts the memory of a pool's jobs against a limit.
-type memoryBudget struct {
-	limit int64 // bytes, 0 for no limit
-	used  int64
-	teams map[string]int64
-}
-
-// fits reports whether a job of a team may be accepted. Any job fits an empty pool.
-func (b *memoryBudget) fits(team string, bytes int64) bool {
-	if b.limit <= 0 || b.used == 0 {
-		return true
-	}
-	return b.used+bytes <= b.limit && b.teams[team]+bytes <= freeMultiple*(b.limit-b.used)
-}
-
-// add changes the memory of a team's jobs.
-func (b *memoryBudget) add(team string, bytes int64) {
-	b.used += bytes
-	if b.teams[team] += bytes; b.teams[team] == 0 {
-		delete(b.teams, team)
-	}
-}
-
 // SetMemoryLimit sets the memory that the jobs of the pool may take, in bytes; 0 means no limit.
-func (p *Pool) SetMemoryLimit(bytes int64) { p.memory.limit = bytes }
+func (p *Pool) SetMemoryLimit(bytes int64) { p.memory.SetLimit(bytes) }
 
 // MemoryBytes returns the estimated memory of the pool's jobs, in bytes.
-func (p *Pool) MemoryBytes() int64 { return p.memory.used }
+func (p *Pool) MemoryBytes() int64 { return p.memory.Used() }
 
 // admitMemory returns an OverloadedError for a job that the memory of the pool does not suffice for.
 func (p *Pool) admitMemory(spec *job.Spec) error {
 	bytes := spec.MemoryBytes()
-	if p.memory.fits(spec.Team, bytes) {
+	if p.memory.Fits(spec.Team, bytes) {
 		return nil
 	}
 	retry := memoryRetry(spec.ID)
@@ -78,10 +51,10 @@
 // these as its memory allows.
 func (p *Pool) AdmitCancellation(name job.ID) error {
 	_, known := p.jobs[name]
-	if known || p.IsCancelled(name) || p.memory.limit <= 0 {
+	if known || p.IsCancelled(name) || p.memory.Limit() <= 0 {
 		return nil
 	}
-	if int64(len(p.cancelled))*cancellationBytes < p.memory.limit/cancellationShare {
+	if int64(len(p.cancelled))*cancellationBytes < p.memory.Limit()/cancellationShare {
 		return nil
 	}
 	return OverloadedError{Wait: memoryRetry(name), Reason: admission.MemoryFull}
@@ -98,13 +71,13 @@
 	if e.released {
 		bytes = e.job.Spec.ReleasedBytes()
 	}
-	p.memory.add(e.job.Spec.Team, bytes-e.bytes)
+	p.memory.Add(e.job.Spec.Team, bytes-e.bytes)
 	e.bytes = bytes
 }
 
 // discharge stops counting the memory of a job that the pool drops.
 func (p *Pool) discharge(e *entry) {
-	p.memory.add(e.job.Spec.Team, -e.bytes)
+	p.memory.Add(e.job.Spec.Team, -e.bytes)
 	e.bytes = 0
 }
 
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marigoldshed.example/marigoldshed/common/id"
+	"marigoldshed.example/marigoldshed/internal/control/buffer"
 	"marigoldshed.example/marigoldshed/internal/jobs/admission"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
@@ -110,7 +111,7 @@
 	runTimes         *runtimes.Model
 	admission        admissionCache
 	retries          *retries
-	memory           memoryBudget
+	memory           *buffer.Buffer // of the jobs, by team
 }
 
 // New returns an empty pool.
@@ -121,7 +122,7 @@
 	return &Pool{
 		config: c, fence: c.Fence, jobs: map[job.ID]*entry{}, cancelled: map[job.ID]time.Duration{}, workers: map[string]*host{},
 		teams: map[string]*team{}, changed: map[job.ID]struct{}{}, instanceCrashes: map[string]time.Duration{}, runTimes: runtimes.New(runtimes.Config{}), retries: newRetries(),
-		memory: memoryBudget{teams: map[string]int64{}},
+		memory: buffer.New(0),
 	}
 }
 
--- a/server/limits.go
+++ b/server/limits.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"marigoldshed.example/marigoldshed/entry"
 	"marigoldshed.example/marigoldshed/internal/transport/intake"
 	"marigoldshed.example/marigoldshed/settings"
 )
@@ -23,6 +24,8 @@
 	callersBodyBytes   = 2 << 20 // likewise two bodies
 	memberMessageBytes = 4 << 20 // the largest message that always fits, a relayed rules file
 	bodyTimeout        = 30 * time.Second
+	inFlightParts      = 3 // of inFlightOf parts of the callers' budget, for requests that wait or run
+	inFlightOf         = 4
 	machineShare       = 2 // one part in so many of the machine's memory is used where the settings do not say
 )
 
@@ -44,6 +47,14 @@
 	return l
 }
 
+// requestBodies returns the part of the callers' budget that requests may hold while they wait or run, so that the rest is free for bodies that
+// arrive. A request counts for its connection, too.
+func (l limits) requestBodies() entry.Bodies {
+	return entry.Bodies{
+		Limit: l.callers.BodyBytes / inFlightOf * inFlightParts, PerRequest: l.callers.BodyBytes / int64(l.callers.Connections),
+	}
+}
+
 // Resources returns what the process may use: what the settings say, or else a part of the machine's memory and the system's limit on
 // descriptors.
 func Resources(set settings.Settings) intake.Resources {
--- a/server/server.go
+++ b/server/server.go
@@ -73,7 +73,7 @@
 	if err := s.listen(set.Peers, limits.peers); err != nil {
 		return nil, err
 	}
-	s.control = entry.New(s.entryConfig(s.Peers()))
+	s.control = entry.New(s.entryConfig(limits))
 	s.addServers(limits)
 	return s, nil
 }
@@ -113,12 +113,12 @@
 	return address
 }
 
-func (s *Server) entryConfig(self netip.AddrPort) entry.Config {
+func (s *Server) entryConfig(l limits) entry.Config {
 	set := s.config.Settings
 	platform := store.NewClient(store.Config{Address: set.Platform, Transport: s.newTransport(0)})
 	return entry.Config{
-		Entry: set.Entry, DataCentre: set.DataCentre, Peer: self, Seeds: set.Seeds,
-		Log: platform, Fleet: platform, Memory: Resources(set).Memory,
+		Entry: set.Entry, DataCentre: set.DataCentre, Peer: s.Peers(), Seeds: set.Seeds,
+		Log: platform, Fleet: platform, Memory: Resources(set).Memory, Bodies: l.requestBodies(),
 		Endpoints: endpoint.NewClient(endpoint.Config{Transport: s.newTransport(connsPerHost)}),
 		Peers:     peer.NewClient(peer.ClientConfig{Secret: set.PeerSecret, Transport: s.newPeerTransport()}),
 		Timing:    s.config.Timing,
--- a/untrusted/serve_test.go
+++ b/untrusted/serve_test.go
@@ -111,7 +111,7 @@
 		Address: netip.AddrPortFrom(netip.MustParseAddr(instanceIP), operatorsPort), Secret: operatorSecret, Transport: &http.Transport{DisableKeepAlives: true},
 	})
 	for {
-		_, err := client.Apply(ctx, operator.Apply{Text: entryRules + waitingQueues, By: "Maria"})
+		_, err := client.Apply(ctx, operator.Apply{Text: entryRules + waitingQueues + otherTeam, By: "Maria"})
 		var refused operator.RefusedError
 		if err == nil || errors.As(err, &refused) && strings.Contains(refused.Reason, "is in force") {
 			return
--- a/untrusted/tasks_test.go
+++ b/untrusted/tasks_test.go
@@ -81,3 +81,39 @@
 		}
 	}
 }
+
+// Requests that wait for a pool without workers.
+const (
+	waitingBytes = 200_000
+	otherQueue   = "others" // of another team
+	otherTeam    = "team blue share=1 limit=100000 # Maria\nqueue " + otherQueue + " pool=web open for=blue # Maria\n"
+)
+
+// TestRequestsThatWait guards against requests that wait for as long as their callers allow, and that exhaust the memory of an entry
+// instance or keep out the requests of other teams.
+func TestRequestsThatWait(t *testing.T) {
+	if !*enabled {
+		t.Skip("runs with -untrusted")
+	}
+	binary := buildBinary(t)
+	for _, length := range []int{waitingBytes, 1} {
+		t.Run(fmt.Sprintf("%d bytes", length), func(t *testing.T) {
+			p := startEntry(t, binary)
+			other := p.ordinary
+			other.url = strings.Replace(other.url, "visitors", otherQueue, 1)
+			p.await(t, other, "before the load")
+			connections := crowd{
+				address: fmt.Sprintf("%s:%d", instanceIP, callersPort), write: maxClientWrite,
+				message: postMessage("/v1/queues/"+waitingQueue, strings.Repeat("x", length), "Deadline: 24h\r\n"),
+			}.connect()
+			time.Sleep(holdTime)
+			p.await(t, other, "beside the open connections")
+			p.check(t)
+			for _, c := range connections {
+				_ = c.Close()
+			}
+			p.awaitAll(t, "after the load")
+			p.check(t)
+		})
+	}
+}
