--- a/internal/jobs/instance/cancel.go
+++ b/internal/jobs/instance/cancel.go
@@ -151,7 +151,7 @@
 	if errors.As(p.silence, &overloaded) {
 		return 0, overloaded
 	}
-	if !p.instance.mayStore(cancellationBytes) {
+	if !p.instance.mayStore(pool.CancellationBytes) {
 		return 0, storeBudgetError(true)
 	}
 	return p.instance.store(ctx, p.table, shard.CancelRecord(p.job), true)
--- a/internal/jobs/instance/storebudget.go
+++ b/internal/jobs/instance/storebudget.go
@@ -11,9 +11,6 @@
 // intakeShare is the part, one in so many, of the memory for the jobs of one pool that an instance may store in intakes in a burst.
 const intakeShare = 4
 
-// cancellationBytes is the memory that an owner needs for a cancellation that it reads from the intake.
-const cancellationBytes = 250
-
 // defaultRetention is the time in which the budget fills up where the settings name no retention time.
 const defaultRetention = 2 * time.Minute
 
--- a/internal/jobs/pool/memory.go
+++ b/internal/jobs/pool/memory.go
@@ -15,11 +15,11 @@
 	memoryShareOfPool  = 6 // one part in so many for one pool
 )
 
-// Kept cancellations of jobs that have not come.
-const (
-	cancellationBytes = 250 // memory of one
-	cancellationShare = 4   // one part in so many of the pool's limit for all of them
-)
+// CancellationBytes is the memory that a pool needs for the cancellation of a job that it does not have.
+const CancellationBytes = 250
+
+// cancellationShare is the part, one in so many, of the pool's limit for all of these cancellations.
+const cancellationShare = 4
 
 // maxMemoryRetry is the longest delay, in whole seconds, of a caller whose job found no memory.
 const maxMemoryRetry = 3
@@ -54,7 +54,7 @@
 	if known || p.IsCancelled(name) || p.memory.Limit() <= 0 {
 		return nil
 	}
-	if int64(len(p.cancelled))*cancellationBytes < p.memory.Limit()/cancellationShare {
+	if int64(len(p.cancelled))*CancellationBytes < p.memory.Limit()/cancellationShare {
 		return nil
 	}
 	return OverloadedError{Wait: memoryRetry(name), Reason: admission.MemoryFull}
--- a/internal/jobs/pool/memory_test.go
+++ b/internal/jobs/pool/memory_test.go
@@ -116,7 +116,7 @@
 func TestCancellationsOfUnknownJobsAreBounded(t *testing.T) {
 	const kept = 10
 	p := New(Config{Name: "p", Retention: time.Minute})
-	p.SetMemoryLimit(kept * cancellationBytes * cancellationShare)
+	p.SetMemoryLimit(kept * CancellationBytes * cancellationShare)
 	at := Moment{Steady: time.Second}
 	p.Submit(at, memoryJob("known", "red", 1))
 	for n := range kept {
