shard: Bound the memory of jobs by what the instance's pools take together

Cause: the bound of a pool was half of the memory over the number of pools, 19.3 MB on an instance of 184 MiB with five pools, whoever owned them. Change: a pool may take a sixth of its owner's memory, as long as all pools of that instance take half of it at most. Measured: on 184 MiB the bound is 32.1 MB for one pool. Unit tests only; the crowds of TestAcceptedJobs have one pool, with the same bound as before, 16 MB of 96. A successor of more than three full pools may exceed half of its memory (listed in docs/design/12-untrusted-clients.md); no test shows it.

--- a/internal/jobs/instance/shard.go
+++ b/internal/jobs/instance/shard.go
@@ -37,9 +37,24 @@
 		View:          func() shard.View { return n.view(shardName) },
 		OperatorsSeen: n.operatorsSeen,
 		Forward:       n.forward,
+
+		OtherJobMemory: func() int64 { return n.otherJobMemory(shardName) },
 	})
 }
 
+// otherJobMemory returns the memory of the jobs of the pools that this instance owns beside one, in bytes.
+func (n *Instance) otherJobMemory(shardName string) int64 {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	var sum int64
+	for name, o := range n.shards {
+		if name != shardName && o.shard != nil {
+			sum += o.shard.JobMemory()
+		}
+	}
+	return sum
+}
+
 func (n *Instance) autoscaler() *machines.Autoscaler {
 	return machines.NewAutoscaler(machines.AutoscalerConfig{
 		Holder: n.config.Settings.Name, Log: n.proxiedLog, Status: n.config.Tables.Status, Codec: n.config.Codec,
--- a/internal/jobs/instance/storebudget.go
+++ b/internal/jobs/instance/storebudget.go
@@ -20,7 +20,7 @@
 func newStoreBudget(s Settings) *rate.Limiter {
 	limit := s.JobMemory
 	if limit <= 0 {
-		limit = pool.MemoryLimit(s.Memory, 1)
+		limit = pool.MemoryLimit(s.Memory)
 	}
 	if limit <= 0 {
 		return rate.NewLimiter(rate.Inf, 0)
--- a/internal/jobs/pool/memory.go
+++ b/internal/jobs/pool/memory.go
@@ -11,7 +11,7 @@
 
 // Shares of the memory of an instance that jobs may take.
 const (
-	memoryShareOfPools = 2 // one part in so many for all pools, which one instance may own
+	memoryShareOfPools = 2 // one part in so many for all pools that it owns
 	memoryShareOfPool  = 6 // one part in so many for one pool
 )
 
@@ -24,10 +24,16 @@
 // maxMemoryRetry is the longest delay, in whole seconds, of a caller whose job found no memory.
 const maxMemoryRetry = 3
 
-// MemoryLimit returns the memory that the jobs of one pool may take, in bytes, where an instance has the given memory and there are so many
-// pools.
-func MemoryLimit(memory int64, pools int) int64 {
-	return min(memory/memoryShareOfPool, memory/memoryShareOfPools/int64(max(1, pools)))
+// MemoryLimit returns the memory that the jobs of one pool may take, in bytes, at an instance with so much memory.
+func MemoryLimit(memory int64) int64 { return memory / memoryShareOfPool }
+
+// MemoryLimitBeside returns the memory that the jobs of one pool may take, in bytes, where those of the instance's other pools take so
+// much. It is positive unless the memory is not known.
+func MemoryLimitBeside(memory, others int64) int64 {
+	if memory <= 0 {
+		return 0
+	}
+	return max(1, min(MemoryLimit(memory), memory/memoryShareOfPools-others))
 }
 
 // SetMemoryLimit sets the memory that the jobs of the pool may take, in bytes; 0 means no limit.
--- a/internal/jobs/pool/memory_test.go
+++ b/internal/jobs/pool/memory_test.go
@@ -141,3 +141,24 @@
 		t.Errorf("a cancellation is rejected after the retention time of the others: %v", err)
 	}
 }
+
+// TestMemoryLimitBesideOtherPools guards against pools of one instance that together take more than half of its memory, and against a limit
+// that means none.
+func TestMemoryLimitBesideOtherPools(t *testing.T) {
+	tests := []struct {
+		name           string
+		memory, others int64
+		want           int64
+	}{
+		{"the memory is not known", 0, 100, 0},
+		{"alone", 600, 0, 100},
+		{"beside some", 600, 200, 100},
+		{"beside many", 600, 260, 40},
+		{"beside more than the instance may accept", 600, 400, 1},
+	}
+	for _, test := range tests {
+		if got := MemoryLimitBeside(test.memory, test.others); got != test.want {
+			t.Errorf("%s: %d bytes, want %d", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -69,6 +69,7 @@
 // iterate runs one iteration: it updates the pool's decisions, stores what has changed and sends the orders.
 func (s *Shard) iterate(ctx context.Context, fatal chan error) {
 	at := s.config.Clock.Moment()
+	s.updateMemory()
 	s.pool.CountUptime(at, s.logWait(at))
 	// The answer to a batch also proves ownership, so a separate proof is needed only without a batch or when the
 	// batch has waited too long.
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -52,12 +52,12 @@
 	JobMemory         int64 // bytes that the jobs of the pool may take, 0 for the default by Memory
 }
 
-// jobMemory returns the memory that the jobs of one of so many pools may take, 0 for no limit.
-func (s *Settings) jobMemory(pools int) int64 {
+// jobMemory returns the memory that the jobs of one pool may take beside those of the instance's other pools, 0 for no limit.
+func (s *Settings) jobMemory(others int64) int64 {
 	if s.JobMemory > 0 {
 		return s.JobMemory
 	}
-	return pool.MemoryLimit(s.Memory, pools)
+	return pool.MemoryLimitBeside(s.Memory, others)
 }
 
 // Config holds what a Shard needs.
@@ -77,6 +77,8 @@
 	View            func() View
 	// OperatorsSeen returns the steady time as of which View has all that the operators have written.
 	OperatorsSeen func() time.Duration
+	// OtherJobMemory returns the memory of the jobs of the instance's other pools, in bytes; may be nil.
+	OtherJobMemory func() int64
 	// Forward submits a job to the pool that its route belongs to now, and returns once that pool has it.
 	Forward func(ctx context.Context, spec job.Spec) error
 }
@@ -97,7 +99,8 @@
 	output  stream.Table // claims and progress, written by the owner
 	claim   *claim.Claim
 	pool    *pool.Pool
-	events  chan event // executed on the control thread
+	memory  atomic.Int64 // of the jobs, for other threads
+	events  chan event   // executed on the control thread
 	refresh chan struct{}
 	started chan struct{} // closed once the pool answers questions
 	ended   chan struct{} // closed once nothing answers any more
@@ -321,12 +324,24 @@
 	}
 }
 
+// JobMemory returns the estimated memory of the pool's jobs, in bytes.
+func (s *Shard) JobMemory() int64 { return s.memory.Load() }
+
+// updateMemory sets the limit for the pool's jobs by what the instance's other pools take, and publishes what this one takes.
+func (s *Shard) updateMemory() {
+	var others int64
+	if s.config.OtherJobMemory != nil {
+		others = s.config.OtherJobMemory()
+	}
+	s.pool.SetMemoryLimit(s.config.Settings.jobMemory(others))
+	s.memory.Store(s.pool.MemoryBytes())
+}
+
 func (s *Shard) applyView(at pool.Moment) {
 	v := s.config.View()
 	s.pool.SetWorkers(at, v.Workers)
 	s.pool.SetEvacuated(v.Evacuated)
 	s.pool.SetLimits(v.Limits, limit.MinAllocation(v.PoolCount))
 	s.pool.SetWeights(v.Weights)
-	s.pool.SetMemoryLimit(s.config.Settings.jobMemory(v.PoolCount))
 	s.placeRequested = true
 }
