shard: Bound the memory of jobs from the take-over on

What callers saw: nothing; found by reading. Cause: since the limit was set by the iterations of the control thread, but up to 256 calls that wait for a take-over are handled before the first one, each of up to 6 MB. Change: the limit is set when the pool is loaded. Why it works: nothing is admitted between the load and the first iteration without the limit.

--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -246,6 +246,7 @@
 		stored = append(stored, *j)
 	}
 	s.pool.Restore(at, stored)
+	s.updateMemory()
 	for _, name := range cancelled {
 		s.applyCancellation(at, name, fromStored, noOffset)
 	}
--- a/internal/jobs/shard/submit.go
+++ b/internal/jobs/shard/submit.go
@@ -36,8 +36,9 @@
 	return err
 }
 
-// Cancel stores the cancellation of a job, applies it, and tells whether the pool has the job. After a pool.OverloadedError it is not stored. An Absent job is cancelled if it
-// comes within the retention time; the pools to which a Forwarded one may go have to know of the cancellation, too.
+// Cancel stores the cancellation of a job, applies it, and tells whether the pool has the job. After a pool.OverloadedError it is not
+// stored. An Absent job is cancelled if it comes within the retention time; the pools to which a Forwarded one may go have to know of the
+// cancellation, too.
 func (s *Shard) Cancel(ctx context.Context, name job.ID) (job.Presence, error) {
 	var presence job.Presence
 	var known bool
