intake: Stall the streams of a test in a known order

Cause: TestStalledStreams expected the first stream to be evicted, though a client's write returns before the server has the bytes: beside load another stream had stalled for longest at the server. Traced with the answers of all streams, beside eight busy processes: stream 1 got 503 in one failure and stream 3 in another, the first still waited; each time exactly one was evicted, as is right. Change: the next stream begins when the bytes of the one before it are counted, so the first has stalled for longest. The check is the same. Measured: 60 repeats beside eight busy processes, none failed; before, 2 failed in the first 4.

--- a/internal/transport/intake/http2_test.go
+++ b/internal/transport/intake/http2_test.go
@@ -70,10 +70,11 @@
 		name    string
 		change  func(*Limits)
 		streams int
-		length  int
+		length  int // a multiple of the unit that is charged
+		fitting int // streams whose bytes fit
 	}{
-		{"the budget is exhausted", func(l *Limits) { l.BodyBytes = 64 << 10 }, 4, 20 << 10},
-		{"the places are exhausted", func(l *Limits) { l.Connections = 4 }, 4, 100},
+		{"the budget is exhausted", func(l *Limits) { l.BodyBytes = 64 << 10 }, 4, 20 << 10, 3},
+		{"the places are exhausted", func(l *Limits) { l.Connections = 4 }, 4, chargeUnit, 4},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -84,8 +85,11 @@
 			ctx, cancel := context.WithTimeout(t.Context(), patience)
 			defer cancel()
 			var stalled []<-chan int
-			for range test.streams {
+			for n := range test.streams {
 				stalled = append(stalled, c.stall(ctx, test.length))
+				if n < test.fitting { // so that the first one has stalled for longest at the server, too
+					s.await(t, "the bytes of a stalled body arrive", func() bool { return s.held == int64((n+1)*test.length) })
+				}
 			}
 			if status := c.status(ctx, strings.NewReader("whole")); status != http.StatusOK {
 				t.Errorf("status %d for a whole body beside stalled ones, want 200", status)
