outlier: Compare the workers before one is put out of use for failures

Cause: each run that ended failed counted against its worker, whoever's fault it was, and from the third in a row on each further one doubled the time without new work, up to 30 s, also within one report. So one attempt of a hopeless job put one sound worker out of use, and the next attempt the next one, then those that the autoscaler brought. No end that was done took it back.

Evidence: in the log of the case "fails what it starts" comes for each worker right after runs of a hopeless job.

Change: internal/jobs/outlier. What fails on two workers in use speaks against neither; the failures of one step on one worker are one piece of evidence until its tasks end done elsewhere. Three pieces eject a worker, for 2 to 30 s; evidence that is contradicted, or a later run that ends done, ends the ejection at once; after it the worker gets a run at a time. Half of the workers at most are ejected. A task that has failed on a worker starts on another one. A worker that has started anew begins without a record.

Why it works: a hopeless task shows itself on its second worker, and then explains its failures on the first one; a failing worker's failures stay unexplained, or its tasks end done elsewhere.

--- a/internal/jobs/pool/gang.go
+++ b/internal/jobs/pool/gang.go
@@ -117,7 +117,7 @@
 	if t.Crash.Suspected {
 		return p.hostForSuspect(at, it, t, hosts, o)
 	}
-	return p.hostFor(it, step, hosts, o)
+	return p.hostFor(it, t, hosts, o)
 }
 
 // placeMembers starts all members of a gang on some workers, or none.
--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -51,12 +51,12 @@
 	urgentDue            time.Duration // the same of the urgent one
 	nextPoll             time.Duration // when to poll again
 	lastPollSent         time.Duration // when the newest answered poll was sent
-	avoidUntil           time.Duration // gets no new work before
+	refusedUntil         time.Duration // gets no new work before, since it has refused a start
 	missedPolls          int           // consecutive unanswered polls while nothing ran
 	overdue              int           // runs far over their estimate, reset when a run is done
 	lastDone             time.Duration // when a run last ended with outcome done
-	failures             int           // consecutive failed runs
-	penalties            int
+	probing              bool          // gets a run at a time since it was ejected
+	probed               bool          // has such a run
 	onProbation          int           // runs on probation
 	slowness             float64       // moving average of run time divided by estimate, 0 if unknown
 	lastPaced            time.Duration // when its best-effort tasks were last paced
@@ -98,10 +98,12 @@
 		h.info = info
 		h.listed = true
 	}
+	p.outliers.SetSize(len(list))
 	p.endSuperseded(at, list)
 	for name, h := range p.workers {
 		if h.listed && !present.Has(name) {
 			h.listed = false
+			p.outliers.Forget(name)
 			p.config.Observer.WorkerChanged(name, "left the list")
 		}
 	}
@@ -166,10 +168,15 @@
 	}
 }
 
-// usable reports whether a worker may get new work.
+// usable reports whether a worker may get new work now.
 func (p *Pool) usable(at Moment, h *host) bool {
+	return p.isSound(h) && !p.isEjected(at, h) && at.Steady >= h.refusedUntil
+}
+
+// isSound reports whether a worker may get new work, but for what the ends of its runs say of it.
+func (p *Pool) isSound(h *host) bool {
 	return h.listed && h.hasCurrentInfo() && !h.ended && !h.retired && len(h.orphans) == 0 && h.answered && h.settled && !h.unresponsive && !h.cordoned &&
-		!h.info.Draining && at.Steady >= h.avoidUntil && !p.evacuated.Has(h.info.DataCentre)
+		!h.info.Draining && !p.evacuated.Has(h.info.DataCentre)
 }
 
 // mustDrain reports whether long-running tasks must move off a worker.
--- a/internal/jobs/pool/incarnation.go
+++ b/internal/jobs/pool/incarnation.go
@@ -87,6 +87,8 @@
 // which runs it has.
 func (p *Pool) resetIncarnation(at Moment, h *host, startedAt time.Time) {
 	p.config.Observer.WorkerRestarted(h.restart(startedAt))
+	p.outliers.Forget(h.info.ID)
+	h.refusedUntil = 0
 	p.recordLoss(at, h, h.lossCause(), LaterUnderID)
 	p.closeLosses(at, h, h.lossCause(), LaterUnderID)
 	for _, r := range h.runs {
--- a/internal/jobs/pool/learn.go
+++ b/internal/jobs/pool/learn.go
@@ -15,34 +15,21 @@
 // three in a row of 3.5 times the expected length do. With 4, two in a row did, and 2.5% of the workers looked slow in a trial without a slow one.
 const maxSlowness = 3.5
 
-// Limits for consecutive failed runs on one worker and for the time that it then gets no new work.
-const (
-	failureThreshold = 3
-	initialPenalty   = 2 * time.Second
-	maxPenalty       = 30 * time.Second
-)
-
-// learn updates what is known of run times, and the slowness and failure statistics of a worker, when a run ends. The run time is 0 if
-// it is unknown.
+// learn updates what is known of run times and of the worker when a run ends. The run time is 0 if it is unknown.
 func (p *Pool) learn(at Moment, r *run, outcome worker.Outcome, took time.Duration) {
 	h := r.host
 	switch outcome {
 	case worker.Done:
-		h.failures, h.penalties, h.overdue = 0, 0, 0
+		h.overdue = 0
 		h.lastDone = at.Steady
+		p.outliers.RecordDone(at.Steady, r.outlierRun())
 		if took = p.atData(r, took); took > 0 {
 			p.learnSlowness(r, took)
 			p.observeRunTime(at, r, took, false)
 		}
 	case worker.Failed:
 		p.observeRunTime(at, r, took, true)
-		h.failures++
-		if h.failures >= failureThreshold {
-			h.avoidUntil = at.Steady + min(maxPenalty, initialPenalty<<min(h.penalties, 4))
-			h.penalties++
-			h.failures = failureThreshold - 1
-			p.config.Observer.WorkerChanged(h.info.ID, "fails what it starts")
-		}
+		p.learnFailure(at, r)
 	case worker.Lost, worker.Stopped, worker.Expired, worker.GangMemberEnded, worker.GangIncomplete:
 	}
 }
--- a/internal/jobs/pool/offer.go
+++ b/internal/jobs/pool/offer.go
@@ -13,7 +13,8 @@
 	hosts         []*host        // fullest first
 	reserved      map[*host]bool // kept free for long-running tasks that could not be placed yet
 	isolated      map[*host]bool // kept free for suspected tasks
-	idle          bool           // the work that is not suspected needs under half of the workers; false if none is suspected
+	ejected       []*host
+	idle          bool // the work that is not suspected needs under half of the workers; false if none is suspected
 	unplacedNeeds []catalog.Resources
 }
 
@@ -48,14 +49,18 @@
 }
 
 // hostFor returns the best worker for a task of a step, or nil if it fits nowhere.
-func (p *Pool) hostFor(it *item, step *job.Step, hosts []*host, o *offer) *host {
+func (p *Pool) hostFor(it *item, t *job.Task, hosts []*host, o *offer) *host {
+	step := &it.entry.job.Spec.Steps[it.step]
 	need := needOf(step)
 	var best *host
+	if others := o.ejectedWith(step.Label); len(others) > 0 {
+		hosts = others
+	}
 	for _, h := range hosts {
-		if o.isolated[h] || h.onProbation > 0 || o.reserved[h] && !step.LongRunning || !h.free().Covers(need) || !h.info.Has(step.Label) || !h.allowsAnother(it, step) {
+		if o.isolated[h] || h.onProbation > 0 || o.reserved[h] && !step.LongRunning || !h.free().Covers(need) || !h.info.Has(step.Label) || !h.allowsAnother(it, step) || h.probed {
 			continue
 		}
-		if best == nil || p.isBetter(it, step, h, best) {
+		if best == nil || p.isBetter(it, t, h, best) {
 			best = h
 		}
 	}
@@ -64,7 +69,11 @@
 
 // isBetter reports whether h is a better worker than best for a task that fits on both. Hosts are tried fullest first,
 // so a tie keeps the fuller one.
-func (p *Pool) isBetter(it *item, step *job.Step, h, best *host) bool {
+func (p *Pool) isBetter(it *item, t *job.Task, h, best *host) bool {
+	step := &it.entry.job.Spec.Steps[it.step]
+	if a, b := p.hasFailedOn(t, h), p.hasFailedOn(t, best); a != b {
+		return b
+	}
 	if step.Rack != "" && (h.info.Rack == step.Rack) != (best.info.Rack == step.Rack) {
 		return h.info.Rack == step.Rack
 	}
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -45,7 +45,8 @@
 		}
 		return int(a.key - b.key)
 	})
-	o := &offer{hosts: p.candidates(at), reserved: map[*host]bool{}, isolated: map[*host]bool{}}
+	p.reportEjections()
+	o := &offer{hosts: p.candidates(at), reserved: map[*host]bool{}, isolated: map[*host]bool{}, ejected: p.ejected(at)}
 	p.isolate(at, items, o)
 	for i := range items {
 		p.placeItem(at, &items[i], o)
@@ -132,6 +133,7 @@
 	var hosts []*host
 	for _, h := range p.workers {
 		if p.usable(at, h) {
+			p.updateProbe(at, h)
 			hosts = append(hosts, h)
 		}
 	}
@@ -179,12 +181,15 @@
 		if !tm.admits(fullNeed(step)) {
 			return
 		}
-		h := p.hostFor(it, step, hosts, o)
+		h := p.hostFor(it, t, hosts, o)
 		if h == nil {
 			p.unplaced(at, it, step, o)
 			return
 		}
-		if h.info.Rack != step.Rack && p.shouldWaitForRack(at, it, step, o) {
+		if p.shouldTryElsewhere(at, t, step, h, o) {
+			continue
+		}
+		if h.info.Rack != step.Rack && !p.hasFailedOnRack(t, step.Rack, o) && p.shouldWaitForRack(at, it, step, o) {
 			return
 		}
 		p.place(at, it.entry, t, h)
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -8,6 +8,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/admission"
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/outlier"
 	"marigoldshed.example/marigoldshed/internal/jobs/runtimes"
 )
 
@@ -109,6 +110,7 @@
 	lag              time.Duration  // by how much the owner was late at lagAt
 	lagAt            time.Duration
 	runTimes         *runtimes.Model
+	outliers         *outlier.Detector
 	admission        admissionCache
 	retries          *retries
 	memory           *buffer.Buffer // of the jobs, by team
@@ -121,7 +123,7 @@
 	}
 	return &Pool{
 		config: c, fence: c.Fence, jobs: map[job.ID]*entry{}, cancelled: map[job.ID]time.Duration{}, workers: map[string]*host{},
-		teams: map[string]*team{}, changed: map[job.ID]struct{}{}, instanceCrashes: map[string]time.Duration{}, runTimes: runtimes.New(runtimes.Config{}), retries: newRetries(),
+		teams: map[string]*team{}, changed: map[job.ID]struct{}{}, instanceCrashes: map[string]time.Duration{}, runTimes: runtimes.New(runtimes.Config{}), outliers: outlier.New(), retries: newRetries(),
 		memory: buffer.New(0),
 	}
 }
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -76,6 +76,7 @@
 	}
 	r := p.attach(e, t, h)
 	r.phase = storing
+	h.probed = h.probing
 	r.stepTimes, r.chosen = e.stepTimesOf(at, t.Name.Occurrence, t.Name.Step), at.Steady
 	p.unstored = append(p.unstored, r)
 	p.touch(e)
--- a/internal/jobs/pool/simulated_worker_test.go
+++ b/internal/jobs/pool/simulated_worker_test.go
@@ -34,6 +34,8 @@
 	unlisted         bool          // its entry is missing although it lives
 	entryUntil       time.Duration // when its entry is removed after its end
 	draining         bool
+	failing          bool // all runs that begin on it end failed
+	failures         int  // runs that ended failed by its fault alone
 	polls            []func()
 }
 
@@ -136,6 +138,7 @@
 	w.newestStart[s.Task] = w.now
 	w.workerOf[s.Task] = f.id
 	serial := run.serial
+	byWorker, byTask := f.failing, w.hopeless[s.Task]
 	if after, deadly := w.deadly[s.Task]; deadly {
 		f.crashAfter(after, s.Run, serial)
 		return
@@ -148,7 +151,10 @@
 			return
 		}
 		outcome := worker.Done
-		if w.random.Float64() < w.failureRate {
+		if byWorker && !byTask {
+			f.failures++
+		}
+		if byWorker || byTask || w.random.Float64() < w.failureRate {
 			outcome = worker.Failed
 		}
 		f.end(s.Run, outcome)
--- a/internal/jobs/pool/simulation_test.go
+++ b/internal/jobs/pool/simulation_test.go
@@ -30,6 +30,7 @@
 	failures      map[job.Name]int
 	activeRuns    map[job.Name]int // number of current runs
 	failureRate   float64
+	hopeless      map[job.Name]bool          // tasks that fail wherever they run
 	cordoned      []string                   // cordoned workers
 	stopOrdered   map[worker.Run]bool        // runs that were ordered to stop
 	workerOf      map[job.Name]string        // worker that started the newest run
@@ -72,7 +73,7 @@
 func newSimulation(seed uint64, workers int) *simulation {
 	w := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, log: map[job.ID]*StoredState{},
-		work: map[job.Name]time.Duration{}, done: map[job.Name]bool{}, ackedDone: map[job.Name]bool{}, newestStart: map[job.Name]time.Duration{}, failures: map[job.Name]int{}, activeRuns: map[job.Name]int{}, stopOrdered: map[worker.Run]bool{}, workerOf: map[job.Name]string{},
+		work: map[job.Name]time.Duration{}, done: map[job.Name]bool{}, ackedDone: map[job.Name]bool{}, newestStart: map[job.Name]time.Duration{}, failures: map[job.Name]int{}, hopeless: map[job.Name]bool{}, activeRuns: map[job.Name]int{}, stopOrdered: map[worker.Run]bool{}, workerOf: map[job.Name]string{},
 		jobEnds: map[job.ID]time.Duration{}, deadly: map[job.Name]time.Duration{}, crashes: map[job.Name]int{}, afterThree: map[job.Name]int{}, downtime: workerDowntime, inheritedWait: testInherited,
 	}
 	for i := range workers {
--- a/internal/jobs/pool/start.go
+++ b/internal/jobs/pool/start.go
@@ -107,12 +107,12 @@
 		p.config.Observer.WorkerChanged(h.info.ID, "refused an order below its fence")
 	}
 	if reason != worker.Superseded {
-		h.avoidUntil = at.Steady + refusalBackoff
+		h.refusedUntil = at.Steady + refusalBackoff
 		h.nextPoll = at.Steady
 	}
 	if reason == worker.NoTicket {
 		p.dropTicket(r)
-		h.avoidUntil = at.Steady
+		h.refusedUntil = at.Steady
 	}
 	if reason == worker.Invalid {
 		r.job.job.Fail(r.task, at.Wall)
--- a/internal/jobs/pool/stats.go
+++ b/internal/jobs/pool/stats.go
@@ -8,6 +8,7 @@
 	Waiting, Capped                  int // ready tasks, and those among them that their team's limit holds back
 	Suspected                        int // part of Waiting that has to start alone since workers crashed under it
 	OnProbation                      int // workers that get no other work since they run such a task
+	Ejected                          int // workers that get no new work since they fail what they start
 	Unconfirmed                      int // part of Used by runs that no worker has confirmed yet
 	UsedAtRiskOrLate, UsedInfeasible int // parts of Used by one-time jobs that are at risk or late, and by infeasible ones
 }
@@ -38,6 +39,9 @@
 		}
 	}
 	for _, h := range p.workers {
+		if p.isEjected(at, h) {
+			s.Ejected++
+		}
 		if !p.usable(at, h) {
 			continue
 		}
