pool: Keep a worker in use that has refused a start that any worker would

And a worker that backs off for 0.4 s did not count as capacity, so the autoscaler had another instance brought, which takes longer than the wait.

Change: only refusals for a state of the worker or its owner make it back off (late, no room, busy, fenced); such a worker counts as capacity. A missing ticket still makes the owner poll at once.

TestRefusalIsBlamedOnItsCause failed before the change, for the reason "invalid" (no new work) and for five reasons (not counted as capacity); it passes.

--- a/internal/jobs/pool/host.go
+++ b/internal/jobs/pool/host.go
@@ -170,9 +170,12 @@
 
 // usable reports whether a worker may get new work now.
 func (p *Pool) usable(at Moment, h *host) bool {
-	return p.isSound(h) && !p.isEjected(at, h) && at.Steady >= h.refusedUntil
+	return p.inService(at, h) && at.Steady >= h.refusedUntil
 }
 
+// inService reports whether a worker may get new work, now or once it no longer refuses starts.
+func (p *Pool) inService(at Moment, h *host) bool { return p.isSound(h) && !p.isEjected(at, h) }
+
 // isSound reports whether a worker may get new work, but for what the ends of its runs say of it.
 func (p *Pool) isSound(h *host) bool {
 	return h.listed && h.hasCurrentInfo() && !h.ended && !h.retired && len(h.orphans) == 0 && h.answered && h.settled && !h.unresponsive && !h.cordoned &&
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -250,10 +250,10 @@
 }
 
 // countsAsCapacity reports whether a worker counts as capacity of the pool. A worker that this owner has not reached
-// yet counts.
+// yet counts, and so does one that has just refused a start: it is back sooner than another instance could come.
 func (p *Pool) countsAsCapacity(at Moment, h *host) bool {
 	notReached := h.listed && !h.answered && !h.unresponsive && !h.ended && !h.retired && !h.info.Draining
-	return p.usable(at, h) || notReached && !h.cordoned && !p.evacuated.Has(h.info.DataCentre)
+	return p.inService(at, h) || notReached && !h.cordoned && !p.evacuated.Has(h.info.DataCentre)
 }
 
 // Load returns the load of the workers and the demand of the pool.
--- a/internal/jobs/pool/start.go
+++ b/internal/jobs/pool/start.go
@@ -101,25 +101,31 @@
 // handleRefusal ends a run that a worker refused to start.
 func (p *Pool) handleRefusal(at Moment, r *run, reason worker.Reason) {
 	h := r.host
-	if reason == worker.Fenced {
+	switch reason {
+	case worker.Invalid:
+		// Every worker would refuse it.
+		r.job.job.Fail(r.task, at.Wall)
+	case worker.NoTicket:
+		p.dropTicket(r)
+		h.nextPoll = at.Steady
+	case worker.Fenced:
 		// Another owner sends orders to this worker. If this owner has been replaced, its next write to the log will
 		// fail.
 		p.config.Observer.WorkerChanged(h.info.ID, "refused an order below its fence")
-	}
-	if reason != worker.Superseded {
-		h.refusedUntil = at.Steady + refusalBackoff
-		h.nextPoll = at.Steady
-	}
-	if reason == worker.NoTicket {
-		p.dropTicket(r)
-		h.refusedUntil = at.Steady
-	}
-	if reason == worker.Invalid {
-		r.job.job.Fail(r.task, at.Wall)
+		p.backOff(at, h)
+	case worker.Late, worker.NoCapacity, worker.Busy, worker.NotInWave:
+		p.backOff(at, h)
+	case worker.Superseded:
 	}
 	p.endRefused(at, r)
 }
 
+// backOff keeps new work from a worker for a short time, and polls it at once.
+func (p *Pool) backOff(at Moment, h *host) {
+	h.refusedUntil = at.Steady + refusalBackoff
+	h.nextPoll = at.Steady
+}
+
 // endRefused ends a run that never existed.
 func (p *Pool) endRefused(at Moment, r *run) {
 	p.ended(at, r, worker.End{Run: r.id, Outcome: worker.Lost, Checkpoint: r.task.Checkpoint}, Refused)
