pool: Stop the other runs of a job that fails since a start is invalid

TestInvalidStartEndsItsJob failed before the change (the other run was still in phase running) and passes.

--- a/internal/jobs/pool/refusal_test.go
+++ b/internal/jobs/pool/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"marigoldshed.example/marigoldshed/internal/jobs/worker"
 )
@@ -48,3 +49,19 @@
 		})
 	}
 }
+
+// TestInvalidStartEndsItsJob guards against runs that go on after their job has failed since another start of it is invalid.
+func TestInvalidStartEndsItsJob(t *testing.T) {
+	w, o := newSettledSimulation(t)
+	spec := shortJob(2)
+	spec.Policy.Attempts = 1
+	w.submit("0000000000000001", spec)
+	w.run(w.now + 100*time.Millisecond)
+	p, at := o.pool, w.moment()
+	e := p.jobs["0000000000000001"]
+	refused, other := p.runOf(&e.job.Occurrences[0].Steps[0][0]), p.runOf(&e.job.Occurrences[0].Steps[0][1])
+	p.handleRefusal(at, refused, worker.Invalid)
+	if !e.job.State.Ended() || other.phase != stopping {
+		t.Errorf("the job is %v and its other run in phase %d, want it failed and the run stopping", e.job.State, other.phase)
+	}
+}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -157,15 +157,20 @@
 			p.finish(at, e, t)
 		}
 	case worker.Failed:
-		wasOver := e.job.State.Ended()
-		e.job.Fail(t, at.Wall)
-		if e.job.State.Ended() && !wasOver {
-			p.endJob(at, e)
-		}
+		p.fail(at, e, t)
 	case worker.Lost, worker.Stopped, worker.Expired, worker.GangMemberEnded, worker.GangIncomplete:
 	}
 }
 
+// fail counts a failed run of a task, which may fail its job.
+func (p *Pool) fail(at Moment, e *entry, t *job.Task) {
+	wasOver := e.job.State.Ended()
+	e.job.Fail(t, at.Wall)
+	if e.job.State.Ended() && !wasOver {
+		p.endJob(at, e)
+	}
+}
+
 func (p *Pool) finish(at Moment, e *entry, t *job.Task) {
 	wasOver := e.job.State.Ended()
 	e.job.Finish(t, at.Wall)
--- a/internal/jobs/pool/start.go
+++ b/internal/jobs/pool/start.go
@@ -104,7 +104,7 @@
 	switch reason {
 	case worker.Invalid:
 		// Every worker would refuse it.
-		r.job.job.Fail(r.task, at.Wall)
+		p.fail(at, r.job, r.task)
 	case worker.NoTicket:
 		p.dropTicket(r)
 		h.nextPoll = at.Steady
