limit: Give the one task beyond an upper limit to one pool at a time

Cause: a pool let a team that used nothing there start a task whatever its allocation was. The rule has one task more for the team over all pools. Two more faults of the kind: an allocation rose to what a pool used though all pools used more than the limit, so what ended was replaced at once; and of a gang only the first member was let in, so it never started where it needs more than an allocation.

Change: an overdraft, the right to start one task beyond the allocations, which the allocator grants to at most one pool of a team, by turns. It is granted only if all pools have reported, under the same limit, and may use no more than it together; the pool counts as having it until its owner or a successor reports otherwise. It ends with a change of the limit. Allocations that do not meet all requests rise by whole tasks or gangs, by turns; while the pools use more than the limit nothing replaces what ends. Grants and reports name the pool's owner.

Why it works: every start beyond an allocation needs the overdraft, one pool has it, and it is only granted while all that the pools may use is within the limit. Nobody waits for ever: who has started last comes last.

--- a/internal/jobs/limit/allocator_test.go
+++ b/internal/jobs/limit/allocator_test.go
@@ -6,7 +6,10 @@
 )
 
 // fakePool uses as much of its allocation as it requests; its use falls only when a test lowers it.
-type fakePool struct{ allocation, used, requested int }
+type fakePool struct {
+	owner                       int64
+	allocation, used, requested int
+}
 
 func (p *fakePool) run() { p.used = max(p.used, min(p.requested, p.allocation)) }
 
@@ -16,15 +19,15 @@
 
 func allocate(t *testing.T, a *Allocator, pools map[string]*fakePool, names []string, reached func(pool string) bool) {
 	t.Helper()
-	allocations := a.Allocate(names)
+	grants := a.Allocate(names)
 	for _, name := range names {
 		p := pools[name]
-		if allocations != nil && reached(name) {
-			p.allocation = allocations[name]["t"]
+		if grants != nil && reached(name) && grants[name].Owner == p.owner {
+			p.allocation = grants[name].Allocations["t"]
 		}
 		p.run()
 		if reached(name) {
-			a.RecordDemand(name, p.demand())
+			a.RecordDemand(name, p.owner, p.demand())
 		}
 	}
 	sum := 0
@@ -32,7 +35,7 @@
 		sum += p.used
 	}
 	if sum > FullLimit {
-		t.Fatalf("the pools use %d of a limit of %d; latest allocations: %v", sum, FullLimit, allocations)
+		t.Fatalf("the pools use %d of a limit of %d; latest grants: %v", sum, FullLimit, grants)
 	}
 }
 
@@ -43,7 +46,7 @@
 	names := []string{"a", "b", "c", "d"}
 	pools := map[string]*fakePool{}
 	for _, name := range names {
-		pools[name] = &fakePool{allocation: MinAllocation(len(names))}
+		pools[name] = &fakePool{owner: 1, allocation: Initial(len(names))}
 	}
 	a := NewAllocator()
 	for _, busy := range names {
@@ -54,7 +57,7 @@
 		for range 4 {
 			allocate(t, a, pools, names, always)
 		}
-		if got := pools[busy].used; got < FullLimit-3*MinAllocation(4)-10 {
+		if got := pools[busy].used; got < FullLimit-3*Initial(4)-10 {
 			t.Errorf("pool %s uses only %d while it is the busy one", busy, got)
 		}
 	}
@@ -68,22 +71,25 @@
 		random := rand.New(rand.NewPCG(seed, 1))
 		pools := map[string]*fakePool{}
 		for _, name := range names {
-			pools[name] = &fakePool{allocation: MinAllocation(len(names))}
+			pools[name] = &fakePool{owner: 1, allocation: Initial(len(names))}
 		}
 		a := NewAllocator()
 		for range 60 {
 			for _, p := range pools {
 				p.requested = random.IntN(1500)
 				p.used = random.IntN(p.used + 1)
-				if random.IntN(20) == 0 {
-					p.allocation = min(p.allocation, MinAllocation(len(names))) // a new owner, or no allocation arrived for a while
+				switch random.IntN(40) {
+				case 0:
+					p.owner, p.allocation = p.owner+1, Initial(len(names)) // a new owner
+				case 1:
+					p.allocation = min(p.allocation, Fallback(len(names))) // no allocation arrived for a while
 				}
 			}
 			if random.IntN(15) == 0 {
 				a = NewAllocator()
 				for _, name := range names {
 					if random.IntN(2) == 0 {
-						a.RecordDemand(name, pools[name].demand())
+						a.RecordDemand(name, pools[name].owner, pools[name].demand())
 					}
 				}
 			}
--- a/internal/jobs/machines/autoscaler.go
+++ b/internal/jobs/machines/autoscaler.go
@@ -217,14 +217,16 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	a.round++
-	allocations := a.allocator.Allocate(pools)
+	grants := a.allocator.Allocate(pools)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	loads := map[string]Load{}
 	for _, pool := range pools {
 		wait.Go(func() {
 			orders := a.orders[pool]
-			orders.Fence, orders.Round, orders.Allocations = a.claim.Epoch(), a.round, allocations[pool]
+			grant := grants[pool]
+			orders.Fence, orders.Round = a.claim.Epoch(), a.round
+			orders.Owner, orders.Allocations, orders.Overdrafts = grant.Owner, grant.Allocations, grant.Overdrafts
 			orders.Gone = goneSince(a.loads[pool].Silences, a.exchanged, a.listed, a.instances)
 			load, err := a.config.Exchange(ctx, pool, orders)
 			if err != nil {
@@ -232,7 +234,7 @@
 				return
 			}
 			mu.Lock()
-			a.allocator.RecordDemand(pool, load.LimitDemands)
+			a.allocator.RecordDemand(pool, load.Owner, load.LimitDemands)
 			loads[pool] = load
 			mu.Unlock()
 		})
--- a/internal/jobs/machines/planner.go
+++ b/internal/jobs/machines/planner.go
@@ -23,6 +23,7 @@
 	Labels       map[string]int `cbor:"9,keyasint,omitempty"`  // demand that only instances with the label can meet
 	Racks        map[string]int `cbor:"10,keyasint,omitempty"` // demand whose data is on the rack
 	Silences     []Silence      `cbor:"11,keyasint,omitempty"` // workers that do not answer their pool
+	Owner        int64          `cbor:"12,keyasint,omitempty"` // claim of the pool's owner
 }
 
 // Host is a worker of a pool.
@@ -45,8 +46,10 @@
 	Retired          []string `cbor:"3,keyasint,omitempty"`  // workers whose instances were moved or taken down, or may have been
 	RetiredBy        []int64  `cbor:"10,keyasint,omitempty"` // number of the order that retired each of them
 
-	Allocations limit.Allocations `cbor:"8,keyasint,omitempty"` // allocations of the teams' limits; nil leaves them unchanged
-	Gone        []int64           `cbor:"9,keyasint,omitempty"` // numbers of the silences after which the instance no longer had the worker
+	Allocations limit.Allocations        `cbor:"8,keyasint,omitempty"`  // allocations of the teams' limits; nil leaves them unchanged
+	Owner       int64                    `cbor:"11,keyasint,omitempty"` // claim of the owner that the allocations are for
+	Overdrafts  map[string]limit.Ceiling `cbor:"12,keyasint,omitempty"` // teams of which a task may start beyond the allocation
+	Gone        []int64                  `cbor:"9,keyasint,omitempty"`  // numbers of the silences after which the instance no longer had the worker
 }
 
 // Action is an order for an instance; its outcome is reported back to the Planner.
--- a/internal/jobs/pool/admit_share_test.go
+++ b/internal/jobs/pool/admit_share_test.go
@@ -58,10 +58,10 @@
 			o.pool.SetWeights(map[string]int{"big": 1, "small": 0})
 		}},
 		{name: "a limit of 0 is taken for a limit", team: "small", change: func(_ *simulation, o *fakeOwner, _ *job.Spec) {
-			o.pool.SetLimits(map[string]catalog.Resources{"small": {}}, 1000)
+			o.pool.SetLimits(map[string]catalog.Resources{"small": {}}, 1)
 		}},
 		{name: "a limit that is too low for the job is ignored", team: "small", rejected: true, change: func(_ *simulation, o *fakeOwner, spec *job.Spec) {
-			o.pool.SetLimits(map[string]catalog.Resources{"small": {CPU: 100}}, 1000)
+			o.pool.SetLimits(map[string]catalog.Resources{"small": {CPU: 100}}, 1)
 			for i := range 3 {
 				other := shortJob(6)
 				other.ID, other.Team = job.ID(fmt.Sprintf("%016x", 100+i)), "small"
--- a/internal/jobs/pool/gang.go
+++ b/internal/jobs/pool/gang.go
@@ -12,6 +12,9 @@
 func (p *Pool) placeGang(at Moment, it *item, hosts []*host, o *offer) {
 	step := &it.entry.job.Spec.Steps[it.step]
 	tasks := it.occurrence.Steps[it.step]
+	if !p.team(it.entry.job.Spec.Team).admits(step) {
+		return
+	}
 	latest := 0
 	for i := range tasks {
 		if tasks[i].Placed() {
@@ -122,15 +125,11 @@
 
 // placeMembers starts all members of a gang on some workers, or none.
 func (p *Pool) placeMembers(at Moment, it *item, latest int, hosts []*host, o *offer) bool {
-	step := &it.entry.job.Spec.Steps[it.step]
 	tasks := it.occurrence.Steps[it.step]
 	var placed []*run
 	for i := range tasks {
 		tasks[i].Run = latest
-		var h *host
-		if p.team(it.entry.job.Spec.Team).admits(fullNeed(step)) {
-			h = p.hostForMember(at, it, &tasks[i], hosts, o)
-		}
+		h := p.hostForMember(at, it, &tasks[i], hosts, o)
 		if h == nil {
 			for _, r := range placed {
 				p.dropUnsent(r)
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -178,7 +178,7 @@
 		if !t.Waiting() || t.Crash.Suspected || isHeld(step, t) {
 			continue
 		}
-		if !tm.admits(fullNeed(step)) {
+		if !tm.admits(step) {
 			return
 		}
 		h := p.hostFor(it, t, hosts, o)
--- a/internal/jobs/pool/pool.go
+++ b/internal/jobs/pool/pool.go
@@ -81,7 +81,7 @@
 	cancelled        map[job.ID]time.Duration
 	workers          map[string]*host
 	teams            map[string]*team
-	minAllocation    int           // thousandths of every team's limit that this pool may use without an allocation
+	pools            int           // that share the teams' limits
 	allocationsUntil time.Duration // end of validity of the allocations, 0 for none
 	evacuated        id.Set[id.DataCentre]
 	uptime           time.Duration
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -259,14 +259,14 @@
 // Load returns the load of the workers and the demand of the pool.
 func (p *Pool) Load(at Moment) Load {
 	l := Load{Labels: map[string]int{}, Racks: map[string]int{}}
-	requested := map[string]catalog.Resources{}
+	requested := map[string]waitingDemand{}
 	var held catalog.Resources
 	for _, it := range p.waiting(at) {
 		step := &it.entry.job.Spec.Steps[it.step]
+		p.addWaiting(requested, it.entry.job.Spec.Team, step, it.countWaiting())
 		for i := range it.occurrence.Steps[it.step] {
 			if it.occurrence.Steps[it.step][i].Waiting() {
 				l.addWaiting(at, &it, step, p.expectedOf(it.entry, it.step).median)
-				requested[it.entry.job.Spec.Team] = requested[it.entry.job.Spec.Team].Add(fullNeed(step))
 				if it.entry.lacksWorker(at, step) {
 					l.Unplaceable++
 				}
--- a/internal/jobs/pool/simulated_worker_test.go
+++ b/internal/jobs/pool/simulated_worker_test.go
@@ -137,6 +137,9 @@
 	w.activeRuns[s.Task]++
 	w.newestStart[s.Task] = w.now
 	w.workerOf[s.Task] = f.id
+	if w.began != nil {
+		w.began(s.Run, step)
+	}
 	serial := run.serial
 	byWorker, byTask := f.failing, w.hopeless[s.Task]
 	if after, deadly := w.deadly[s.Task]; deadly {
--- a/internal/jobs/pool/simulation_test.go
+++ b/internal/jobs/pool/simulation_test.go
@@ -30,20 +30,21 @@
 	failures      map[job.Name]int
 	activeRuns    map[job.Name]int // number of current runs
 	failureRate   float64
-	hopeless      map[job.Name]bool          // tasks that fail wherever they run
-	cordoned      []string                   // cordoned workers
-	stopOrdered   map[worker.Run]bool        // runs that were ordered to stop
-	workerOf      map[job.Name]string        // worker that started the newest run
-	jobEnds       map[job.ID]time.Duration   // when the end of a job was stored
-	entryDelay    time.Duration              // from the restart of a worker under its id until its entry shows the restart
-	deadly        map[job.Name]time.Duration // tasks that crash each worker that starts them, and after how long
-	crashes       map[job.Name]int           // workers that have crashed under a task
-	afterThree    map[job.Name]int           // starts of a task after three workers had crashed under it
-	sameID        bool                       // crashed workers are back under their ids
-	downtime      time.Duration              // how long a crashed worker is away
-	inheritedWait time.Duration              // of the next owner
-	unseenDeaths  bool                       // the answers to the starts of deadly tasks are lost
-	crashed       []job.Name                 // tasks under which workers have crashed, in order
+	hopeless      map[job.Name]bool                    // tasks that fail wherever they run
+	cordoned      []string                             // cordoned workers
+	stopOrdered   map[worker.Run]bool                  // runs that were ordered to stop
+	workerOf      map[job.Name]string                  // worker that started the newest run
+	jobEnds       map[job.ID]time.Duration             // when the end of a job was stored
+	entryDelay    time.Duration                        // from the restart of a worker under its id until its entry shows the restart
+	deadly        map[job.Name]time.Duration           // tasks that crash each worker that starts them, and after how long
+	crashes       map[job.Name]int                     // workers that have crashed under a task
+	afterThree    map[job.Name]int                     // starts of a task after three workers had crashed under it
+	sameID        bool                                 // crashed workers are back under their ids
+	downtime      time.Duration                        // how long a crashed worker is away
+	inheritedWait time.Duration                        // of the next owner
+	unseenDeaths  bool                                 // the answers to the starts of deadly tasks are lost
+	crashed       []job.Name                           // tasks under which workers have crashed, in order
+	began         func(run worker.Run, step *job.Step) // called as a run begins, unless it is nil
 }
 
 // faults are the probabilities of faults for a single order.
--- a/internal/jobs/pool/stats.go
+++ b/internal/jobs/pool/stats.go
@@ -1,11 +1,14 @@
 package pool
 
+import "marigoldshed.example/marigoldshed/internal/jobs/catalog"
+
 // Stats summarizes the jobs, capacity and usage of a pool for logs and metrics.
 type Stats struct {
 	OnTime, AtRiskOrLate, Infeasible int // unfinished one-time jobs: on time, at risk or late, and infeasible
 	Capacity, Used                   int // capacity and usage of these workers in thousandths of a core
 	Workers                          int // workers that may get new work
 	Waiting, Capped                  int // ready tasks, and those among them that their team's limit holds back
+	Overdrafts                       int // teams of which a task may start beyond the pool's allocation
 	Suspected                        int // part of Waiting that has to start alone since workers crashed under it
 	OnProbation                      int // workers that get no other work since they run such a task
 	Ejected                          int // workers that get no new work since they fail what they start
@@ -34,10 +37,15 @@
 		count := it.countWaiting()
 		s.Waiting += count
 		s.Suspected += it.countSuspects()
-		if !p.team(it.entry.job.Spec.Team).admits(fullNeed(step)) {
+		if !p.team(it.entry.job.Spec.Team).admits(step) {
 			s.Capped += count
 		}
 	}
+	for _, t := range p.teams {
+		if t.overdraft && t.limit != (catalog.Resources{}) {
+			s.Overdrafts++
+		}
+	}
 	for _, h := range p.workers {
 		if p.isEjected(at, h) {
 			s.Ejected++
--- a/internal/jobs/pool/suspect.go
+++ b/internal/jobs/pool/suspect.go
@@ -50,7 +50,7 @@
 		if !t.Waiting() || !t.Crash.Suspected || isHeld(step, t) {
 			continue
 		}
-		if !tm.admits(fullNeed(step)) {
+		if !tm.admits(step) {
 			return
 		}
 		h := p.hostForSuspect(at, it, t, hosts, o)
--- a/internal/jobs/pool/team.go
+++ b/internal/jobs/pool/team.go
@@ -13,19 +13,39 @@
 	limit      catalog.Resources // upper limit over all pools; a zero field means no limit
 	allocation int               // thousandths of the limit that this pool may use, 0 if nothing was allocated to it
 	allowed    catalog.Resources // limit in this pool: the allocated part of the limit
+	overdraft  bool              // one task may start beyond the allocation; at most one pool has this right
 	used       catalog.Resources
 }
 
-func (t *team) admits(need catalog.Resources) bool {
-	if t.used == (catalog.Resources{}) {
-		return true
-	}
+// admits reports whether a task, or all members of a gang, may start within the team's limit.
+func (t *team) admits(step *job.Step) bool {
+	need := fullNeed(step)
 	sum := t.used.Add(need)
-	return within(sum.CPU, t.allowed.CPU) && within(sum.MemoryMB, t.allowed.MemoryMB) && within(sum.Accelerators, t.allowed.Accelerators)
+	if step.Gang {
+		for range step.Count - 1 {
+			sum = sum.Add(need)
+		}
+	}
+	return t.allows(sum) || t.overdraft && t.allows(sum.Sub(need))
+}
+
+// allows reports whether the team may use the given resources in this pool without an overdraft.
+func (t *team) allows(r catalog.Resources) bool {
+	return within(r.CPU, t.allowed.CPU) && within(r.MemoryMB, t.allowed.MemoryMB) && within(r.Accelerators, t.allowed.Accelerators)
 }
 
 func within(value, limit int) bool { return limit == 0 || value <= limit }
 
+func (t *team) ceiling() limit.Ceiling {
+	return limit.Ceiling{CPU: t.limit.CPU, MemoryMB: t.limit.MemoryMB, Accelerators: t.limit.Accelerators}
+}
+
+// setLimit replaces the team's limit. An overdraft holds for the limit for which it was granted.
+func (t *team) setLimit(r catalog.Resources) {
+	t.overdraft = t.overdraft && t.limit == r
+	t.limit = r
+}
+
 func (p *Pool) team(name string) *team {
 	t, ok := p.teams[name]
 	if !ok {
@@ -35,15 +55,16 @@
 	return t
 }
 
-// SetLimits replaces the upper limits of the teams. minAllocation is the minimum allocation of each team in thousandths
-// of its limit, which this pool may use as long as nothing else was allocated to it.
-func (p *Pool) SetLimits(limits map[string]catalog.Resources, minAllocation int) {
-	p.minAllocation = minAllocation
-	for name := range p.teams {
-		p.teams[name].limit = limits[name]
+// SetLimits replaces the upper limits of the teams, which a number of pools share.
+func (p *Pool) SetLimits(limits map[string]catalog.Resources, pools int) {
+	wasOnly := p.pools <= 1
+	p.pools = pools
+	for name, t := range p.teams {
+		t.setLimit(limits[name])
+		t.overdraft = t.overdraft && !wasOnly
 	}
-	for name, limit := range limits {
-		p.team(name).limit = limit
+	for name, r := range limits {
+		p.team(name).setLimit(r)
 	}
 	p.applyAllocations()
 }
@@ -51,22 +72,27 @@
 // allocationTTL is how long an allocation above the minimum is valid without being renewed.
 const allocationTTL = 3 * time.Second
 
-// SetAllocations replaces the allocations of the teams' limits that this pool may use. A nil argument changes nothing.
-func (p *Pool) SetAllocations(at Moment, allocations limit.Allocations) {
-	if allocations == nil {
+// SetAllocations replaces what this pool may use of the teams' limits. A grant without allocations, or for another owner of the pool,
+// changes nothing.
+func (p *Pool) SetAllocations(at Moment, g limit.Grant) {
+	if g.Allocations == nil || g.Owner != 0 && g.Owner != p.config.Fence {
 		return
 	}
 	for _, t := range p.teams {
-		t.allocation = 0
+		t.allocation, t.overdraft = 0, false
 	}
-	for name, allocation := range allocations {
+	for name, allocation := range g.Allocations {
 		p.team(name).allocation = allocation
 	}
+	for name, ceiling := range g.Overdrafts {
+		t := p.team(name)
+		t.overdraft = ceiling == t.ceiling()
+	}
 	p.allocationsUntil = at.Steady + allocationTTL
 	p.applyAllocations()
 }
 
-// expireAllocations falls back to the minimum allocation when allocations were not renewed in time. A smaller
+// expireAllocations lowers the allocations, and drops the overdrafts, when they were not renewed in time. A smaller
 // allocation stays as it is, since other pools may be using the rest of the limit.
 func (p *Pool) expireAllocations(at Moment) {
 	if p.allocationsUntil == 0 || at.Steady <= p.allocationsUntil {
@@ -74,13 +100,15 @@
 	}
 	p.allocationsUntil = 0
 	for _, t := range p.teams {
-		t.allocation = min(t.allocation, p.minAllocation)
+		t.allocation, t.overdraft = min(t.allocation, limit.Fallback(p.pools)), false
 	}
 	p.applyAllocations()
 }
 
+// applyAllocations updates what the teams may use in this pool. The only pool has all limits to itself.
 func (p *Pool) applyAllocations() {
 	for _, t := range p.teams {
+		t.overdraft = t.overdraft || p.pools <= 1
 		allocation := p.allocationOf(t)
 		t.allowed = catalog.Resources{
 			CPU: portion(t.limit.CPU, allocation), MemoryMB: portion(t.limit.MemoryMB, allocation), Accelerators: portion(t.limit.Accelerators, allocation),
@@ -89,8 +117,8 @@
 }
 
 func (p *Pool) allocationOf(t *team) int {
-	if t.allocation == 0 {
-		return p.minAllocation
+	if t.allocation == 0 || p.pools <= 1 {
+		return limit.Initial(p.pools)
 	}
 	return t.allocation
 }
@@ -115,19 +143,49 @@
 	return share
 }
 
-// limitDemands returns the usage, request and allocation of each team with a limit. waiting holds the resources that
-// the teams' ready tasks need.
-func (p *Pool) limitDemands(waiting map[string]catalog.Resources) limit.Demands {
+// waitingDemand is what the ready tasks of a team need.
+type waitingDemand struct {
+	all  catalog.Resources
+	unit int // smallest share of the team's limit that lets a task, or a gang, start
+	task int // share that one task of these needs
+}
+
+// addWaiting adds a ready step with a number of tasks that wait for a run.
+func (p *Pool) addWaiting(demands map[string]waitingDemand, name string, step *job.Step, count int) {
+	if count == 0 {
+		return
+	}
+	d := demands[name]
+	need := fullNeed(step)
+	task := p.team(name).shareOf(need)
+	unit := task
+	if step.Gang {
+		unit *= step.Count
+	}
+	for range count {
+		d.all = d.all.Add(need)
+	}
+	if d.unit == 0 || unit < d.unit {
+		d.unit, d.task = unit, task
+	}
+	demands[name] = d
+}
+
+// limitDemands returns the usage, request and allocation of each team with a limit, given what waits.
+func (p *Pool) limitDemands(waiting map[string]waitingDemand) limit.Demands {
 	demands := limit.Demands{}
 	for name, t := range p.teams {
 		if t.limit == (catalog.Resources{}) {
 			continue
 		}
 		needed := waiting[name]
-		if t.used == (catalog.Resources{}) && needed == (catalog.Resources{}) && t.allocation == 0 {
+		if t.used == (catalog.Resources{}) && needed.unit == 0 && t.allocation == 0 {
 			continue
 		}
-		demands[name] = limit.Demand{Used: t.shareOf(t.used), Requested: t.shareOf(t.used.Add(needed)), Allocation: p.allocationOf(t)}
+		demands[name] = limit.Demand{
+			Used: t.shareOf(t.used), Requested: t.shareOf(t.used.Add(needed.all)), Allocation: p.allocationOf(t), Unit: needed.unit, Task: needed.task, Overdraft: t.overdraft,
+			Ceiling: t.ceiling(),
+		}
 	}
 	return demands
 }
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -131,7 +131,7 @@
 		zap.Int("late", st.AtRiskOrLate), zap.Int("hopeless", st.Infeasible), zap.Int("workers", st.Workers), zap.Int("room", st.Capacity),
 		zap.Int("used", st.Used), zap.Int("unconfirmed", st.Unconfirmed), zap.Int("used_late", st.UsedAtRiskOrLate),
 		zap.Int("used_hopeless", st.UsedInfeasible), zap.Int("waiting", st.Waiting), zap.Int("capped", st.Capped),
-		zap.Int("suspected", st.Suspected), zap.Int("probation", st.OnProbation), zap.Int("ejected", st.Ejected), zap.Int64("job_bytes", s.pool.MemoryBytes()),
+		zap.Int("suspected", st.Suspected), zap.Int("probation", st.OnProbation), zap.Int("ejected", st.Ejected), zap.Int("overdrafts", st.Overdrafts), zap.Int64("job_bytes", s.pool.MemoryBytes()),
 		zap.Duration("lag", s.pool.Lag(at)), zap.Duration("log_waits", s.logWait(at)), zap.Int("begun", begun), mean("wait_owner", waits.Owner, begun),
 		mean("wait_room", waits.Capacity, begun), mean("wait_log", waits.Log, begun), mean("wait_order", waits.Order, begun))...)
 }
--- a/internal/jobs/shard/query.go
+++ b/internal/jobs/shard/query.go
@@ -8,6 +8,7 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
+	"marigoldshed.example/marigoldshed/internal/jobs/limit"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/stream"
@@ -111,9 +112,10 @@
 		s.pool.SetCordoned(at, o.Cordoned, o.ScheduledToDrain)
 		s.pool.Retire(retirementsOf(o))
 		s.pool.EndGone(at, o.Gone)
-		s.pool.SetAllocations(at, o.Allocations)
+		s.pool.SetAllocations(at, limit.Grant{Owner: o.Owner, Allocations: o.Allocations, Overdrafts: o.Overdrafts})
 		s.pool.SetObtainable(at, o.Obtainable, o.Incoming)
 		load = loadOf(s.pool.Load(at))
+		load.Owner = s.claim.Epoch()
 		for _, silence := range s.pool.Silences() {
 			load.Silences = append(load.Silences, machines.Silence(silence))
 		}
--- a/internal/jobs/shard/shard.go
+++ b/internal/jobs/shard/shard.go
@@ -15,7 +15,6 @@
 	"marigoldshed.example/marigoldshed/internal/jobs/catalog"
 	"marigoldshed.example/marigoldshed/internal/jobs/claim"
 	"marigoldshed.example/marigoldshed/internal/jobs/job"
-	"marigoldshed.example/marigoldshed/internal/jobs/limit"
 	"marigoldshed.example/marigoldshed/internal/jobs/machines"
 	"marigoldshed.example/marigoldshed/internal/jobs/pool"
 	"marigoldshed.example/marigoldshed/internal/jobs/runtimes"
@@ -342,7 +341,7 @@
 	v := s.config.View()
 	s.pool.SetWorkers(at, v.Workers)
 	s.pool.SetEvacuated(v.Evacuated)
-	s.pool.SetLimits(v.Limits, limit.MinAllocation(v.PoolCount))
+	s.pool.SetLimits(v.Limits, v.PoolCount)
 	s.pool.SetWeights(v.Weights)
 	s.placeRequested = true
 }
