pool: Decide again whether a task leaves its worker once that is stored

Cause: that a task leaves is decided by the cordon and the step's budget and then stored; the stop was sent once it was stored, which takes seconds while the store is down, without another look at either. A successor stopped each run that was stored as leaving as soon as its worker showed it.

Change: once it is stored, mayLeave is asked again; if the task may no longer leave, that is taken back, in the store too. A successor stops the run only if it may leave now; for 2 s after the worker's first answer, in which the earlier owner's stop may end it, the task counts as unavailable, and then the leave is taken back.

Why it works: the order goes by what is known when it is sent; a worker refuses earlier owners' stops once it has answered a higher fence.

--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -97,9 +97,7 @@
 		}
 	}
 	for _, r := range b.leaving {
-		if p.find(r.host.info.ID, r.id) == r && r.task.Leaving {
-			p.stop(at, r)
-		}
+		p.stopLeaving(at, r)
 	}
 	p.MarkEndsStored(b)
 }
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -45,6 +45,7 @@
 	checkpointed    bool          // it resumes from a checkpoint, so it runs for less than its task takes
 	cleared         bool          // its task was suspected until the run had lasted for long enough
 	onProbation     bool          // its task is suspected, and it has not yet run for long enough
+	inheritedLeave  time.Duration // steady time since which it is known that an earlier owner may have ordered its stop, 0 if none
 	loss            *loss         // set once its worker's incarnation has ended or is out of reach
 
 	stepTimes               // times of its step
--- a/internal/jobs/pool/serve.go
+++ b/internal/jobs/pool/serve.go
@@ -94,27 +94,6 @@
 // fullShare is the speed of a task that is not slowed down, in percent.
 const fullShare = 100
 
-// DrainLongRunning moves long-running tasks off workers that drain or are cordoned, within the MaxUnavailable limit of
-// each step; on draining workers the limit is ignored. It is stored that a task leaves before its run is stopped, so
-// that a successor counts the task as unavailable.
-func (p *Pool) DrainLongRunning() {
-	for _, h := range p.workers {
-		if !p.mustDrain(h) || h.unresponsive {
-			continue
-		}
-		for _, r := range h.runs {
-			if !r.step.LongRunning || r.phase != running || r.task.Leaving || r.orphaned {
-				continue
-			}
-			if h.info.Draining || p.canLeave(r) {
-				r.task.Leaving = true
-				p.touch(r.job)
-				p.leaving = append(p.leaving, r)
-			}
-		}
-	}
-}
-
 // Limits for runs that take much longer than expected.
 const (
 	overdueFactor = 2.5 // multiple of the expected time after which a run is long; in the tail of its kind it is not overdue yet
@@ -194,27 +173,6 @@
 	return false
 }
 
-// canLeave reports whether a task of a long-running step can become unavailable within the step's limit.
-func (p *Pool) canLeave(r *run) bool {
-	limit := r.step.MaxUnavailable
-	if limit == 0 {
-		return true
-	}
-	away := 0
-	for _, o := range r.job.job.Occurrences {
-		if o.Number != r.id.Task.Occurrence {
-			continue
-		}
-		tasks := o.Steps[r.id.Task.Step]
-		for i := range tasks {
-			if &tasks[i] != r.task && !p.isServing(&tasks[i]) {
-				away++
-			}
-		}
-	}
-	return away < limit
-}
-
 // unplaceableAfter is how long a long-running task must have found no worker before the pool requests another one.
 const unplaceableAfter = 400 * time.Millisecond
 
--- a/internal/jobs/pool/simulated_owner_test.go
+++ b/internal/jobs/pool/simulated_owner_test.go
@@ -23,6 +23,7 @@
 	lastProof      time.Duration
 	unreachable    map[string]bool
 	logUnreachable bool          // cannot reach the log
+	storeDelay     time.Duration // that the log takes longer to store a batch
 	sendDelay      time.Duration // delay between deciding on orders and sending them
 	turn           time.Duration // between two times at which it gets processor time, 0 if it is not short of it
 }
@@ -137,7 +138,7 @@
 	o.pool.Tick(at)
 	o.pool.SetCordoned(at, o.w.cordoned, nil)
 	if !o.writing {
-		o.pool.DrainLongRunning()
+		o.pool.DrainLongRunning(at)
 		o.pool.Rescue(at)
 		o.pool.Place(at)
 		o.write()
@@ -152,7 +153,7 @@
 		return
 	}
 	o.writing = true
-	o.w.after(8*time.Millisecond, func() {
+	o.w.after(8*time.Millisecond+o.storeDelay, func() {
 		if o.logUnreachable {
 			return
 		}
--- a/internal/jobs/pool/start.go
+++ b/internal/jobs/pool/start.go
@@ -90,7 +90,7 @@
 			p.recordFirstStart(at, r)
 		}
 		if r.task.Leaving {
-			p.stop(at, r) // an earlier owner may have ordered the stop already
+			p.inheritLeave(at, r)
 		}
 	}
 }
--- a/internal/jobs/shard/loop.go
+++ b/internal/jobs/shard/loop.go
@@ -89,7 +89,7 @@
 	if at.Steady-s.pacedAt > paceInterval {
 		s.pacedAt = at.Steady
 		s.pool.Pace(at)
-		s.pool.DrainLongRunning()
+		s.pool.DrainLongRunning(at)
 		s.pool.Rescue(at)
 		s.recordUnseen()
 		s.placeRequested = true
