pool: Drop a stored start that a lower limit of its team no longer allows

Change: a run keeps the limit under which it was placed; where the team has another one by the time the start could be sent, it is dropped unless the other runs leave some of the new limit. Of a gang none starts then.

TestLimitThatFallsBeforeStarts failed before the change in two of its four forms (4 starts for 2 and for 1) and passes.

--- a/internal/jobs/pool/flush.go
+++ b/internal/jobs/pool/flush.go
@@ -117,7 +117,7 @@
 	waiting := p.unsent
 	p.unsent = nil
 	for _, r := range waiting {
-		if r.step.Gang && (!p.isUnsent(r) || !p.mayStillStart(r)) {
+		if r.step.Gang && (!p.isUnsent(r) || !p.mayStillStart(r) || p.exceedsNewLimit(r)) {
 			p.stopGang(at, r) // its members start all or none, and one may have been lost with its worker
 		}
 	}
--- a/internal/jobs/pool/limits_test.go
+++ b/internal/jobs/pool/limits_test.go
@@ -280,3 +280,44 @@
 		t.Errorf("%d tasks started, one after %v; want %d of them, each within half a round", l.starts[0], l.waited[0], want)
 	}
 }
+
+// TestLimitThatFallsBeforeStarts guards against starts that were decided under a higher limit and waited for the store: the first task of
+// a team may start, and no other.
+func TestLimitThatFallsBeforeStarts(t *testing.T) {
+	tests := []struct {
+		name   string
+		before catalog.Resources
+		after  catalog.Resources
+		want   int // starts
+	}{
+		{"the limit stays", catalog.Resources{CPU: 20_000}, catalog.Resources{CPU: 20_000}, 4},
+		{"the limit falls", catalog.Resources{CPU: 20_000}, catalog.Resources{CPU: 800}, 2},
+		{"a limit of memory comes", catalog.Resources{}, catalog.Resources{MemoryMB: 400}, 1},
+		{"the limit rises", catalog.Resources{CPU: 20_000}, catalog.Resources{CPU: 40_000}, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w, o := newSettledSimulation(t)
+			p, at := o.pool, w.moment()
+			spec := shortJob(4) // of 800 thousandths of a core and 500 MB each
+			spec.ID, spec.Team = "0000000000000001", "t"
+			p.Actions()
+			p.SetLimits(map[string]catalog.Resources{"t": test.before}, 1)
+			p.Submit(at, spec)
+			p.Place(at)
+			b := p.Flush()
+			p.SetLimits(map[string]catalog.Resources{"t": test.after}, 1)
+			p.RecordStored(at, b)
+			p.SendStarts(at)
+			starts := 0
+			for _, a := range p.Actions() {
+				if _, ok := a.(StartAction); ok {
+					starts++
+				}
+			}
+			if starts != test.want {
+				t.Errorf("%d tasks start, want %d", starts, test.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/pool/run.go
+++ b/internal/jobs/pool/run.go
@@ -30,23 +30,24 @@
 	host            *host
 	phase           phase
 	need            catalog.Resources
-	settled         time.Duration // polls sent at or after this steady time prove that the run is absent if they do not show it
-	began           time.Duration // steady time of its confirmation, or inheritedStart
-	stopSent        bool          // a stop order is outstanding
-	isLate          bool          // it is being stopped only since its start may still be carried out
-	revoked         *atomic.Bool  // set when it is stopped, for a start that is decided and not yet sent
-	orphaned        bool          // unexpected: its task has another run or is done
-	percent         int           // speed in percent, as last reported
-	orderedPercent  int           // ordered speed in percent
-	overTargetSince time.Duration // steady time since which its latency is over the target, 0 if it is not
-	shownAt         time.Duration // the worker's clock when its answer first showed the run, 0 if none has
-	startedAt       time.Duration // the worker's clock in its answer to the start, 0 without that answer
-	runningAt       time.Duration // the worker's clock in its newest report that shows the run
-	checkpointed    bool          // it resumes from a checkpoint, so it runs for less than its task takes
-	cleared         bool          // its task was suspected until the run had lasted for long enough
-	onProbation     bool          // its task is suspected, and it has not yet run for long enough
-	inheritedLeave  time.Duration // steady time since which it is known that an earlier owner may have ordered its stop, 0 if none
-	loss            *loss         // set once its worker's incarnation has ended or is out of reach
+	limit           catalog.Resources // upper limit of its team when it was placed
+	settled         time.Duration     // polls sent at or after this steady time prove that the run is absent if they do not show it
+	began           time.Duration     // steady time of its confirmation, or inheritedStart
+	stopSent        bool              // a stop order is outstanding
+	isLate          bool              // it is being stopped only since its start may still be carried out
+	revoked         *atomic.Bool      // set when it is stopped, for a start that is decided and not yet sent
+	orphaned        bool              // unexpected: its task has another run or is done
+	percent         int               // speed in percent, as last reported
+	orderedPercent  int               // ordered speed in percent
+	overTargetSince time.Duration     // steady time since which its latency is over the target, 0 if it is not
+	shownAt         time.Duration     // the worker's clock when its answer first showed the run, 0 if none has
+	startedAt       time.Duration     // the worker's clock in its answer to the start, 0 without that answer
+	runningAt       time.Duration     // the worker's clock in its newest report that shows the run
+	checkpointed    bool              // it resumes from a checkpoint, so it runs for less than its task takes
+	cleared         bool              // its task was suspected until the run had lasted for long enough
+	onProbation     bool              // its task is suspected, and it has not yet run for long enough
+	inheritedLeave  time.Duration     // steady time since which it is known that an earlier owner may have ordered its stop, 0 if none
+	loss            *loss             // set once its worker's incarnation has ended or is out of reach
 
 	stepTimes               // times of its step
 	chosen    time.Duration // steady time at which its worker was chosen
@@ -77,6 +78,7 @@
 	}
 	r := p.attach(e, t, h)
 	r.phase = storing
+	r.limit = p.team(e.job.Spec.Team).limit
 	h.probed = h.probing
 	r.stepTimes, r.chosen = e.stepTimesOf(at, t.Name.Occurrence, t.Name.Step), at.Steady
 	p.unstored = append(p.unstored, r)
--- a/internal/jobs/pool/start.go
+++ b/internal/jobs/pool/start.go
@@ -14,7 +14,7 @@
 	if !p.isUnsent(r) {
 		return
 	}
-	if r.job.job.State.Ended() || !p.mayStillStart(r) {
+	if r.job.job.State.Ended() || !p.mayStillStart(r) || p.exceedsNewLimit(r) {
 		p.release(r)
 		p.touch(r.job)
 		return
@@ -40,6 +40,13 @@
 		h.info.Capacity.Covers(h.used)
 }
 
+// exceedsNewLimit reports whether the limit of a run's team has changed since the run was placed, and the other runs of the team use all of
+// the new one.
+func (p *Pool) exceedsNewLimit(r *run) bool {
+	t := p.team(r.job.job.Spec.Team)
+	return r.limit != t.limit && !t.allows(t.used.Sub(fullNeed(r.step)))
+}
+
 // RecordStart handles the outcome of a StartAction.
 func (p *Pool) RecordStart(at Moment, a StartAction, reply worker.Reply, err error) {
 	r := p.find(a.To.ID, a.Start.Run)
