pool: Use one constant for the speed of a task at work

servingPercent of ejection.go stood for what fullShare of serve.go stands for. No change of behaviour; the tests of the package that concern it pass.

--- a/internal/jobs/pool/ejection.go
+++ b/internal/jobs/pool/ejection.go
@@ -18,16 +18,13 @@
 // maxRetryWait is how long a task that has failed waits for room on a worker on which it has not.
 const maxRetryWait = time.Second
 
-// servingPercent is the speed from which a long-running task is at work.
-const servingPercent = 100
-
 func (r *run) outlierRun() outlier.Run {
 	return outlier.Run{Task: r.id.Task, Worker: r.host.info.ID, Began: r.ordered}
 }
 
 // learnFailure tells the outlier detector of a failed run. A long-running task that was at work shows that its worker can run it.
 func (p *Pool) learnFailure(at Moment, r *run) {
-	if r.step.LongRunning && r.percent >= servingPercent {
+	if r.step.LongRunning && r.percent >= fullShare {
 		return
 	}
 	p.outliers.RecordFailed(at.Steady, r.outlierRun(), r.job.hasDone(r.id.Task))
