--- a/internal/jobs/pool/crash_test.go
+++ b/internal/jobs/pool/crash_test.go
@@ -178,3 +178,42 @@
 		}
 	}
 }
+
+// TestTaskThatCrashesFewInstancesIsGivenUp guards against a task that crashes the workers of a pool with few instances for ever, since
+// crashes on one instance counted once (BUDGET).
+func TestTaskThatCrashesFewInstancesIsGivenUp(t *testing.T) {
+	const name = job.ID("00000000000000aa")
+	tests := []struct {
+		instances   int
+		longRunning bool
+		after       time.Duration // age of a run at which it crashes its worker
+	}{
+		{2, false, 450 * time.Millisecond},
+		{3, false, 700 * time.Millisecond},
+		{2, true, 450 * time.Millisecond},
+		{3, true, 10 * time.Millisecond},
+		{3, true, 700 * time.Millisecond},
+		{3, true, 3 * time.Second},
+		{4, true, 700 * time.Millisecond},
+		{8, true, 700 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%d instances, long-running %v, at %v", test.instances, test.longRunning, test.after), func(t *testing.T) {
+			for seed := range uint64(10) {
+				w := newSimulation(seed, test.instances)
+				w.downtime = 2 * time.Second
+				o := w.takeOver()
+				spec := shortJob(1)
+				if test.longRunning {
+					spec = longRunningJob()
+				}
+				w.deadly[job.Name{Job: name}] = test.after
+				w.submit(string(name), spec)
+				w.run(60 * time.Second)
+				if state, _ := o.pool.State(name); state != job.Failed || len(w.violations) > 0 {
+					t.Errorf("seed %d: the job is %v after %d crashes; %v", seed, state, len(w.crashed), w.violations)
+				}
+			}
+		})
+	}
+}
