limit: Keep the allocations of pools while a task runs with an overdraft

Cause: lowered all allocations to one thousandth while the pools used more than the limit, also where that was the one task with the overdraft; a team at a large limit then started nothing anywhere until enough had ended. Where requests did not fit, a pool's whole use also counted as one step, so the last of them lost all of its allocation.

Change: what the newest task with an overdraft uses beyond its pool's allocation counts as allowed, under the limit for which it started; none rises meanwhile. Only beyond that do allocations fall, as after a limit has fallen. Steps are tasks, those that run and those that wait alike.

--- a/internal/jobs/limit/allocator.go
+++ b/internal/jobs/limit/allocator.go
@@ -121,15 +121,15 @@
 	return targets
 }
 
-// lower lowers the targets of pools that may use more than the limit together, so that nothing starts in place of what ends there until
-// all use less than the limit.
+// lower lowers the targets of pools that may use more than the limit together. None rises, and beyond what one task with an overdraft
+// uses, nothing starts in place of what ends.
 func (a *Allocator) lower(pools []string, team string, targets map[string]int) {
 	used := 0
 	for _, pool := range pools {
 		used += a.reports[pool][team].Used
 	}
 	for _, pool := range pools {
-		if used > FullLimit {
+		if used > FullLimit+a.draftOf(team).excess {
 			targets[pool] = minAllocation
 			continue
 		}
--- a/internal/jobs/limit/overdraft.go
+++ b/internal/jobs/limit/overdraft.go
@@ -12,13 +12,19 @@
 	holders map[string]struct{} // pools that may have it
 	newest  string              // pool that got it last
 	since   int64               // round in which that pool got it
+	excess  int                 // what the newest task that started with it uses beyond the allocation of its pool, at most
+	ceiling Ceiling             // limit for which that holds
 }
 
 // recordOverdrafts records which overdrafts a pool has, after it has applied its latest grant.
 func (a *Allocator) recordOverdrafts(pool string, demands Demands) {
 	for team, demand := range demands {
 		d := a.draftOf(team)
+		if demand.Ceiling != d.ceiling {
+			d.excess, d.ceiling = 0, demand.Ceiling
+		}
 		if demand.Overdraft {
+			d.excess = max(d.excess, demand.Used-demand.Allocation)
 			d.holders[pool] = struct{}{}
 			if d.newest == "" {
 				d.newest, d.since = pool, a.round
--- a/internal/jobs/limit/overdraft_test.go
+++ b/internal/jobs/limit/overdraft_test.go
@@ -95,3 +95,34 @@
 		t.Errorf("a task fits into %d allocations, want 2", fit)
 	}
 }
+
+// TestOverdraftKeepsAllocations guards against allocations that fall in all pools while one task runs with an overdraft, so that nothing
+// starts in place of what ends, and against starts while more than that is beyond the limit.
+func TestOverdraftKeepsAllocations(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	ceiling := Ceiling{CPU: 60_000}
+	busy := Demand{Used: 250, Requested: 2000, Allocation: 250, Unit: 28, Task: 28, Ceiling: ceiling}
+	over := Demand{Used: 278, Requested: 2000, Allocation: 250, Unit: 28, Task: 28, Overdraft: true, Ceiling: ceiling}
+	fallen := Demand{Used: 278, Requested: 2000, Allocation: 250, Unit: 28, Task: 28, Ceiling: ceiling}
+	tests := []struct {
+		name    string
+		demands map[string]Demand
+		want    int // smallest allocation of all pools
+	}{
+		{"one task runs with an overdraft", map[string]Demand{"a": over, "b": busy, "c": busy, "d": busy}, 222},
+		{"tasks of all pools are beyond a limit that has fallen", map[string]Demand{"a": fallen, "b": fallen, "c": fallen, "d": fallen}, minAllocation},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a := NewAllocator()
+			reportAll(a, names, test.demands)
+			smallest := FullLimit
+			for _, g := range a.Allocate(names) {
+				smallest = min(smallest, g.Allocations["t"])
+			}
+			if smallest < test.want || test.want == minAllocation && smallest != minAllocation {
+				t.Errorf("the smallest allocation is %d, want %d", smallest, test.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/limit/targets.go
+++ b/internal/jobs/limit/targets.go
@@ -73,16 +73,20 @@
 	}
 }
 
-// next returns the next larger amount that lets one more task run: what is used, and from there on a unit more.
+// next returns the next larger amount that lets one more task run, of those that run now or wait.
 func (t *target) next() int {
-	if t.amount < t.demand.Used {
-		return t.demand.Used
-	}
-	if t.amount >= t.requested || t.step == 0 {
+	switch {
+	case t.amount >= t.requested:
 		return t.amount
+	case t.step == 0:
+		return max(t.amount, t.demand.Used)
+	}
+	offset := t.demand.Used % t.step // what is used is a number of steps above it
+	next := offset + max(0, t.amount-offset+t.step)/t.step*t.step
+	if t.demand.Unit == 0 {
+		return min(t.requested, next)
 	}
-	steps := (t.amount-t.demand.Used)/t.step + 1
-	return t.demand.Used + steps*t.step
+	return next
 }
 
 // step returns in which steps an allocation should rise, so that one more task can start with each, or 0 if none ever can. What does not
