outlier, pool: Spend less processor time for each worker in each round

Cause: each round of placing looked up the state of every worker by its id, three times, though hardly ever is one ejected; and each task without a rack had all workers searched for one of its rack on which it had failed.

Change: the detector answers at once while no worker is ejected or probing; the rack is searched only for a task that would wait for it. No change of what is decided.

Measured: the tests of outlier and limit, TestFailuresAreBlamedOnTheirCause and TestRefusalIsBlamedOnItsCause pass.

--- a/internal/jobs/outlier/detector.go
+++ b/internal/jobs/outlier/detector.go
@@ -59,11 +59,12 @@
 
 // Detector finds the workers of one pool that fail what they start.
 type Detector struct {
-	workers map[string]*record
-	steps   map[stepKey]*stepRecord
-	size    int
-	changes []Change
-	swept   time.Duration
+	workers   map[string]*record
+	steps     map[stepKey]*stepRecord
+	size      int
+	unhealthy int // workers that are ejected or probing
+	changes   []Change
+	swept     time.Duration
 }
 
 // New returns a detector that knows of no failures.
@@ -76,6 +77,9 @@
 
 // Forget drops what is known of a worker, which has gone or has started anew.
 func (d *Detector) Forget(worker string) {
+	if w, ok := d.workers[worker]; ok && w.state != Healthy {
+		d.unhealthy--
+	}
 	delete(d.workers, worker)
 	for _, s := range d.steps {
 		s.forget(worker)
@@ -91,6 +95,9 @@
 
 // State returns the state of a worker, and the steady time since which it is probing.
 func (d *Detector) State(now time.Duration, worker string) (State, time.Duration) {
+	if d.unhealthy == 0 {
+		return Healthy, 0 // asked for each worker in each round
+	}
 	w, ok := d.workers[worker]
 	if !ok {
 		return Healthy, 0
@@ -168,6 +175,12 @@
 }
 
 func (d *Detector) setState(name string, w *record, s State) {
+	if w.state == Healthy {
+		d.unhealthy++
+	}
+	if s == Healthy {
+		d.unhealthy--
+	}
 	w.state = s
 	d.changes = append(d.changes, Change{Worker: name, State: s})
 }
--- a/internal/jobs/pool/place.go
+++ b/internal/jobs/pool/place.go
@@ -189,7 +189,7 @@
 		if p.shouldTryElsewhere(at, t, step, h, o) {
 			continue
 		}
-		if h.info.Rack != step.Rack && !p.hasFailedOnRack(t, step.Rack, o) && p.shouldWaitForRack(at, it, step, o) {
+		if h.info.Rack != step.Rack && p.shouldWaitForRack(at, it, step, o) && !p.hasFailedOnRack(t, step.Rack, o) {
 			return
 		}
 		p.place(at, it.entry, t, h)
