--- a/internal/jobs/job/crash.go
+++ b/internal/jobs/job/crash.go
@@ -52,7 +52,7 @@
 }
 
 // Add records a crash. An instance whose workers crash under older runs of the task again and again may be at fault
-// itself, so its crashes count once until workers of another instance have crashed at that age, too.
+// itself, so its crashes count once.
 func (c *CrashRecord) Add(crash Crash) {
 	c.Crashes++
 	if crash.Certain {
@@ -71,8 +71,7 @@
 		c.Strikes, c.From, c.Until, c.Uncertain = 0, crash.From, crash.Until, 0
 		c.Instances = nil
 	}
-	again := slices.Contains(c.Instances, crash.Instance)
-	if again && len(c.Instances) == 1 && crash.Until > promptAge {
+	if slices.Contains(c.Instances, crash.Instance) && crash.Until > promptAge {
 		return
 	}
 	c.Strikes++
@@ -81,9 +80,7 @@
 	}
 	c.From = max(c.From, crash.From)
 	c.Until = max(c.From, min(c.Until, crash.Until))
-	if !again {
-		c.Instances = append(c.Instances, crash.Instance)
-	}
+	c.Instances = append(c.Instances, crash.Instance)
 }
 
 // Prompt reports whether the crashes came so soon after the start of the runs that hardly anything else can be their
